Add workspace build, base package and check scripts

Cause: packages need one build, one formatter and linter configuration and common types before they can be written side by side. Interfaces between packages are in docs/design.md 2.4. Conclusion: ready for packages.

--- /dev/null
+++ b/packages/base/easylogging/storage.cpp
@@ -0,0 +1,4 @@
+// Defines the storage that easylogging++ requires exactly once per program.
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
--- /dev/null
+++ b/scripts/format.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Formats the C++ sources in place; with --check only reports differences and fails on any.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t files < <(git ls-files --cached --others --exclude-standard -- '*.h' '*.cpp')
+if [ "${1:-}" = --check ]; then
+    clang-format --dry-run --Werror "${files[@]}"
+else
+    clang-format -i "${files[@]}"
+fi
