Add admission controller

The router needs one place that decides which requests start, wait or are refused; dispatch builds against its headers.

Add the events, actions, policy and status of admission::controller, strict priority between tiers, start-time fair queueing per workspace, the floor, early refusal, workspace limits, shedding, preemption, ramp and pressure.

--- /dev/null
+++ b/packages/admission/src/state.cpp
@@ -0,0 +1,142 @@
+#include "state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorygap::admission {
+
+controller::state::state(policy p)
+    : pressure_{p.pressure_hold}, ramp_{p.ramp_time}, now_{base::time_point::min()} {
+    apply(std::move(p));
+}
+
+std::vector<action> controller::state::handle(const event& e, base::time_point now) {
+    now_ = std::max(now, now_);
+    actions_.clear();
+    ramp_.advance(now_);
+    remove_expired();
+    std::visit([this](const auto& v) { on(v); }, e);
+    start_waiting();
+    return std::move(actions_);
+}
+
+void controller::state::on(const progress& e) {
+    const request_index i = requests_.find(e.id);
+    if (i == no_request || !requests_[i].running) {
+        return;
+    }
+    request& r = requests_[i];
+    r.tokens_sent = std::max(r.tokens_sent, e.tokens);
+    const double used = static_cast<double>(r.prompt_tokens + r.tokens_sent);
+    if (used > r.charged) {
+        class_of(i).queue.correct(r.workspace, used - r.charged);
+        workspaces_[r.workspace].tokens.charge(used - r.charged);
+        r.charged = used;
+    }
+}
+
+void controller::state::on(const finished& e) {
+    const request_index i = requests_.find(e.id);
+    if (i == no_request || !requests_[i].running) {
+        return;
+    }
+    const request& r = requests_[i];
+    class_state& c = class_of(i);
+    if (e.service_time > base::duration::zero() && r.preemptions == 0) {
+        c.estimator.record(r.prompt_tokens, e.tokens, e.service_time);
+    }
+    const double delta = static_cast<double>(r.prompt_tokens + e.tokens) - r.charged;
+    c.queue.correct(r.workspace, delta);
+    workspaces_[r.workspace].tokens.charge(delta);
+    release_slot(i);
+    requests_.erase(i);
+}
+
+void controller::state::on(const returned& e) {
+    const request_index i = requests_.find(e.id);
+    if (i != no_request && requests_[i].running) {
+        requeue(i);
+    }
+}
+
+void controller::state::on(const abandoned& e) {
+    const request_index i = requests_.find(e.id);
+    if (i == no_request) {
+        return;
+    }
+    if (requests_[i].running) {
+        const request& r = requests_[i];
+        const double unused = r.charged - static_cast<double>(r.prompt_tokens + r.tokens_sent);
+        class_of(i).queue.correct(r.workspace, -unused);
+        workspaces_[r.workspace].tokens.charge(-unused);
+        release_slot(i);
+    } else {
+        refund(requests_[i]);
+        class_of(i).queue.remove(i);
+        --queued_;
+    }
+    requests_.erase(i);
+}
+
+void controller::state::on(const capacity_changed& e) {
+    ramp_.set_target(std::max(e.slots, 0), queued_ > 0, now_);
+}
+
+void controller::state::on(const pressure_changed& e) {
+    pressure_.set_peer_level(e.level, now_);
+}
+
+void controller::state::on(const share_changed& e) {
+    const auto i = workspace_index(e.workspace);
+    workspaces_[i].share = std::clamp(e.share, 0.0, 1.0);
+    workspaces_[i].set_limits(now_);
+    block_at_limit(i);
+}
+
+void controller::state::on(const policy_changed& e) {
+    apply(e.value);
+}
+
+void controller::state::on(const tick&) {
+    rescue_urgent();
+}
+
+status controller::state::snapshot(base::time_point now) const {
+    status s;
+    for (const auto index : order_) {
+        const class_state& c = classes_[index];
+        class_status& out = s.classes.emplace_back();
+        out.id = c.rules.id;
+        out.tier = c.rules.tier;
+        out.queued = c.queue.size();
+        out.running = c.running;
+        out.waiting = c.backlogged() && c.unmet_since ? now - *c.unmet_since : base::duration::zero();
+        out.predicted_wait =
+            std::chrono::duration_cast<base::duration>(std::chrono::duration<double>{predicted_wait(c, 0)});
+        out.started = c.started;
+        out.refused = c.refused;
+        out.preempted = c.preempted;
+    }
+    s.queued = queued_;
+    s.running = static_cast<std::size_t>(running_);
+    s.slots = ramp_.target();
+    s.usable_slots = ramp_.usable();
+    s.pressure = pressure_.own_level(now);
+    s.effective_pressure = pressure_.level(now);
+    return s;
+}
+
+controller::controller(policy p) : state_{std::make_unique<state>(std::move(p))} {}
+controller::~controller() = default;
+controller::controller(controller&&) noexcept = default;
+controller& controller::operator=(controller&&) noexcept = default;
+
+std::vector<action> controller::handle(const event& e, base::time_point now) {
+    return state_->handle(e, now);
+}
+
+status controller::snapshot(base::time_point now) const {
+    return state_->snapshot(now);
+}
+
+}  // namespace chicorygap::admission
--- /dev/null
+++ b/packages/admission/src/state_schedule.cpp
@@ -0,0 +1,217 @@
+#include "state.h"
+
+#include <algorithm>
+
+namespace chicorygap::admission {
+
+using base::result_code;
+
+namespace {
+
+// Slot time of one prompt token relative to one output token: prefill is processed in large batches.
+constexpr double prompt_token_cost = 0.05;
+// A request that was preempted this often keeps its slot, so that it completes.
+constexpr int max_preemptions = 2;
+// The most recent runs hold the least work; looking further back finds no better victim in practice.
+constexpr int victims_examined = 8;
+
+}  // namespace
+
+void controller::state::remove_expired() {
+    for (auto& c : classes_) {
+        while (c.queue.size() > 0) {
+            const auto [deadline, i] = c.queue.earliest_deadline();
+            if (deadline > now_) {
+                break;
+            }
+            const base::duration wait = predicted_wait_of(i);
+            pressure_.record_refusal(c.rules.tier, now_);
+            drop(i, result_code::deadline_unreachable, wait);
+        }
+    }
+}
+
+void controller::state::start_waiting() {
+    while (running_ < usable_slots()) {
+        class_state* c = pick_class();
+        if (c == nullptr) {
+            return;
+        }
+        start_request(*c);
+    }
+}
+
+class_state* controller::state::pick_class() {
+    if (class_state* c = overdue_class(); c != nullptr) {
+        return c;
+    }
+    class_state* best = nullptr;
+    for (const auto index : order_) {
+        class_state& c = classes_[index];
+        if (best != nullptr && best->rules.tier.outranks(c.rules.tier)) {
+            break;
+        }
+        if (c.backlogged() && (best == nullptr || c.unmet_since < best->unmet_since)) {
+            best = &c;
+        }
+    }
+    return best;
+}
+
+class_state* controller::state::overdue_class() {
+    class_state* most = nullptr;
+    base::duration most_overdue{};
+    for (const auto index : order_) {
+        class_state& c = classes_[index];
+        if (!c.backlogged() || !floor_due(c) || harms_higher_tier(c)) {
+            continue;
+        }
+        const base::duration overdue = now_ - *c.unmet_since - c.rules.floor_wait;
+        if (most == nullptr || overdue > most_overdue) {
+            most = &c;
+            most_overdue = overdue;
+        }
+    }
+    return most;
+}
+
+bool controller::state::harms_higher_tier(const class_state& c) const {
+    // The floor gives way to a queued higher-tier request that would miss its deadline, but not for
+    // longer than a second `floor_wait`: this is the bound on the wait of a class.
+    if (now_ - *c.unmet_since >= 2 * c.rules.floor_wait) {
+        return false;
+    }
+    const auto next = now_ + std::chrono::duration_cast<base::duration>(
+                                 std::chrono::duration<double>{next_release_seconds()});
+    return std::any_of(order_.begin(), order_.end(), [&](auto index) {
+        const class_state& other = classes_[index];
+        return other.rules.tier.outranks(c.rules.tier) && other.backlogged() &&
+               other.queue.earliest_deadline().first < next;
+    });
+}
+
+void controller::state::start_request(class_state& c) {
+    const request_index i = c.queue.best();
+    request& r = requests_[i];
+    const bool out_of_turn = std::any_of(order_.begin(), order_.end(), [&](auto index) {
+        return classes_[index].rules.tier.outranks(c.rules.tier) && classes_[index].backlogged();
+    });
+    c.queue.take(i);
+    --queued_;
+    r.running = true;
+    r.started = now_;
+    r.started_by_floor = out_of_turn;
+    c.running_by_floor += out_of_turn ? 1 : 0;
+    if (r.resumable && r.preemptions < max_preemptions) {
+        c.preemptible.emplace(now_, i);
+    }
+    c.load.add(r.seconds, now_);
+    ++c.running;
+    ++c.started;
+    c.unmet_since.reset();
+    if (c.queue.size() > 0) {
+        c.note_unmet(now_);
+    }
+    ++running_;
+    running_seconds_ += r.seconds;
+    ++workspaces_[r.workspace].running;
+    block_at_limit(r.workspace);
+    actions_.emplace_back(start{r.id, r.resumed});
+}
+
+void controller::state::release_slot(request_index i) {
+    request& r = requests_[i];
+    class_state& c = class_of(i);
+    r.running = false;
+    c.preemptible.erase({r.started, i});
+    --c.running;
+    c.running_by_floor -= r.started_by_floor ? 1 : 0;
+    --running_;
+    running_seconds_ = running_ == 0 ? 0 : running_seconds_ - r.seconds;
+    --workspaces_[r.workspace].running;
+    block_at_limit(r.workspace);
+}
+
+void controller::state::requeue(request_index i) {
+    request& r = requests_[i];
+    class_state& c = class_of(i);
+    release_slot(i);
+    // The charge at the next start replaces the one of the interrupted run.
+    c.queue.correct(r.workspace, -r.tokens);
+    c.queue.push_front(i, workspaces_[r.workspace].rules.weight);
+    c.note_unmet(now_);
+    ++queued_;
+}
+
+void controller::state::block_at_limit(std::uint32_t workspace) {
+    const workspace_state& w = workspaces_[workspace];
+    if (!w.rules.limits.concurrency) {
+        return;
+    }
+    for (auto& c : classes_) {
+        c.queue.set_blocked(workspace, w.at_limit());
+    }
+}
+
+void controller::state::rescue_urgent() {
+    const auto next = now_ + std::chrono::duration_cast<base::duration>(
+                                 std::chrono::duration<double>{next_release_seconds()});
+    for (const auto index : order_) {
+        class_state& c = classes_[index];
+        const request_index i = c.queue.best();
+        if (i != no_request && requests_[i].deadline < next) {
+            preempt_for(c, requests_[i]);
+            return;
+        }
+    }
+}
+
+bool controller::state::preempt_for(const class_state& c, const request& r) {
+    if (usable_slots() == 0 || workspaces_[r.workspace].at_limit()) {
+        return false;
+    }
+    const double output = r.tokens - static_cast<double>(r.prompt_tokens);
+    const double gain = output + prompt_token_cost * static_cast<double>(r.prompt_tokens);
+    const request_index victim = preemption_victim(c.rules.tier, gain);
+    if (victim == no_request) {
+        return false;
+    }
+    request& v = requests_[victim];
+    ++v.preemptions;
+    v.resumed = true;
+    v.deadline = base::time_point::max();
+    ++class_of(victim).preempted;
+    actions_.emplace_back(preempt{v.id});
+    requeue(victim);
+    return true;
+}
+
+request_index controller::state::preemption_victim(base::tier above, double gain) {
+    for (auto it = order_.rbegin(); it != order_.rend(); ++it) {
+        const class_state& c = classes_[*it];
+        if (!above.outranks(c.rules.tier)) {
+            break;
+        }
+        request_index victim = no_request;
+        double least = gain;
+        int examined = 0;
+        for (auto run = c.preemptible.rbegin(); run != c.preemptible.rend(); ++run) {
+            const request& r = requests_[run->second];
+            // A resumed run computes its prompt and the tokens already sent again as one prefill.
+            const double lost = prompt_token_cost * static_cast<double>(r.prompt_tokens + r.tokens_sent);
+            if (lost < least) {
+                least = lost;
+                victim = run->second;
+            }
+            if (++examined == victims_examined) {
+                break;
+            }
+        }
+        if (victim != no_request) {
+            return victim;
+        }
+    }
+    return no_request;
+}
+
+}  // namespace chicorygap::admission
