--- /dev/null
+++ b/packages/retry/src/attempt_ledger.cpp
@@ -0,0 +1,173 @@
+#include "retry/attempt_ledger.h"
+
+#include "base/error.h"
+#include "retry/budget.h"
+
+#include <algorithm>
+
+namespace chicorygap::retry {
+
+using base::result_code;
+
+namespace {
+
+// Outcomes after which another server may succeed. Caller errors would be repeated, and a request that the
+// caller or admission ended must not start again.
+bool is_retryable(result_code c) {
+    switch (c) {
+        case result_code::connect_failed:
+        case result_code::first_byte_timeout:
+        case result_code::token_gap_timeout:
+        case result_code::answer_truncated:
+        case result_code::answer_mismatched:
+        case result_code::backend_refused:
+        case result_code::backend_failed:
+        case result_code::no_backend_server:
+            return true;
+        default:
+            return false;
+    }
+}
+
+}  // namespace
+
+attempt_ledger::attempt_ledger(request_terms t) : terms_{t} {}
+
+std::uint32_t attempt_ledger::start(base::time_point now) {
+    if (!terms_.idempotent && may_have_been_sent()) {
+        throw base::error{result_code::internal, "second attempt of a non-idempotent request"};
+    }
+    attempts_.push_back({.started = now, .in_flight = true, .tokens = 0, .outcome = {}});
+    return attempts();
+}
+
+bool attempt_ledger::progressed(std::uint32_t number, std::uint64_t tokens) {
+    if (number == 0 || number > attempts() || !attempts_[number - 1].in_flight) {
+        return false;
+    }
+    attempts_[number - 1].tokens += tokens;
+    if (source_ == 0) {
+        source_ = number;
+    }
+    if (source_ != number) {
+        return false;
+    }
+    delivered_ += tokens;
+    return true;
+}
+
+void attempt_ledger::finished(std::uint32_t number, attempt_outcome o) {
+    if (number == 0 || number > attempts() || !attempts_[number - 1].in_flight) {
+        return;
+    }
+    auto& a = attempts_[number - 1];
+    a.in_flight = false;
+    a.outcome = o;
+    if (source_ == number && o.code != result_code::ok) {
+        source_ = 0;
+    }
+}
+
+next_attempt attempt_ledger::next(budget& b, base::time_point now) const {
+    auto reason = obstacle(now);
+    if (in_flight() > 0) {
+        reason = result_code::internal;
+    } else if (reason == result_code::ok && attempts_.empty()) {
+        return {true, result_code::ok, 0};
+    } else if (reason == result_code::ok && !is_retryable(attempts_.back().outcome.code)) {
+        reason = attempts_.back().outcome.code;
+    } else if (reason == result_code::ok && delivered_ > 0 && !terms_.resumable) {
+        reason = attempts_.back().outcome.code;
+    } else if (reason == result_code::ok && !b.try_spend(now)) {
+        reason = result_code::retries_exhausted;
+    }
+    const bool allowed = reason == result_code::ok;
+    return {allowed, reason, allowed ? delivered_ : 0};
+}
+
+next_attempt attempt_ledger::hedge(budget& b, base::time_point now) const {
+    const auto due = hedge_time();
+    if (!due || now < *due) {
+        return {false, result_code::internal, 0};
+    }
+    if (const auto reason = obstacle(now); reason != result_code::ok) {
+        return {false, reason, 0};
+    }
+    if (!b.try_spend(now)) {
+        return {false, result_code::retries_exhausted, 0};
+    }
+    return {true, result_code::ok, delivered_};
+}
+
+std::optional<base::time_point> attempt_ledger::hedge_time() const {
+    if (!terms_.hedge_after || !terms_.idempotent || in_flight() != 1 || source_ != 0 ||
+        attempts() >= terms_.max_attempts || succeeded()) {
+        return std::nullopt;
+    }
+    const auto it = std::ranges::find_if(attempts_, &attempt::in_flight);
+    return it->started + *terms_.hedge_after;
+}
+
+std::vector<std::uint32_t> attempt_ledger::redundant() const {
+    std::vector<std::uint32_t> out;
+    for (std::uint32_t n = 1; n <= attempts(); n++) {
+        if (attempts_[n - 1].in_flight && n != source_ && (source_ != 0 || succeeded())) {
+            out.push_back(n);
+        }
+    }
+    return out;
+}
+
+base::run_state attempt_ledger::run_state() const {
+    auto s = base::run_state::not_run;
+    for (const auto& a : attempts_) {
+        s = base::combine(s, state_of(a));
+    }
+    return s;
+}
+
+std::uint32_t attempt_ledger::in_flight() const {
+    return static_cast<std::uint32_t>(std::ranges::count_if(attempts_, &attempt::in_flight));
+}
+
+bool attempt_ledger::succeeded() const {
+    return std::ranges::any_of(
+        attempts_, [](const attempt& a) { return !a.in_flight && a.outcome.code == result_code::ok; });
+}
+
+base::run_state attempt_ledger::state_of(const attempt& a) {
+    if (a.tokens > 0) {
+        return base::run_state::run;
+    }
+    if (a.in_flight) {
+        return base::run_state::unknown;
+    }
+    if (a.outcome.code == result_code::ok) {
+        return base::run_state::run;
+    }
+    // A server that reports its refusal did not run the request.
+    const bool not_run = !a.outcome.sent || a.outcome.code == result_code::backend_refused;
+    return not_run ? base::run_state::not_run : base::run_state::unknown;
+}
+
+result_code attempt_ledger::obstacle(base::time_point now) const {
+    if (succeeded()) {
+        return result_code::internal;
+    }
+    if (!terms_.idempotent && may_have_been_sent()) {
+        return attempts_.back().in_flight ? result_code::outcome_unknown : attempts_.back().outcome.code;
+    }
+    if (attempts() >= terms_.max_attempts) {
+        return result_code::retries_exhausted;
+    }
+    if (terms_.deadline != base::time_point::max() && now + terms_.least_time >= terms_.deadline) {
+        return result_code::deadline_unreachable;
+    }
+    return result_code::ok;
+}
+
+bool attempt_ledger::may_have_been_sent() const {
+    return std::ranges::any_of(attempts_, [](const attempt& a) { return a.in_flight || a.outcome.sent; });
+}
+
+}  // namespace chicorygap::retry
