--- /dev/null
+++ b/packages/lease/tests/role_lease_test.cpp
@@ -0,0 +1,238 @@
+#include "lease/role_lease.h"
+
+#include "fakes/message_store.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+namespace chicorygap::lease {
+namespace {
+
+using namespace std::chrono_literals;
+using fakes::store_fault;
+
+lease_options options(const std::string& holder, std::uint64_t incarnation = 1) {
+    lease_options o;
+    o.role = "zone-control-a";
+    o.holder = holder;
+    o.incarnation = incarnation;
+    return o;
+}
+
+// One daemon whose calls reach `store` at once. A paused daemon receives no event.
+struct daemon {
+    fakes::message_store& store;
+    role_lease machine;
+    int acquisitions = 0;
+    int losses = 0;
+    int releases = 0;
+
+    daemon(fakes::message_store& s, lease_options o) : store{s}, machine{std::move(o)} {}
+
+    void send(const lease_event& e, base::time_point now) {
+        std::deque<lease_event> events{e};
+        while (!events.empty()) {
+            const auto actions = machine.handle(events.front(), now);
+            events.pop_front();
+            for (const auto& a : actions) {
+                run(a, events);
+            }
+        }
+    }
+
+    void run(const lease_action& a, std::deque<lease_event>& events) {
+        if (const auto* p = std::get_if<base::store_put>(&a)) {
+            events.emplace_back(store.call(*p));
+        } else if (const auto* g = std::get_if<base::store_get>(&a)) {
+            events.emplace_back(store.call(*g));
+        } else if (std::holds_alternative<acquired>(a)) {
+            ++acquisitions;
+        } else if (std::holds_alternative<lost>(a)) {
+            ++losses;
+        } else {
+            ++releases;
+        }
+    }
+};
+
+struct role_lease_test : testing::Test {
+    fakes::message_store store;
+    base::time_point now{1h};
+    daemon a{store, options("a")};
+    daemon b{store, options("b")};
+
+    // Ticks the daemons every 100 ms and checks P6 at each step.
+    void run(base::duration d, std::initializer_list<daemon*> live) {
+        for (const auto end = now + d; now < end; now += 100ms) {
+            for (auto* p : live) {
+                p->send(tick{}, now);
+            }
+            ASSERT_FALSE(a.machine.may_act(now) && b.machine.may_act(now)) << "two holders";
+        }
+    }
+
+    // Ticks `live` until it may act; fails after 30 s.
+    base::duration time_until_acting(daemon& live) {
+        const auto start = now;
+        while (!live.machine.may_act(now) && now < start + 30s) {
+            run(100ms, {&live});
+        }
+        return now - start;
+    }
+};
+
+// Guards against a role without a holder after its holder's death (takeover bound 15 s).
+TEST_F(role_lease_test, dead_holder_is_replaced_within_15_s_with_a_higher_term) {
+    run(20s, {&a, &b});
+    ASSERT_TRUE(a.machine.may_act(now));
+    const auto t = time_until_acting(b);
+    EXPECT_LE(t, 15s);
+    EXPECT_GE(t, 7s + 5s - 3s);
+    EXPECT_GT(b.machine.term(), a.machine.term());
+}
+
+// Guards against a holder that acts after a pause because its own clock was not checked (P6).
+TEST_F(role_lease_test, holder_paused_past_its_lease_does_not_act_on_resume) {
+    run(1s, {&a});
+    run(8s, {&b});
+    EXPECT_FALSE(a.machine.may_act(now));
+    run(30s, {&b});
+    run(5s, {&a, &b});
+    EXPECT_TRUE(b.machine.may_act(now));
+    EXPECT_EQ(a.losses, 1);
+}
+
+// Guards against losing the role because a renewal's reply was lost after it took effect.
+TEST_F(role_lease_test, renewal_with_a_lost_reply_keeps_the_role) {
+    run(2s, {&a, &b});
+    for (int i = 0; i < 10; ++i) {
+        store.inject(store_fault::drop_reply);
+        run(3s, {&a, &b});
+    }
+    EXPECT_TRUE(a.machine.may_act(now));
+    EXPECT_EQ(a.losses, 0);
+}
+
+// Guards against two daemons that both take a lost acquisition for their own.
+TEST_F(role_lease_test, acquisition_with_a_lost_reply_has_one_holder) {
+    store.inject(store_fault::none);
+    store.inject(store_fault::drop_reply);
+    run(20s, {&a, &b});
+    EXPECT_TRUE(a.machine.may_act(now) != b.machine.may_act(now));
+}
+
+// Guards against extending the lease from the reply's time instead of the time of sending.
+TEST_F(role_lease_test, slow_store_shortens_the_lease) {
+    a.send(tick{}, now);
+    ASSERT_TRUE(a.machine.may_act(now));
+    const auto actions = a.machine.handle(tick{}, now + 3s);
+    const auto put = std::get<base::store_put>(actions.at(0));
+    a.machine.handle(store.call(put), now + 6s);
+    EXPECT_TRUE(a.machine.may_act(now + 9900ms));
+    EXPECT_FALSE(a.machine.may_act(now + 10s));
+}
+
+// Guards against orders while the platform is down for longer than the lease.
+TEST_F(role_lease_test, store_down_ends_the_lease_and_the_role_returns_with_the_store) {
+    run(2s, {&a, &b});
+    store.set_down(true);
+    run(8s, {&a, &b});
+    EXPECT_FALSE(a.machine.may_act(now));
+    run(60s, {&a, &b});
+    store.set_down(false);
+    run(15s, {&a, &b});
+    EXPECT_TRUE(a.machine.may_act(now) != b.machine.may_act(now));
+}
+
+// Guards against two holders when the holder is paused while the store is down.
+TEST_F(role_lease_test, store_down_and_holder_paused) {
+    run(2s, {&a, &b});
+    store.set_down(true);
+    run(5s, {&b});
+    store.set_down(false);
+    run(20s, {&b});
+    run(10s, {&a, &b});
+    EXPECT_FALSE(a.machine.may_act(now));
+    EXPECT_TRUE(b.machine.may_act(now));
+}
+
+// Guards against two holders when a renewal is still under way while its sender is paused.
+TEST_F(role_lease_test, reply_lost_and_holder_paused) {
+    run(2s, {&a, &b});
+    store.inject(store_fault::delay);
+    run(1s, {&a});
+    run(11s, {&b});
+    store.deliver_delayed();
+    run(4s, {&b});
+    run(20s, {&a, &b});
+    EXPECT_TRUE(a.machine.may_act(now) != b.machine.may_act(now));
+}
+
+// Guards against a slow planned hand-over (bound 1 s) and against acting while it is under way.
+TEST_F(role_lease_test, drain_hands_over_within_1_s) {
+    run(5s, {&a, &b});
+    a.send(release_requested{}, now);
+    EXPECT_FALSE(a.machine.may_act(now));
+    EXPECT_EQ(a.releases, 1);
+    const auto object = store.find("lease/zone-control-a");
+    b.send(object_observed{*object}, now);
+    EXPECT_TRUE(b.machine.may_act(now));
+    EXPECT_EQ(b.machine.term(), a.machine.term() + 1);
+}
+
+// Guards against a drain that hangs because the reply to the hand-over was lost.
+TEST_F(role_lease_test, drain_with_a_lost_reply_ends) {
+    run(5s, {&a, &b});
+    store.inject(store_fault::drop_reply);
+    a.send(release_requested{}, now);
+    run(2s, {&a, &b});
+    EXPECT_EQ(a.releases, 1);
+    EXPECT_TRUE(b.machine.may_act(now));
+}
+
+// Guards against a drain that hangs while the store is down.
+TEST_F(role_lease_test, drain_with_the_store_down_ends_with_the_lease) {
+    run(5s, {&a});
+    store.set_down(true);
+    a.send(release_requested{}, now);
+    run(8s, {&a});
+    EXPECT_EQ(a.releases, 1);
+}
+
+// Guards against a restarted daemon that takes over its predecessor's lease while that one may still run.
+TEST_F(role_lease_test, restarted_daemon_waits_like_any_other) {
+    run(2s, {&a});
+    daemon again{store, options("a", 2)};
+    const auto died = now;
+    while (!again.machine.may_act(now)) {
+        again.send(tick{}, now);
+        ASSERT_FALSE(a.machine.may_act(now) && again.machine.may_act(now));
+        now += 100ms;
+    }
+    EXPECT_GE(now - died, 12s);
+    EXPECT_LE(now - died, 15s);
+}
+
+// Guards against a permanent loss of the role to a daemon that is cut off from the platform.
+TEST_F(role_lease_test, partitioned_holder_stops_and_another_zone_member_takes_over) {
+    fakes::message_store unreachable;
+    unreachable.set_down(true);
+    run(5s, {&a, &b});
+    ASSERT_TRUE(a.machine.may_act(now));
+    // a keeps running but reaches nothing; only b's calls are executed.
+    for (const auto end = now + 15s; now < end; now += 100ms) {
+        for (const auto& action : a.machine.handle(tick{}, now)) {
+            if (const auto* p = std::get_if<base::store_put>(&action)) {
+                a.machine.handle(unreachable.call(*p), now);
+            }
+        }
+        b.send(tick{}, now);
+        ASSERT_FALSE(a.machine.may_act(now) && b.machine.may_act(now));
+    }
+    EXPECT_TRUE(b.machine.may_act(now));
+}
+
+}  // namespace
+}  // namespace chicorygap::lease
