Add backend client and caller-facing HTTP server

Cause: the daemon needs its request path; other packages build against its interfaces. Change: backend_client with an HTTP adapter (allow-listed headers, request id echo, server-sent events, timeouts, pool, cancellation), and front with hooks, responder, caller monitor, limits and an operator port.

--- /dev/null
+++ b/packages/front/include/front/refusal.h
@@ -0,0 +1,27 @@
+/// @file
+/// A refusal or failure as a caller sees it.
+#pragma once
+
+#include "base/result_code.h"
+#include "base/run_state.h"
+#include "base/time.h"
+
+#include <optional>
+#include <string>
+
+namespace chicorygap::front {
+
+/// Sent as application/problem+json, or as an `error` event in a stream that has begun.
+struct refusal {
+    base::result_code code = base::result_code::internal;
+    base::run_state state = base::run_state::not_run;
+    /// For the caller; holds neither key nor prompt text.
+    std::string detail;
+    /// Sent as `Retry-After`, rounded up to whole seconds.
+    std::optional<base::duration> retry_after;
+};
+
+/// @return the JSON body with type, title, status, code, name, run_state and detail.
+[[nodiscard]] std::string problem_json(const refusal& r);
+
+}  // namespace chicorygap::front
