Add stand-in platform, document pages and examples

Cause: the platform adapters and the demo need a platform to talk to, and operators need a description of both file formats. Change: add testing/standin_platform as library and program with objects, lists, orders, usage and faults; pages and examples for service documents and daemon settings; tests of document, settings, platform and the stand-in. Connect before sending, so that a refused connection is known to be without effect.

--- a/packages/document/include/document/lookup.h
+++ b/packages/document/include/document/lookup.h
@@ -6,6 +6,7 @@
 #include "document/service_document.h"
 
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -58,4 +59,8 @@
 /// @return true when the route admits the workspace.
 bool admits(const route& r, const base::workspace_id& w);
 
+/// @param r route that matches the path.
+/// @return path to send to the backend server: `backend_path` in place of the prefix, when the route has one.
+std::string forwarded_path(const route& r, std::string_view path);
+
 }  // namespace chicorygap::document
--- a/packages/document/src/diff.cpp
+++ b/packages/document/src/diff.cpp
@@ -50,7 +50,8 @@
 std::string summary(const ini_section& s) {
     std::string out;
     for (const auto& [key, value] : values_of(s)) {
-        out += (out.empty() ? "" : "; ") + key + " = " + value;
+        out += out.empty() ? "" : "; ";
+        out.append(key).append(" = ").append(value);
     }
     return out;
 }
--- a/packages/document/src/lookup.cpp
+++ b/packages/document/src/lookup.cpp
@@ -67,6 +67,18 @@
     return r.open_to_all || std::find(r.workspaces.begin(), r.workspaces.end(), w) != r.workspaces.end();
 }
 
+std::string forwarded_path(const route& r, std::string_view path) {
+    if (r.backend_path.empty() || !path.starts_with(r.path_prefix)) {
+        return std::string{path};
+    }
+    path.remove_prefix(r.path_prefix.size());
+    std::string out = r.backend_path;
+    if (out.ends_with('/') && path.starts_with('/')) {
+        out.pop_back();
+    }
+    return out.append(path);
+}
+
 const service_class* find_class(const service_document& d, const base::class_id& id) {
     const auto it =
         std::find_if(d.classes.begin(), d.classes.end(), [&](const auto& c) { return c.id == id; });
--- a/packages/platform/src/http_channel.cpp
+++ b/packages/platform/src/http_channel.cpp
@@ -145,17 +145,14 @@
 }
 
 std::unique_ptr<http_channel::session> http_channel::connect(base::duration timeout) const {
-    const Poco::Net::SocketAddress peer{options_.host, options_.port};
-    Poco::Net::StreamSocket socket;
     const deadline d{timeout};
-    socket.connect(peer, d.remaining());
-    socket.setNoDelay(true);
-    auto s = std::make_unique<session>(socket);
-    s->setHost(options_.host);
-    s->setPort(options_.port);
+    auto s = std::make_unique<session>(options_.host, options_.port);
     s->setKeepAlive(true);
     // POCO would replace a connection idle for 8 s; `take` checks instead whether the platform closed it.
     s->setKeepAliveTimeout(Poco::Timespan{24 * Poco::Timespan::HOURS});
+    s->setTimeout(d.remaining(), d.remaining(), d.remaining());
+    s->open();
+    s->socket().setNoDelay(true);
     return s;
 }
 
--- a/packages/platform/src/http_channel.h
+++ b/packages/platform/src/http_channel.h
@@ -32,6 +32,13 @@
     std::string body;
 };
 
+/// Client session that can connect before it sends, so that a refused connection is known to have no effect.
+class platform_session final : public Poco::Net::HTTPClientSession {
+public:
+    using HTTPClientSession::HTTPClientSession;
+    void open() { reconnect(); }
+};
+
 /// Runs calls over kept-alive connections. A connection is reused only after a complete exchange.
 class http_channel {
 public:
@@ -43,7 +50,7 @@
     http_reply run(const http_call& c, base::duration timeout);
 
 private:
-    using session = Poco::Net::HTTPClientSession;
+    using session = platform_session;
 
     std::unique_ptr<session> take();
     void give_back(std::unique_ptr<session> s);
--- /dev/null
+++ b/testing/standin_platform/include/standin_platform/billing_book.h
@@ -0,0 +1,33 @@
+/// @file
+/// Received usage reports.
+#pragma once
+
+#include "platform/billing_service.h"
+
+#include <map>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace chicorygap::standin_platform {
+
+/// All reports of one zone and window, in order of arrival. The first one is billed.
+struct billed_window {
+    std::vector<platform::usage_report> reports;
+    bool differing = false;  ///< a later report has other figures than the billed one.
+};
+
+/// Bills each window once and keeps every report, so that tests can find differing ones.
+class billing_book {
+public:
+    platform::usage_reply report(const platform::usage_report& r);
+
+    /// @return every window, by zone and start.
+    [[nodiscard]] std::vector<billed_window> windows() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::pair<base::zone_id, base::wall_time>, billed_window> windows_;
+};
+
+}  // namespace chicorygap::standin_platform
