--- a/packages/admission/src/state.cpp
+++ b/packages/admission/src/state.cpp
@@ -5,8 +5,7 @@
 
 namespace chicorygap::admission {
 
-controller::state::state(policy p)
-    : pressure_{p.pressure_hold}, ramp_{p.ramp_time}, now_{base::time_point::min()} {
+controller::state::state(policy p) : pressure_{p.pressure_hold}, ramp_{p.ramp_time} {
     apply(std::move(p));
 }
 
@@ -14,8 +13,12 @@
     now_ = std::max(now, now_);
     actions_.clear();
     ramp_.advance(now_);
-    remove_expired();
+    // A caller that has left is removed first, so that it is not refused as expired as well.
+    if (!std::holds_alternative<abandoned>(e)) {
+        remove_expired();
+    }
     std::visit([this](const auto& v) { on(v); }, e);
+    remove_expired();
     start_waiting();
     return std::move(actions_);
 }
@@ -56,6 +59,8 @@
     const request_index i = requests_.find(e.id);
     if (i != no_request && requests_[i].running) {
         requeue(i);
+        // No backend server had room: the slot count is outdated until the next `capacity_changed`.
+        ramp_.set_target(std::min(ramp_.target(), running_), true, now_);
     }
 }
 
@@ -71,9 +76,13 @@
         workspaces_[r.workspace].tokens.charge(-unused);
         release_slot(i);
     } else {
+        class_state& c = class_of(i);
         refund(requests_[i]);
-        class_of(i).queue.remove(i);
+        c.queue.remove(i);
         --queued_;
+        if (c.queue.size() == 0) {
+            c.unmet_since.reset();
+        }
     }
     requests_.erase(i);
 }
--- a/packages/admission/src/state.h
+++ b/packages/admission/src/state.h
@@ -46,7 +46,9 @@
     bool tier_open(class_state& c, const arrival& e);
     request_index enqueue(const arrival& e, std::uint32_t class_index, std::uint32_t workspace);
     void ensure_timely(request_index i);
-    void shed_excess();
+    void refuse_late(request_index i, base::duration wait);
+    [[nodiscard]] bool near_head(request_index i) const;
+    void shed_excess(base::tier cause);
     void drop(request_index i, base::result_code code, base::duration retry_after);
     void reject(const arrival& e, base::result_code code, base::duration retry_after);
     void refund(const request& r);
@@ -54,8 +56,9 @@
     // state_schedule.cpp
     void remove_expired();
     void start_waiting();
-    class_state* pick_class();
+    class_state* strict_class();
     class_state* overdue_class();
+    bool preempt_and_start(const request& r);
     [[nodiscard]] bool harms_higher_tier(const class_state& c) const;
     void start_request(class_state& c);
     void rescue_urgent();
--- a/packages/admission/src/state_arrival.cpp
+++ b/packages/admission/src/state_arrival.cpp
@@ -11,6 +11,8 @@
 
 // A caller that retries at once cannot be served better; a shorter hint only adds load.
 constexpr base::duration min_retry_after = std::chrono::milliseconds{100};
+// Each preemption frees one slot for the head of the queue, which may be ahead of the arrival.
+constexpr int max_preemptions_per_arrival = 4;
 
 }  // namespace
 
@@ -32,7 +34,7 @@
     const request_index i = enqueue(e, it->second, workspace);
     start_waiting();
     ensure_timely(i);
-    shed_excess();
+    shed_excess(c.rules.tier);
 }
 
 bool controller::state::within_limits(const arrival& e, workspace_state& w) {
@@ -83,41 +85,61 @@
 }
 
 void controller::state::ensure_timely(request_index i) {
-    // Each preemption frees one slot for the head of the queue, which may be ahead of the arrival.
-    constexpr int max_preemptions_per_arrival = 4;
     for (int n = 0; n <= max_preemptions_per_arrival; ++n) {
         if (requests_[i].running) {
             return;
         }
         const base::duration wait = predicted_wait_of(i);
-        const base::duration slack = requests_[i].deadline - now_;
-        if (slack >= wait) {
+        if (requests_[i].deadline - now_ >= wait) {
             return;
         }
-        class_state& c = class_of(i);
-        if (n < max_preemptions_per_arrival && preempt_for(c, requests_[i])) {
-            start_waiting();
+        if (n < max_preemptions_per_arrival && near_head(i) && preempt_and_start(requests_[i])) {
             continue;
         }
-        if (floor_due(c) && c.queue.size() == 1) {
-            return;
-        }
-        pressure_.record_refusal(c.rules.tier, now_);
-        drop(i, result_code::deadline_unreachable, std::max(wait - slack, min_retry_after));
+        refuse_late(i, wait);
         return;
     }
 }
 
-void controller::state::shed_excess() {
+bool controller::state::near_head(request_index i) const {
+    const class_state& c = classes_[requests_[i].service_class];
+    std::size_t ahead = c.queue.size() - 1;
+    for (const auto& other : classes_) {
+        ahead += other.rules.tier.outranks(c.rules.tier) ? other.queue.size() : 0;
+    }
+    return ahead < max_preemptions_per_arrival;
+}
+
+void controller::state::refuse_late(request_index i, base::duration wait) {
+    const request& r = requests_[i];
+    class_state& c = class_of(i);
+    const base::duration slack = r.deadline - now_;
+    const base::duration retry_after = std::max(wait - slack, min_retry_after);
+    if (workspaces_[r.workspace].at_limit()) {
+        drop(i, result_code::workspace_limit, retry_after);
+        return;
+    }
+    // One request of a class that the floor must serve waits for a slot, whatever the prediction.
+    if (floor_due(c) && c.queue.size() == 1 && slack > base::duration::zero()) {
+        return;
+    }
+    if (slack > base::duration::zero()) {
+        pressure_.record_refusal(c.rules.tier, now_);
+    }
+    drop(i, result_code::deadline_unreachable, retry_after);
+}
+
+void controller::state::shed_excess(base::tier cause) {
     while (queued_ > policy_.queue_limit) {
         const auto lowest = std::find_if(order_.rbegin(), order_.rend(),
                                          [&](auto index) { return classes_[index].queue.size() > 0; });
         class_state& c = classes_[*lowest];
         const request_index i = c.queue.worst();
-        const bool for_higher = order_.front() != *lowest && queued_ > c.queue.size();
+        const auto queued_code =
+            cause.outranks(c.rules.tier) ? result_code::shed_for_higher_tier : result_code::queue_full;
+        const auto code = requests_[i].preemptions > 0 ? result_code::preempted : queued_code;
         pressure_.record_refusal(c.rules.tier, now_);
-        drop(i, for_higher ? result_code::shed_for_higher_tier : result_code::queue_full,
-             std::max(predicted_wait_of(i), min_retry_after));
+        drop(i, code, std::max(predicted_wait_of(i), min_retry_after));
     }
 }
 
@@ -136,7 +158,7 @@
 }
 
 void controller::state::refund(const request& r) {
-    const double used = r.resumed ? static_cast<double>(r.prompt_tokens + r.tokens_sent) : 0;
+    const double used = r.tokens_sent > 0 ? static_cast<double>(r.prompt_tokens + r.tokens_sent) : 0;
     workspaces_[r.workspace].tokens.charge(used - r.charged);
 }
 
--- a/packages/admission/src/state_schedule.cpp
+++ b/packages/admission/src/state_schedule.cpp
@@ -25,6 +25,10 @@
                 break;
             }
             const base::duration wait = predicted_wait_of(i);
+            if (workspaces_[requests_[i].workspace].at_limit()) {
+                drop(i, result_code::workspace_limit, wait);
+                continue;
+            }
             pressure_.record_refusal(c.rules.tier, now_);
             drop(i, result_code::deadline_unreachable, wait);
         }
@@ -33,7 +37,8 @@
 
 void controller::state::start_waiting() {
     while (running_ < usable_slots()) {
-        class_state* c = pick_class();
+        class_state* c = overdue_class();
+        c = c == nullptr ? strict_class() : c;
         if (c == nullptr) {
             return;
         }
@@ -41,10 +46,7 @@
     }
 }
 
-class_state* controller::state::pick_class() {
-    if (class_state* c = overdue_class(); c != nullptr) {
-        return c;
-    }
+class_state* controller::state::strict_class() {
     class_state* best = nullptr;
     for (const auto index : order_) {
         class_state& c = classes_[index];
@@ -136,8 +138,16 @@
     request& r = requests_[i];
     class_state& c = class_of(i);
     release_slot(i);
-    // The charge at the next start replaces the one of the interrupted run.
-    c.queue.correct(r.workspace, -r.tokens);
+    // What the interrupted run used stays charged; the next start adds the estimate of the rest.
+    const auto sent = static_cast<double>(r.tokens_sent);
+    const double used = r.tokens_sent > 0 ? static_cast<double>(r.prompt_tokens) + sent : 0;
+    const double rest = used > 0 ? std::max(r.charged - used, 1.0) : r.tokens;
+    r.seconds *= std::min(rest / r.tokens, 1.0);
+    r.tokens = rest;
+    r.resumed = r.resumed || r.tokens_sent > 0;
+    c.queue.correct(r.workspace, used - r.charged);
+    workspaces_[r.workspace].tokens.charge(used + rest - r.charged);
+    r.charged = used + rest;
     c.queue.push_front(i, workspaces_[r.workspace].rules.weight);
     c.note_unmet(now_);
     ++queued_;
@@ -160,17 +170,26 @@
         class_state& c = classes_[index];
         const request_index i = c.queue.best();
         if (i != no_request && requests_[i].deadline < next) {
-            preempt_for(c, requests_[i]);
+            preempt_and_start(requests_[i]);
             return;
         }
     }
 }
 
+bool controller::state::preempt_and_start(const request& r) {
+    if (!preempt_for(class_of(requests_.find(r.id)), r)) {
+        return false;
+    }
+    // The freed slot belongs to the head of the highest tier; the floor never takes it.
+    start_request(*strict_class());
+    return true;
+}
+
 bool controller::state::preempt_for(const class_state& c, const request& r) {
-    if (usable_slots() == 0 || workspaces_[r.workspace].at_limit()) {
+    if (running_ > usable_slots() || workspaces_[r.workspace].at_limit()) {
         return false;
     }
-    const double output = r.tokens - static_cast<double>(r.prompt_tokens);
+    const double output = std::max(r.tokens - static_cast<double>(r.prompt_tokens), 0.0);
     const double gain = output + prompt_token_cost * static_cast<double>(r.prompt_tokens);
     const request_index victim = preemption_victim(c.rules.tier, gain);
     if (victim == no_request) {
@@ -178,7 +197,6 @@
     }
     request& v = requests_[victim];
     ++v.preemptions;
-    v.resumed = true;
     v.deadline = base::time_point::max();
     ++class_of(victim).preempted;
     actions_.emplace_back(preempt{v.id});
--- a/packages/admission/src/token_bucket.cpp
+++ b/packages/admission/src/token_bucket.cpp
@@ -27,7 +27,7 @@
         level_ = 0;
         return;
     }
-    const double elapsed = std::chrono::duration<double>{now - at_}.count();
+    const double elapsed = std::max(std::chrono::duration<double>{now - at_}.count(), 0.0);
     level_ = std::min(level_ + elapsed * *rate_, std::max(*rate_ * burst_seconds, min_burst));
     at_ = now;
 }
