--- a/packages/idempotency/include/idempotency/shard_owner.h
+++ b/packages/idempotency/include/idempotency/shard_owner.h
@@ -92,6 +92,7 @@
     void load(base::time_point now);
     void loaded(const base::store_reply& e, base::time_point now);
     void advance(base::time_point now);
+    void expire_records(base::time_point now);
     void start_write(base::time_point now);
     std::vector<entry> take_batch();
     void written(const lease::write_result& r, base::time_point now);
--- a/packages/idempotency/src/shard_owner.cpp
+++ b/packages/idempotency/src/shard_owner.cpp
@@ -21,6 +21,7 @@
 
 std::vector<shard_action> shard_owner::handle(const shard_event& e, base::time_point now) {
     actions_.clear();
+    expire_records(now);
     std::visit([&](const auto& v) { on(v, now); }, e);
     if (state_ != state::not_owner) {
         advance(now);
@@ -121,6 +122,7 @@
     for (const auto& n : outcomes_) {
         records_.apply(n, 0);
     }
+    expire_records(now);
     state_ = state::serving;
     decide_waiting();
 }
@@ -130,9 +132,6 @@
         load(now);
         return;
     }
-    for (const auto sequence : log_.expire(options_.retention, now)) {
-        records_.expire(sequence);
-    }
     if (const auto put = write_.retry(next_correlation_, now)) {
         ++next_correlation_;
         actions_.emplace_back(*put);
@@ -142,6 +141,12 @@
     }
 }
 
+void shard_owner::expire_records(base::time_point now) {
+    for (const auto sequence : log_.expire(options_.retention, now)) {
+        records_.expire(sequence);
+    }
+}
+
 void shard_owner::start_write(base::time_point now) {
     if (!log_.has_room()) {
         refuse_waiting();
