Add daemon: settings, callers, operators, documents and servers

Cause: no process serves requests yet. Change: chicorygapd wires front, gateway, backend and platform adapters; getopt_long options, /status, request metrics, drain on SIGTERM. Conclusion: thin path is in place.

--- /dev/null
+++ b/apps/daemon/src/daemon.cpp
@@ -0,0 +1,237 @@
+#include "daemon.h"
+
+#include "backend/http_backend_client.h"
+#include "base/log.h"
+#include "document_sync.h"
+#include "front/operator_server.h"
+#include "front/server.h"
+#include "gateway/registry.h"
+#include "gateway/request_metrics.h"
+#include "periodic.h"
+#include "platform/http_platform.h"
+#include "server_sync.h"
+#include "status_json.h"
+
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <utility>
+
+namespace chicorygap::daemon_app {
+
+namespace {
+
+constexpr base::duration tick_interval = std::chrono::milliseconds{50};
+constexpr base::duration server_refresh_interval = std::chrono::seconds{1};
+// After a failed watch; a loop without it would flood a platform that refuses calls.
+constexpr base::duration watch_pause = std::chrono::milliseconds{200};
+constexpr base::duration drain_poll_interval = std::chrono::milliseconds{20};
+
+base::wall_time wall_now() {
+    return std::chrono::time_point_cast<base::wall_time::duration>(std::chrono::system_clock::now());
+}
+
+/// Random numbers for decisions that are not security relevant; one generator for all threads.
+class shared_random {
+public:
+    std::uint64_t operator()() {
+        const std::lock_guard lock{mutex_};
+        return engine_();
+    }
+
+private:
+    std::mutex mutex_;
+    std::mt19937_64 engine_{std::random_device{}()};
+};
+
+}  // namespace
+
+class daemon::impl {
+public:
+    explicit impl(settings::daemon_settings s);
+
+    void start();
+    void drain();
+    [[nodiscard]] std::uint16_t caller_port() const { return front_.port(); }
+    [[nodiscard]] std::uint16_t operator_port() const { return operators_.port(); }
+
+private:
+    gateway::runtime_options make_runtime_options();
+    front::hooks make_front_hooks();
+    front::operator_hooks make_operator_hooks();
+    front::server_options make_front_options() const;
+    [[nodiscard]] bool ready() const;
+    base::request_id next_id();
+    void record(const gateway::request_record& r);
+    void wait_for_running_requests();
+
+    settings::daemon_settings settings_;
+    shared_random random_;
+    prometheus::Registry metrics_;
+    gateway::request_metrics request_metrics_{metrics_};
+    backend::http_backend_client client_;
+    std::unique_ptr<platform::http_platform> platform_;
+    gateway::registry registry_;
+    document_sync documents_;
+    server_sync servers_;
+    front::server front_;
+    front::operator_server operators_;
+    std::atomic<bool> draining_{false};
+    std::atomic<std::uint64_t> next_request_{1};
+    const std::uint64_t incarnation_;
+    std::vector<std::unique_ptr<periodic>> threads_;
+};
+
+daemon::impl::impl(settings::daemon_settings s)
+    : settings_{std::move(s)},
+      platform_{settings_.platform
+                    ? std::make_unique<platform::http_platform>(
+                          platform::http_platform_options{settings_.platform->host, settings_.platform->port})
+                    : nullptr},
+      registry_{make_runtime_options()},
+      documents_{registry_, settings_, platform_ ? &platform_->objects() : nullptr},
+      servers_{registry_, settings_, platform_ ? &platform_->vms() : nullptr},
+      front_{make_front_options(), make_front_hooks()},
+      operators_{settings_.operators.host, settings_.operators.port, make_operator_hooks()},
+      incarnation_{static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                                  std::chrono::system_clock::now().time_since_epoch())
+                                                  .count())} {
+    documents_.load_files();
+}
+
+gateway::runtime_options daemon::impl::make_runtime_options() {
+    gateway::runtime_options o;
+    o.vm = settings_.vm;
+    o.zone = settings_.zone;
+    o.wall_now = wall_now;
+    o.random = [this] { return random_(); };
+    o.client = &client_;
+    o.on_end = [this](const gateway::request_record& r) { record(r); };
+    return o;
+}
+
+front::hooks daemon::impl::make_front_hooks() {
+    front::hooks h;
+    h.check_key = [this](const base::key_digest& k) { return registry_.check_key(k); };
+    h.authorize = [this](const front::access_query& q) { return registry_.authorize(q); };
+    h.execute = [this](const front::call& c, front::responder& out, const front::caller_monitor& caller) {
+        registry_.execute(c, out, caller);
+    };
+    h.next_id = [this] { return next_id(); };
+    h.models = [this](const base::key_digest& k) { return registry_.models(k); };
+    return h;
+}
+
+front::operator_hooks daemon::impl::make_operator_hooks() {
+    front::operator_hooks h;
+    h.ready = [this] { return ready(); };
+    h.metrics_text = [this] { return prometheus::TextSerializer{}.Serialize(metrics_.Collect()); };
+    h.status_json = [this] { return status_json(settings_, registry_, documents_, ready(), draining_); };
+    return h;
+}
+
+front::server_options daemon::impl::make_front_options() const {
+    front::server_options o;
+    o.host = settings_.callers.host;
+    o.port = settings_.callers.port;
+    o.threads = static_cast<int>(settings_.limits.connections);
+    o.stack_bytes = static_cast<int>(settings_.limits.thread_stack_bytes);
+    o.header_bytes = settings_.limits.header_bytes;
+    o.body_bytes = settings_.limits.body_bytes;
+    o.head_limit = settings_.timeouts.caller_head;
+    o.write_limit = settings_.timeouts.caller_write;
+    o.keep_alive = settings_.timeouts.caller_idle;
+    return o;
+}
+
+bool daemon::impl::ready() const {
+    return !draining_ && documents_.ready() && servers_.ready();
+}
+
+base::request_id daemon::impl::next_id() {
+    return base::request_id{settings_.vm.str() + "-" + std::to_string(incarnation_) + "-" +
+                            std::to_string(next_request_++)};
+}
+
+void daemon::impl::record(const gateway::request_record& r) {
+    request_metrics_.record(r);
+    if (r.code == base::result_code::ok) {
+        return;
+    }
+    base::log_line{base::log_level::info, "gateway", "Request not served."}
+        .field("request", r.id.str())
+        .field("service", r.service.str())
+        .field("class", r.service_class.str())
+        .field("workspace", r.workspace.str())
+        .field("server", r.server.str())
+        .field("attempts", r.attempts)
+        .field("state", to_string(r.state))
+        .code(r.code);
+}
+
+void daemon::impl::start() {
+    threads_.push_back(std::make_unique<periodic>("dispatch", tick_interval, [this] { registry_.tick(); }));
+    threads_.push_back(
+        std::make_unique<periodic>("servers", server_refresh_interval, [this] { servers_.refresh(); }));
+    if (platform_) {
+        threads_.push_back(
+            std::make_unique<periodic>("configuration", watch_pause, [this] { documents_.watch(); }));
+    }
+    operators_.start();
+    front_.start();
+    base::log_line{base::log_level::info, "daemon", "Started."}
+        .field("vm", settings_.vm.str())
+        .field("zone", settings_.zone.str())
+        .field("callers", front_.port())
+        .field("operators", operators_.port());
+}
+
+void daemon::impl::drain() {
+    draining_ = true;
+    base::log_line{base::log_level::info, "daemon", "Draining."}.field(
+        "delay_ms", std::chrono::duration_cast<std::chrono::milliseconds>(settings_.drain_delay).count());
+    std::this_thread::sleep_for(settings_.drain_delay);  // the load balancer still sends requests meanwhile
+    front_.drain();
+    wait_for_running_requests();
+    front_.stop();
+    operators_.stop();
+    threads_.clear();
+    base::log_line{base::log_level::info, "daemon", "Stopped."};
+}
+
+void daemon::impl::wait_for_running_requests() {
+    const auto end = base::boot_clock::now() + settings_.drain_limit;
+    while (front_.running() > 0 && base::boot_clock::now() < end) {
+        std::this_thread::sleep_for(drain_poll_interval);
+    }
+    if (front_.running() == 0) {
+        return;
+    }
+    base::log_line{base::log_level::warning, "daemon", "Drain limit reached; open requests are stopped."}
+        .field("requests", front_.running())
+        .code(base::result_code::draining);
+    for (const auto& s : registry_.all()) {
+        s->stop_all(base::result_code::draining);
+    }
+}
+
+daemon::daemon(settings::daemon_settings s) : impl_{std::make_unique<impl>(std::move(s))} {}
+daemon::~daemon() = default;
+void daemon::start() {
+    impl_->start();
+}
+void daemon::drain() {
+    impl_->drain();
+}
+std::uint16_t daemon::caller_port() const {
+    return impl_->caller_port();
+}
+std::uint16_t daemon::operator_port() const {
+    return impl_->operator_port();
+}
+
+}  // namespace chicorygap::daemon_app
--- /dev/null
+++ b/apps/daemon/src/options.cpp
@@ -0,0 +1,60 @@
+#include "options.h"
+
+#include <array>
+#include <getopt.h>
+#include <iostream>
+
+namespace chicorygap::daemon_app {
+
+std::string usage_text() {
+    return "Usage: chicorygapd --config FILE [--check] [--log-level LEVEL]\n"
+           "  --config FILE      daemon settings (INI)\n"
+           "  --check            validate the settings and exit\n"
+           "  --log-level LEVEL  debug, info, warning or error; overrides the settings\n"
+           "  --version          print the version and exit\n"
+           "  --help             print this text and exit\n"
+           "Exit codes: 0 ok, 1 usage, 2 invalid settings, 3 failure at run time\n";
+}
+
+std::optional<options> parse_options(int argc, char** argv) {
+    const std::array<option, 6> known{{{"config", required_argument, nullptr, 'c'},
+                                       {"check", no_argument, nullptr, 'k'},
+                                       {"log-level", required_argument, nullptr, 'l'},
+                                       {"version", no_argument, nullptr, 'v'},
+                                       {"help", no_argument, nullptr, 'h'},
+                                       {nullptr, 0, nullptr, 0}}};
+    options o;
+    int c = 0;
+    while ((c = getopt_long(argc, argv, "c:kl:vh", known.data(), nullptr)) != -1) {
+        switch (c) {
+            case 'c':
+                o.config = optarg;
+                break;
+            case 'k':
+                o.check = true;
+                break;
+            case 'l':
+                o.log_level = optarg;
+                break;
+            case 'v':
+                o.version = true;
+                break;
+            case 'h':
+                o.help = true;
+                break;
+            default:
+                return std::nullopt;
+        }
+    }
+    if (optind < argc) {
+        std::cerr << "unexpected argument '" << argv[optind] << "'\n";
+        return std::nullopt;
+    }
+    if (o.config.empty() && !o.version && !o.help) {
+        std::cerr << "--config is required\n";
+        return std::nullopt;
+    }
+    return o;
+}
+
+}  // namespace chicorygap::daemon_app
