--- a/apps/daemon/src/status_json.cpp
+++ b/apps/daemon/src/status_json.cpp
@@ -13,7 +13,7 @@
 using Poco::JSON::Object;
 
 Object::Ptr documents_json(const document_sync& d) {
-    const Object::Ptr out = new Object;
+    Object::Ptr out = new Object;
     for (const auto& [key, version] : d.versions()) {
         out->set(key, version);
     }
@@ -21,7 +21,7 @@
 }
 
 Object::Ptr faults_json(const document_sync& d) {
-    const Object::Ptr out = new Object;
+    Object::Ptr out = new Object;
     for (const auto& [key, fault] : d.faults()) {
         out->set(key, fault);
     }
@@ -29,7 +29,7 @@
 }
 
 Array::Ptr servers_json(const dispatch::status& s) {
-    const Array::Ptr out = new Array;
+    Array::Ptr out = new Array;
     for (const auto& v : s.servers) {
         Object o;
         o.set("id", v.id.str());
@@ -46,7 +46,7 @@
 }
 
 Array::Ptr classes_json(const dispatch::status& s) {
-    const Array::Ptr out = new Array;
+    Array::Ptr out = new Array;
     for (const auto& v : s.admission.classes) {
         Object o;
         o.set("id", v.id.str());
