Read fewer cache lines per routing candidate

Cause: a decision over 600 servers took 17.2 us on a busy machine, close to the limit of 20 us. Change: the members that a decision reads are adjacent, and the usual weight and load are inline.

--- a/packages/routing/src/health.cpp
+++ b/packages/routing/src/health.cpp
@@ -43,7 +43,7 @@
     ejected_until_ = now;
 }
 
-double health::weight(base::time_point now) const {
+double health::reduced_weight(base::time_point now) const {
     if (ejected(now)) {
         return 0;
     }
--- a/packages/routing/src/health.h
+++ b/packages/routing/src/health.h
@@ -37,11 +37,16 @@
     }
     /// @return share of the normal traffic: 0 while ejected, then growing from 0.1 to 1. A server that should
     /// be ejected but is not, because too many others are, has the least weight.
-    [[nodiscard]] double weight(base::time_point now) const;
+    [[nodiscard]] double weight(base::time_point now) const {
+        // The usual case is inline because each decision asks for every candidate.
+        const bool usual = !ejected_until_ && !slow_ && failures_ < options_->consecutive_failures;
+        return usual ? 1.0 : reduced_weight(now);
+    }
     /// @return mean latency, or nothing before there are enough samples.
     [[nodiscard]] std::optional<base::duration> mean_latency() const;
 
 private:
+    [[nodiscard]] double reduced_weight(base::time_point now) const;
     [[nodiscard]] bool returning(base::time_point now) const;
 
     const ejection_options* options_;
--- a/packages/routing/src/load_estimate.cpp
+++ b/packages/routing/src/load_estimate.cpp
@@ -71,14 +71,6 @@
     peers_.erase(it);
 }
 
-int load_estimate::load(base::time_point now) const {
-    const int own = own_in_flight();
-    if (!has_report_ || measured_ + lifetime_ < now) {
-        return own + std::max(0, peer_total_);
-    }
-    return std::max(own, reported_ + own_delta_ + peer_delta_);
-}
-
 int load_estimate::own_at(base::time_point t) const {
     const auto active = std::ranges::count_if(active_, [t](base::time_point s) { return s <= t; });
     const auto ended =
--- a/packages/routing/src/load_estimate.h
+++ b/packages/routing/src/load_estimate.h
@@ -4,6 +4,7 @@
 
 #include "base/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <unordered_map>
@@ -37,7 +38,11 @@
     void forget_peer(peer_number peer);
 
     /// @return estimated requests on the server, at least this daemon's own.
-    [[nodiscard]] int load(base::time_point now) const;
+    [[nodiscard]] int load(base::time_point now) const {
+        const int own = own_in_flight();
+        const bool silent = !has_report_ || measured_ + lifetime_ < now;
+        return silent ? own + std::max(0, peer_total_) : std::max(own, reported_ + own_delta_ + peer_delta_);
+    }
     [[nodiscard]] int own_in_flight() const noexcept { return static_cast<int>(active_.size()); }
 
 private:
@@ -58,15 +63,16 @@
     [[nodiscard]] int delta_since_report(const std::vector<sample>& samples) const;
 
     base::duration lifetime_;
-    std::vector<base::time_point> active_;
-    std::deque<interval> ended_;
-    std::unordered_map<peer_number, peer_state> peers_;
+    // Each decision reads the members up to `active_` of every candidate, so they are kept together.
     base::time_point measured_{};
     bool has_report_ = false;
     int reported_ = 0;
     int own_delta_ = 0;
     int peer_delta_ = 0;
     int peer_total_ = 0;
+    std::vector<base::time_point> active_;
+    std::deque<interval> ended_;
+    std::unordered_map<peer_number, peer_state> peers_;
 };
 
 }  // namespace chicorygap::routing
--- a/packages/routing/src/router_impl.cpp
+++ b/packages/routing/src/router_impl.cpp
@@ -175,7 +175,7 @@
             continue;
         }
         auto& sum = s.own_zone ? own : others;
-        sum += std::max(0.0, usable_slots(s, now) - s.load.load(now));
+        sum += std::max(0.0, usable_slots(s, s.state.weight(now)) - s.load.load(now));
     }
     const double share = own / table_.own_zone_sharers() + others / table_.other_zone_sharers();
     return static_cast<int>(std::ceil(share));
@@ -185,7 +185,7 @@
     std::vector<server_in_flight> out;
     for (const auto& s : table_.all()) {
         if (s.present && s.load.own_in_flight() > 0) {
-            out.push_back({s.info.id, s.load.own_in_flight()});
+            out.push_back({s.id, s.load.own_in_flight()});
         }
     }
     std::ranges::stable_sort(out, std::ranges::greater{}, &server_in_flight::in_flight);
@@ -197,8 +197,8 @@
     std::vector<server_status> out;
     for (const auto& s : table_.all()) {
         if (s.present) {
-            out.push_back({s.info.id, s.info.zone, s.load.load(now), s.load.own_in_flight(), s.info.slots,
-                           s.leaving, s.state.ejected(now), s.state.weight(now)});
+            out.push_back({s.id, s.zone, s.load.load(now), s.load.own_in_flight(), s.slots, s.leaving,
+                           s.state.ejected(now), s.state.weight(now)});
         }
     }
     return out;
--- a/packages/routing/src/selection.cpp
+++ b/packages/routing/src/selection.cpp
@@ -27,14 +27,16 @@
 }
 
 bool excluded(const route_request& r, const server& s) {
-    return !r.excluded.empty() && std::ranges::find(r.excluded, s.info.id) != r.excluded.end();
+    return !r.excluded.empty() && std::ranges::find(r.excluded, s.id) != r.excluded.end();
 }
 
 }  // namespace
 
-double usable_slots(const server& s, base::time_point now) {
-    const double weight = s.state.weight(now);
-    return weight == 0 ? 0 : std::max(1.0, std::floor(weight * s.info.slots));
+double usable_slots(const server& s, double weight) {
+    if (weight == 1) {
+        return s.slots;
+    }
+    return weight == 0 ? 0 : std::max(1.0, std::floor(weight * s.slots));
 }
 
 std::optional<choice> selection::select(const server_table& table, const server_group& group,
@@ -47,8 +49,8 @@
     }
     const auto* cached = by_prefix(prefixes, r, now);
     const auto& c = cached != nullptr ? *cached : by_load(random);
-    const auto& info = table.at(c.server).info;
-    return choice{info.id, info.zone, cached != nullptr, c.has_room};
+    const auto& s = table.at(c.server);
+    return choice{s.id, s.zone, cached != nullptr, c.has_room};
 }
 
 void selection::collect(const server_table& table, const server_group& group, const route_request& r,
@@ -59,22 +61,22 @@
     const bool cost_matters = !is_protected(r);
     for (const auto i : group.members) {
         const auto& s = table.at(i);
-        if (s.leaving || (needs_reserved(filter) && s.info.reclaimable) || excluded(r, s)) {
+        if (s.leaving || (needs_reserved(filter) && s.reclaimable) || excluded(r, s)) {
             continue;
         }
         double weight = s.state.weight(now);
         if (weight == 0 && filter != candidate_filter::last_resort) {
             continue;
         }
-        weight = weight == 0 ? last_resort_weight : weight;
         const double load = s.load.load(now);
-        const bool room = load < usable_slots(s, now);
+        const bool room = load < usable_slots(s, weight);
+        weight = weight == 0 ? last_resort_weight : weight;
         if (needs_room(filter) && !room) {
             continue;
         }
-        const double capacity = weight * s.info.speed * s.info.slots;
+        const double capacity = weight * s.capacity;
         const double factor =
-            cost_matters ? std::clamp(s.info.cost, least_cost_factor, greatest_cost_factor) : 1.0;
+            cost_matters ? std::clamp(s.cost, least_cost_factor, greatest_cost_factor) : 1.0;
         candidates_.push_back({i, load, capacity, factor, room});
         total_load_ += load;
         total_capacity_ += capacity;
--- a/packages/routing/src/selection.h
+++ b/packages/routing/src/selection.h
@@ -60,7 +60,8 @@
     double total_capacity_ = 0;
 };
 
-/// @return requests that the server can run at once at its present weight, at least 1 unless it is ejected.
-double usable_slots(const server& s, base::time_point now);
+/// @param weight the server's present share of traffic.
+/// @return requests that the server can run at once at that weight, at least 1 unless it is ejected.
+double usable_slots(const server& s, double weight);
 
 }  // namespace chicorygap::routing
--- a/packages/routing/src/server_table.cpp
+++ b/packages/routing/src/server_table.cpp
@@ -9,6 +9,18 @@
 
 namespace chicorygap::routing {
 
+void server::update(const server_info& info, const base::zone_id& own) {
+    id = info.id;
+    zone = info.zone;
+    models = info.models;
+    slots = info.slots;
+    capacity = info.speed * info.slots;
+    cost = info.cost;
+    reclaimable = info.reclaimable;
+    own_zone = info.zone == own;
+    leaving = leaving || info.leaving;
+}
+
 std::vector<server_index> server_table::replace(const std::vector<server_info>& list, base::time_point now) {
     std::unordered_set<base::backend_server_id> listed;
     for (const auto& info : list) {
@@ -16,7 +28,7 @@
     }
     std::vector<server_index> gone;
     for (server_index s = 0; s < servers_.size(); s++) {
-        if (servers_[s].present && !listed.contains(servers_[s].info.id)) {
+        if (servers_[s].present && !listed.contains(servers_[s].id)) {
             remove(s);
             gone.push_back(s);
         }
@@ -51,21 +63,12 @@
 
 void server_table::insert(const server_info& info) {
     if (const auto known = find(info.id)) {
-        auto& s = servers_[*known];
-        s.info = info;
-        s.own_zone = info.zone == options_->zone;
-        s.leaving = s.leaving || info.leaving;
+        servers_[*known].update(info, options_->zone);
         return;
     }
-    server s{.info = info,
-             .load = load_estimate{options_->report_lifetime},
-             .state = health{options_->ejection},
-             .present = true,
-             .leaving = info.leaving,
-             .own_zone = info.zone == options_->zone,
-             .used = false,
-             .groups = {},
-             .latency_checked = {}};
+    server s{*options_};
+    s.present = true;
+    s.update(info, options_->zone);
     if (free_.empty()) {
         by_id_[info.id] = static_cast<server_index>(servers_.size());
         servers_.push_back(std::move(s));
@@ -77,7 +80,7 @@
 }
 
 void server_table::remove(server_index s) {
-    by_id_.erase(servers_[s].info.id);
+    by_id_.erase(servers_[s].id);
     servers_[s].present = false;
     servers_[s].used = false;
     free_.push_back(s);
@@ -92,10 +95,10 @@
         if (!s.present) {
             continue;
         }
-        for (const auto& model : s.info.models) {
-            candidates[{model, s.info.zone.str()}].push_back(i);
+        for (const auto& model : s.models) {
+            candidates[{model, s.zone.str()}].push_back(i);
         }
-        candidates[{std::string{}, s.info.zone.str()}].push_back(i);
+        candidates[{std::string{}, s.zone.str()}].push_back(i);
     }
     groups_.clear();
     by_model_.clear();
@@ -116,7 +119,7 @@
     for (const auto i : candidates) {
         servers_[i].groups.push_back(g);
         servers_[i].used = true;
-        cost += servers_[i].info.cost;
+        cost += servers_[i].cost;
     }
     const double mean = cost / static_cast<double>(candidates.size());
     groups_.push_back({zone, model, mean, std::move(candidates)});
@@ -141,7 +144,7 @@
     std::vector<base::backend_server_id> ids;
     ids.reserve(candidates.size());
     for (const auto i : candidates) {
-        ids.push_back(servers_[i].info.id);
+        ids.push_back(servers_[i].id);
     }
     std::vector<server_index> subset;
     for (const auto i : rendezvous_subset(options_->self, ids, options_->subset_size)) {
--- a/packages/routing/src/server_table.h
+++ b/packages/routing/src/server_table.h
@@ -20,17 +20,30 @@
 
 /// What the router knows about one server.
 struct server {
-    server_info info;
-    load_estimate load;
-    health state;
+    // The members up to `load` are read for every candidate of a decision.
     bool present = false;
     bool leaving = false;
     bool own_zone = false;
     /// In this daemon's subset of at least one of its groups.
     bool used = false;
+    bool reclaimable = false;
+    int slots = 1;
+    /// Slots times speed.
+    double capacity = 1.0;
+    double cost = 1.0;
+    health state;
+    load_estimate load;
+    base::backend_server_id id;
+    base::zone_id zone;
+    std::vector<std::string> models;
     /// Positions of the groups in which this daemon uses the server; the first one serves latency comparison.
     std::vector<std::uint32_t> groups;
-    base::time_point latency_checked;
+    base::time_point latency_checked{};
+
+    explicit server(const options& o) : state{o.ejection}, load{o.report_lifetime} {}
+
+    /// Copies the list entry. A server that was marked as leaving stays so, because the list lags.
+    void update(const server_info& info, const base::zone_id& own);
 };
 
 /// Servers of one zone that have one model; all servers of the zone for the empty model.
