Add load client with checks of the users' promises

Cause: nothing sends the two deployments' mix or checks the answers. Change: testing/load_client sends streams, chats, status calls and orders through several daemons, repeats cut requests elsewhere with the same idempotency key, and compares the outcomes with the stand-ins' records.

--- /dev/null
+++ b/testing/load_client/src/ledger.h
@@ -0,0 +1,46 @@
+/// @file
+/// Outcomes of all requests.
+#pragma once
+
+#include "caller.h"
+#include "mix.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace chicorygap::load_client {
+
+/// Collects outcomes by row and by order. Safe for use by several threads.
+class ledger {
+public:
+    void record(const planned_request& r, const outcome& o);
+
+    /// Prints the outcomes by row.
+    void print() const;
+
+    /// Compares the outcomes with what the backend stand-ins recorded.
+    /// @param backends addresses of the stand-ins.
+    /// @return one line per broken promise.
+    [[nodiscard]] std::vector<std::string> broken_promises(const std::vector<std::string>& backends) const;
+
+private:
+    struct row {
+        int sent = 0;
+        int answered = 0;
+        int not_run = 0;
+        int other_refusals = 0;
+        int cut = 0;
+        int wrong = 0;
+        int retried = 0;
+        std::map<int, int> codes;
+    };
+
+    mutable std::mutex mutex_;
+    std::map<std::string, row> rows_;
+    std::map<std::string, outcome> orders_;
+    std::vector<std::string> faults_;
+};
+
+}  // namespace chicorygap::load_client
--- /dev/null
+++ b/testing/load_client/src/main.cpp
@@ -0,0 +1,55 @@
+#include "caller.h"
+#include "ledger.h"
+#include "mix.h"
+#include "options.h"
+
+#include <atomic>
+#include <exception>
+#include <iostream>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace chicorygap::load_client;
+
+void run_caller(const options& o, int number, std::atomic<int>& left, ledger& results) {
+    mix requests{o.deployments, o.seed, number};
+    caller c{o.daemons, static_cast<std::size_t>(number)};
+    while (left-- > 0) {
+        const auto r = requests.next();
+        results.record(r, c.send(r));
+        std::this_thread::sleep_for(o.pause);
+    }
+}
+
+int run(const options& o) {
+    ledger results;
+    std::atomic<int> left{o.requests};
+    std::vector<std::thread> callers;
+    for (int n = 0; n < o.callers; n++) {
+        callers.emplace_back([&, n] { run_caller(o, n, left, results); });
+    }
+    for (auto& t : callers) {
+        t.join();
+    }
+    results.print();
+    const auto broken = results.broken_promises(o.backends);
+    for (const auto& line : broken) {
+        std::cout << "BROKEN " << line << '\n';
+    }
+    std::cout << "broken promises: " << broken.size() << '\n';
+    return broken.empty() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    try {
+        const auto o = parse_options(argc, argv);
+        return o ? run(*o) : 2;
+    } catch (const std::exception& e) {
+        std::cerr << e.what() << '\n';
+        return 2;
+    }
+}
