Look up classes by hash in the admission test model

clang-tidy reports the defaulted comparison of base::id when a sorted map instantiates it. Use hash maps; the linter is clean for the package's tests.

--- a/packages/admission/tests/model.h
+++ b/packages/admission/tests/model.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace chicorygap::admission::test {
@@ -230,8 +231,8 @@
     base::time_point now_{std::chrono::seconds{1000}};
     controller controller_;
     std::map<std::string, model_request> requests_;
-    std::map<base::class_id, base::time_point> unmet_;
-    std::map<base::class_id, base::duration> longest_wait_;
+    std::unordered_map<base::class_id, base::time_point> unmet_;
+    std::unordered_map<base::class_id, base::duration> longest_wait_;
     std::vector<action> last_;
     std::optional<std::string> arriving_;
     int next_id_ = 1;
