--- a/tools/replay/include/replay/engine.h
+++ b/tools/replay/include/replay/engine.h
@@ -15,14 +15,16 @@
 struct engine_run {
     std::uint64_t attempt = 0;  // key of the simulation
     std::size_t service_class = 0;
+    /// Smaller is served first; equal ones in order of arrival.
+    int priority = 0;
     double prefill_left = 0;  // prompt tokens, and tokens to continue behind, not yet processed
     double output_left = 0;
     double generated = 0;
 };
 
-/// Backend server that runs up to `slots` requests in one batch; further ones wait in order of arrival.
+/// Backend server that runs up to `slots` requests in one batch; further ones wait by priority.
 ///
-/// Prompts are processed one after the other at a fixed rate and slow the running streams down; each step
+/// Prompts are processed by priority at a fixed rate and slow the running streams down; each step
 /// of the batch takes a constant and a part per request, so streams slow down as the batch grows.
 class engine {
 public:
--- a/tools/replay/src/engine.cpp
+++ b/tools/replay/src/engine.cpp
@@ -30,12 +30,17 @@
 }
 
 void engine::add(engine_run r) {
-    queue_.push_back(r);
+    const auto later =
+        std::find_if(queue_.begin(), queue_.end(), [&](const auto& o) { return o.priority > r.priority; });
+    queue_.insert(later, r);
 }
 
 std::vector<std::uint64_t> engine::advance(double dt) {
     while (!queue_.empty() && static_cast<int>(running_.size()) < server_.slots) {
-        running_.push_back(queue_.front());
+        // Kept in order of priority, so that urgent prompts are processed first.
+        const auto later = std::find_if(running_.begin(), running_.end(),
+                                        [&](const auto& o) { return o.priority > queue_.front().priority; });
+        running_.insert(later, queue_.front());
         queue_.pop_front();
     }
     const double speed = server_.speed * slow_factor;
--- a/tools/replay/src/world.cpp
+++ b/tools/replay/src/world.cpp
@@ -194,6 +194,7 @@
     engine_run r;
     r.attempt = key;
     r.service_class = arrival.service_class;
+    r.priority = kind_ == policy_kind::first_come_random ? 0 : class_of(x.request).tier;
     r.prefill_left = static_cast<double>(arrival.prompt_tokens) + static_cast<double>(a.resume_tokens);
     r.output_left = static_cast<double>(arrival.output_tokens) - static_cast<double>(a.resume_tokens);
     e.add(r);
