Add distribution of documents and key revocations

Change: add the distribution package: two relays per zone by rendezvous hash, push tree with fan-out 3 that sends differences, digests for gossip with fetch and offer, readiness of new daemons, the isolation rule for keys, and reports of invalid and of stale versions. A daemon also offers what the sender of a digest lacks, and sends past members that refuse a push.

--- /dev/null
+++ b/packages/distribution/include/distribution/distributor.h
@@ -0,0 +1,113 @@
+/// @file
+/// Distribution of service documents and key revocations.
+#pragma once
+
+#include "distribution/actions.h"
+#include "distribution/document_set.h"
+#include "distribution/freshness.h"
+#include "distribution/readiness.h"
+#include "distribution/rendezvous.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicorygap::distribution {
+
+struct distributor_options {
+    base::vm_id vm;
+    base::zone_id zone;
+    /// False when documents come from files: no watch, and isolation does not apply.
+    bool has_platform = true;
+    /// Length of a watch. Its end is evidence that the platform is reachable.
+    base::duration watch_wait = std::chrono::seconds{2};
+    base::duration watch_retry = std::chrono::milliseconds{500};
+    /// Without a platform reply in the zone for this long, further daemons act as relays.
+    base::duration fallback_after = std::chrono::seconds{5};
+    /// Contact with the outside older than this counts as isolation. Gossip spreads the evidence in a zone of
+    /// 90 daemons within about 7 rounds of one second.
+    base::duration isolation_after = std::chrono::seconds{15};
+    /// Shortest time between two fetches of one document.
+    base::duration fetch_retry = std::chrono::milliseconds{500};
+    readiness_options readiness;
+};
+
+/// Keeps the newest valid version of every document active on this daemon and passes new versions on.
+///
+/// Versions are ordered by the object's version on the platform; anything not newer is ignored. Two relays
+/// per zone watch the platform and push changes down a tree; `make_digest` is gossiped once a second, so that
+/// a daemon fetches what it missed. A key revocation is a document version like any other.
+///
+/// Usage: pass every event to `handle`, run the returned actions in order, and attach `make_digest` to
+/// gossip.
+class distributor {
+public:
+    /// @param start time of construction.
+    distributor(distributor_options o, base::time_point start);
+
+    std::vector<action> handle(const event& e, base::time_point now);
+
+    /// @return what this daemon has.
+    /// @param limit longest list of entries; successive calls go round all documents.
+    [[nodiscard]] digest make_digest(std::size_t limit, base::time_point now);
+
+    /// @return whether the service's keys may be used. False after `isolated_key_lifetime` without contact.
+    [[nodiscard]] bool keys_usable(const base::service_id& service, base::time_point now) const;
+    [[nodiscard]] bool ready() const { return ready_; }
+    [[nodiscard]] bool is_relay() const { return rank_ < relays_per_zone; }
+    [[nodiscard]] const document_set& documents() const { return documents_; }
+
+private:
+    using actions = std::vector<action>;
+
+    struct forwarded {
+        std::uint64_t version = 0;
+        std::set<std::string> roots;
+    };
+
+    void on(const members_changed& e, base::time_point now, actions& out);
+    void on(const platform_replied& e, base::time_point now, actions& out);
+    void on(const platform_failed& e, base::time_point now, actions& out);
+    void on(const received& e, base::time_point now, actions& out);
+    void on(const send_failed& e, base::time_point now, actions& out);
+    void on(const tick& e, base::time_point now, actions& out);
+    void on_message(const member& from, const push& m, base::time_point now, actions& out);
+    void on_message(const member& from, const fetch& m, base::time_point now, actions& out);
+    void on_message(const member& from, const digest& m, base::time_point now, actions& out);
+    void on_message(const member& from, const digest_request& m, base::time_point now, actions& out);
+
+    void forward(const push& m, actions& out);
+    void push_change(const std::string& key, actions& out);
+    void send_push(const push& p, actions& out);
+    void fetch_from(const base::vm_id& peer, const std::vector<std::uint64_t>& hashes, base::time_point now,
+                    actions& out);
+    void check_stale(const platform_replied& e, actions& out);
+    void update(base::time_point now, actions& out);
+    void update_watch(base::time_point now, actions& out);
+    void update_readiness(base::time_point now, actions& out);
+    void update_keys(base::time_point now, actions& out);
+    [[nodiscard]] bool should_watch(base::time_point now) const;
+    [[nodiscard]] bool usable(const document::service_document& d, base::time_point now) const;
+
+    distributor_options options_;
+    document_set documents_;
+    freshness freshness_;
+    readiness readiness_;
+    bool ready_ = false;
+    std::vector<base::vm_id> zone_members_;  // with this daemon
+    std::size_t rank_ = 0;
+    bool watching_ = false;
+    std::uint64_t cursor_ = 0;  // newest version in replies of the platform
+    base::time_point next_watch_;
+    bool next_list_ = false;  // the next watch reads everything again
+    std::map<std::string, forwarded> forwarded_;
+    std::map<std::uint64_t, base::time_point> fetched_;
+    std::set<std::string> stale_;     // offered older than known by the latest complete list
+    std::set<std::string> unusable_;  // services whose keys are not usable
+    std::size_t digest_position_ = 0;
+};
+
+}  // namespace chicorygap::distribution
--- /dev/null
+++ b/packages/distribution/src/distributor.cpp
@@ -0,0 +1,293 @@
+#include "distribution/distributor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorygap::distribution {
+
+namespace {
+
+// Daemons that may watch the platform when the relays cannot reach it.
+constexpr std::size_t relay_candidates = 6;
+
+}  // namespace
+
+distributor::distributor(distributor_options o, base::time_point start)
+    : options_{std::move(o)},
+      freshness_{start},
+      readiness_{options_.readiness, start},
+      zone_members_{options_.vm},
+      next_watch_{start} {}
+
+std::vector<action> distributor::handle(const event& e, base::time_point now) {
+    actions out;
+    std::visit([&](const auto& it) { on(it, now, out); }, e);
+    update(now, out);
+    return out;
+}
+
+void distributor::on(const members_changed& e, base::time_point now, actions&) {
+    zone_members_ = {options_.vm};
+    std::vector<base::vm_id> peers;
+    for (const auto& m : e.members) {
+        peers.push_back(m.vm);
+        if (m.zone == options_.zone && m.vm != options_.vm) {
+            zone_members_.push_back(m.vm);
+        }
+    }
+    rank_ = relay_rank(options_.vm, zone_members_);
+    readiness_.set_members(peers, now);
+}
+
+void distributor::on(const platform_replied& e, base::time_point now, actions& out) {
+    watching_ = false;
+    next_watch_ = now;
+    freshness_.platform_replied(now);
+    readiness_.platform_answered();
+    check_stale(e, out);
+    for (const auto& i : e.objects) {
+        cursor_ = std::max(cursor_, i.version);
+        if (documents_.offer(i, out) == offer_result::accepted) {
+            push_change(i.key, out);
+        }
+    }
+}
+
+void distributor::on(const platform_failed&, base::time_point now, actions&) {
+    watching_ = false;
+    next_watch_ = now + options_.watch_retry;
+    // The platform may come back with other contents, so everything is read again.
+    cursor_ = 0;
+}
+
+void distributor::on(const received& e, base::time_point now, actions& out) {
+    if (e.from.zone != options_.zone) {
+        freshness_.other_zone_heard(now);
+    }
+    std::visit([&](const auto& m) { on_message(e.from, m, now, out); }, e.content);
+}
+
+// Members below an unreachable one are reached in its place; it catches up by gossip.
+void distributor::on(const send_failed& e, base::time_point, actions& out) {
+    const auto* const p = std::get_if<push>(&e.content);
+    if (p == nullptr || p->root.empty()) {
+        return;
+    }
+    for (const auto& child : push_children(p->root, e.to, zone_members_)) {
+        out.emplace_back(send{child, *p});
+    }
+}
+
+void distributor::on(const tick&, base::time_point now, actions& out) {
+    if (ready_) {
+        return;
+    }
+    for (const auto& peer : readiness_.to_ask(now)) {
+        out.emplace_back(send{peer, digest_request{}});
+    }
+    for (const auto& m : readiness_.newer_elsewhere(documents_)) {
+        fetch_from(m.peer, m.key_hashes, now, out);
+    }
+}
+
+void distributor::on_message(const member& from, const push& m, base::time_point now, actions& out) {
+    const bool own_zone = from.zone == options_.zone;
+    if (own_zone && !m.root.empty()) {
+        forward(m, out);
+    }
+    std::vector<std::uint64_t> incomplete;
+    for (const auto& i : m.items) {
+        const auto result = documents_.offer(i, out);
+        if (result == offer_result::base_missing) {
+            incomplete.push_back(key_hash(i.key));
+        } else if (result == offer_result::accepted && !own_zone) {
+            push_change(i.key, out);
+        }
+    }
+    fetch_from(from.vm, incomplete, now, out);
+}
+
+void distributor::on_message(const member& from, const fetch& m, base::time_point, actions& out) {
+    // One message per document, since each may have several hundred kilobytes.
+    for (const auto hash : m.key_hashes) {
+        auto items = documents_.items(hash);
+        if (!items.empty()) {
+            out.emplace_back(send{from.vm, push{{}, std::move(items)}});
+        }
+    }
+}
+
+void distributor::on_message(const member& from, const digest& m, base::time_point now, actions& out) {
+    if (from.zone == options_.zone) {
+        freshness_.peer_reported(m, now);
+    }
+    if (m.complete) {
+        readiness_.peer_answered(from.vm, m);
+    }
+    fetch_from(from.vm, newer_than(documents_, m.entries), now, out);
+    // Also offering what the sender lacks halves the time until a change that pushes missed is everywhere.
+    for (const auto& entry : m.entries) {
+        auto items = documents_.update_for(entry);
+        if (!items.empty()) {
+            out.emplace_back(send{from.vm, push{{}, std::move(items)}});
+        }
+    }
+}
+
+void distributor::on_message(const member& from, const digest_request&, base::time_point now, actions& out) {
+    digest d{true, documents_.entries(), {}, {}};
+    freshness_.describe(d, now);
+    out.emplace_back(send{from.vm, std::move(d)});
+}
+
+// Each relay's tree is forwarded once per version, also when the version is known already: a member below a
+// failed one of the first tree is then still reached by the second.
+void distributor::forward(const push& m, actions& out) {
+    push onward{m.root, {}};
+    for (const auto& i : m.items) {
+        auto& f = forwarded_[i.key];
+        if (i.version < documents_.newest(i.key) || i.version < f.version) {
+            continue;
+        }
+        if (i.version > f.version) {
+            f = {i.version, {}};
+        }
+        if (f.roots.insert(m.root.str()).second) {
+            onward.items.push_back(i);
+        }
+    }
+    send_push(onward, out);
+}
+
+void distributor::push_change(const std::string& key, actions& out) {
+    push p{options_.vm, {documents_.latest_change(key)}};
+    auto& f = forwarded_[key];
+    const auto version = p.items.front().version;
+    if (version > f.version) {
+        f = {version, {}};
+    }
+    if (f.roots.insert(options_.vm.str()).second) {
+        send_push(p, out);
+    }
+}
+
+void distributor::send_push(const push& p, actions& out) {
+    if (p.items.empty()) {
+        return;
+    }
+    for (const auto& child : push_children(p.root, options_.vm, zone_members_)) {
+        out.emplace_back(send{child, p});
+    }
+}
+
+void distributor::fetch_from(const base::vm_id& peer, const std::vector<std::uint64_t>& hashes,
+                             base::time_point now, actions& out) {
+    fetch f;
+    for (const auto hash : hashes) {
+        const auto it = fetched_.find(hash);
+        if (it == fetched_.end() || now - it->second >= options_.fetch_retry) {
+            fetched_[hash] = now;
+            f.key_hashes.push_back(hash);
+        }
+    }
+    if (!f.key_hashes.empty()) {
+        out.emplace_back(send{peer, std::move(f)});
+    }
+}
+
+// A reply can be overtaken by a push of a newer version, so that one older version proves nothing. Only a
+// document that a second complete list still shows older is reported.
+void distributor::check_stale(const platform_replied& e, actions& out) {
+    std::set<std::string> older;
+    for (const auto& i : e.objects) {
+        const auto known = documents_.newest(i.key);
+        if (i.version >= known) {
+            stale_.erase(i.key);
+            continue;
+        }
+        if (stale_.contains(i.key)) {
+            out.emplace_back(report_stale{i.key, i.version, known});
+        } else if (e.after == 0) {
+            older.insert(i.key);
+        }
+    }
+    if (!older.empty()) {
+        stale_.merge(older);
+        next_list_ = true;
+    }
+}
+
+digest distributor::make_digest(std::size_t limit, base::time_point now) {
+    digest d;
+    const auto all = documents_.entries();
+    d.complete = all.size() <= limit;
+    for (std::size_t i = 0; i < std::min(limit, all.size()); ++i) {
+        d.entries.push_back(all[(digest_position_ + i) % all.size()]);
+    }
+    digest_position_ = all.empty() ? 0 : (digest_position_ + d.entries.size()) % all.size();
+    freshness_.describe(d, now);
+    return d;
+}
+
+void distributor::update(base::time_point now, actions& out) {
+    update_watch(now, out);
+    update_readiness(now, out);
+    update_keys(now, out);
+}
+
+bool distributor::should_watch(base::time_point now) const {
+    if (!options_.has_platform || watching_ || now < next_watch_) {
+        return false;
+    }
+    return is_relay() || (rank_ < relay_candidates && freshness_.platform_age(now) > options_.fallback_after);
+}
+
+void distributor::update_watch(base::time_point now, actions& out) {
+    if (!should_watch(now)) {
+        return;
+    }
+    watching_ = true;
+    out.emplace_back(watch_platform{std::exchange(next_list_, false) ? 0 : cursor_, options_.watch_wait});
+}
+
+void distributor::update_readiness(base::time_point now, actions& out) {
+    if (!ready_ && readiness_.ready(documents_, now)) {
+        ready_ = true;
+        out.emplace_back(became_ready{});
+    }
+}
+
+bool distributor::usable(const document::service_document& d, base::time_point now) const {
+    if (!options_.has_platform) {
+        return true;
+    }
+    return freshness_.outside_age(now) <= std::max(d.isolated_key_lifetime, options_.isolation_after);
+}
+
+bool distributor::keys_usable(const base::service_id& service, base::time_point now) const {
+    for (const auto& d : documents_.active()) {
+        if (d->document().name == service) {
+            return usable(d->document(), now);
+        }
+    }
+    return false;
+}
+
+void distributor::update_keys(base::time_point now, actions& out) {
+    for (const auto& d : documents_.active()) {
+        const auto& name = d->document().name;
+        const bool is_usable = usable(d->document(), now);
+        const bool was_usable = !unusable_.contains(name.str());
+        if (is_usable == was_usable) {
+            continue;
+        }
+        if (is_usable) {
+            unusable_.erase(name.str());
+        } else {
+            unusable_.insert(name.str());
+        }
+        out.emplace_back(keys_usable_changed{name, is_usable});
+    }
+}
+
+}  // namespace chicorygap::distribution
--- a/packages/document/tests/parser_test.cpp
+++ b/packages/document/tests/parser_test.cpp
@@ -107,14 +107,15 @@
 
 TEST(parser, malformed_lines_are_faults_each) {
     // Guards against inih reporting only the first malformed line.
-    const auto faults =
-        parse("stray = 1\n" + sample_text() + "no value here\n[broken\n[service] x\nb\0d = 1\n", "b.ini")
-            .faults;
-    const auto text = to_string(faults);
+    const std::string nul(1, '\0');
+    const auto input =
+        "stray = 1\n" + sample_text() + "no value here\n[broken\n[service] x\nb" + nul + "d = 1\n";
+    const auto text = to_string(parse(input, "b.ini").faults);
     EXPECT_NE(text.find("b.ini:1: key outside of any section"), std::string::npos) << text;
     EXPECT_NE(text.find("line is no section header, key = value pair or comment"), std::string::npos) << text;
     EXPECT_NE(text.find("section header has no closing bracket"), std::string::npos) << text;
     EXPECT_NE(text.find("text after a section header"), std::string::npos) << text;
+    EXPECT_NE(text.find("line contains a NUL byte"), std::string::npos) << text;
 }
 
 TEST(parser, comments_byte_order_mark_and_carriage_returns_are_accepted) {
--- a/packages/settings/src/settings_parser.cpp
+++ b/packages/settings/src/settings_parser.cpp
@@ -143,7 +143,8 @@
     t.caller_idle = r.time("caller_idle", allowed, 60s);
     t.caller_write = r.time("caller_write", allowed, 10s);
     t.platform = r.time("platform", allowed, 2s);
-    t.platform_watch = r.time("platform_watch", allowed, 30s);
+    // Each end of a watch is evidence that the platform is reachable, which the isolation rule needs often.
+    t.platform_watch = r.time("platform_watch", {100ms, 10s}, 2s);
     t.peer = r.time("peer", allowed, 500ms);
 }
 
--- a/testing/standin_platform/include/standin_platform/billing_book.h
+++ b/testing/standin_platform/include/standin_platform/billing_book.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <mutex>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -27,7 +28,7 @@
 
 private:
     mutable std::mutex mutex_;
-    std::map<std::pair<base::zone_id, base::wall_time>, billed_window> windows_;
+    std::map<std::pair<std::string, base::wall_time>, billed_window> windows_;  // by zone and start
 };
 
 }  // namespace chicorygap::standin_platform
--- a/testing/standin_platform/include/standin_platform/order_book.h
+++ b/testing/standin_platform/include/standin_platform/order_book.h
@@ -38,7 +38,7 @@
     const std::function<void(const platform::order&)> apply_;
     mutable std::mutex mutex_;
     std::map<std::string, order_record> records_;
-    std::map<base::zone_id, std::uint64_t> newest_tokens_;
+    std::map<std::string, std::uint64_t> newest_tokens_;  // by zone
 };
 
 }  // namespace chicorygap::standin_platform
--- a/testing/standin_platform/include/standin_platform/server.h
+++ b/testing/standin_platform/include/standin_platform/server.h
@@ -29,7 +29,7 @@
 /// Faults can be added by `faults().add` or by `POST /fault`.
 class server {
 public:
-    explicit server(options o);
+    explicit server(const options& o);
     ~server();
 
     server(const server&) = delete;
--- a/testing/standin_platform/src/billing_book.cpp
+++ b/testing/standin_platform/src/billing_book.cpp
@@ -4,7 +4,7 @@
 
 platform::usage_reply billing_book::report(const platform::usage_report& r) {
     const std::lock_guard lock{mutex_};
-    auto& window = windows_[{r.zone, r.window_start}];
+    auto& window = windows_[{r.zone.str(), r.window_start}];
     window.reports.push_back(r);
     const auto& billed = window.reports.front();
     const bool same = billed.lines == r.lines;
--- a/testing/standin_platform/src/order_book.cpp
+++ b/testing/standin_platform/src/order_book.cpp
@@ -10,7 +10,7 @@
 
 platform::order_reply order_book::submit(const platform::order& o) {
     const std::lock_guard lock{mutex_};
-    auto& newest = newest_tokens_[o.zone];
+    auto& newest = newest_tokens_[o.zone.str()];
     auto& record = records_.try_emplace(o.id, order_record{o, 0, 0, 0}).first->second;
     const bool stale = o.fencing_token < newest;
     newest = std::max(newest, o.fencing_token);
--- a/testing/standin_platform/src/request_handler.cpp
+++ b/testing/standin_platform/src/request_handler.cpp
@@ -26,7 +26,7 @@
 }
 
 void write(const reply& answer, Poco::Net::HTTPServerResponse& out) {
-    out.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+    out.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
     out.setContentType("application/json");
     out.setContentLength(static_cast<std::streamsize>(answer.body.size()));
     if (!answer.etag.empty()) {
--- a/testing/standin_platform/src/server.cpp
+++ b/testing/standin_platform/src/server.cpp
@@ -61,7 +61,7 @@
     Poco::Net::HTTPServer http;
 };
 
-server::server(options o) : implementation_{std::make_unique<implementation>(o)} {}
+server::server(const options& o) : implementation_{std::make_unique<implementation>(o)} {}
 
 server::~server() = default;
 
