Add orders with intents, fencing and graceful release

Cause: backend servers and engines must not be ordered by two holders of the role, nor twice for one need, although replies are lost and holders are paused. Conclusion: the check before a write needs the term, not only the time.

--- a/packages/lease/include/lease/role_lease.h
+++ b/packages/lease/include/lease/role_lease.h
@@ -78,6 +78,14 @@
     /// @return true if this daemon may act in the role at `now`.
     [[nodiscard]] bool may_act(base::time_point now) const noexcept;
 
+    /// @param term term under which the order was decided.
+    /// @return true if this daemon may act and its lease still has that term. An order that was decided under
+    /// an earlier lease of the same daemon must not be sent: another daemon may have held the role in
+    /// between.
+    [[nodiscard]] bool may_act(std::uint64_t term, base::time_point now) const noexcept {
+        return term == term_ && may_act(now);
+    }
+
     /// @return the fencing token of the current or last own lease, 0 before the first.
     [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
 
--- /dev/null
+++ b/packages/orders/include/orders/order_record.h
@@ -0,0 +1,52 @@
+/// @file
+/// Orders and their intent objects.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace chicorygap::orders {
+
+/// What an order asks for.
+enum class order_kind {
+    request_servers,  ///< platform: `count` backend servers in zone `argument`
+    release_server,   ///< platform: give `server` back once its running requests have ended
+    load_model,       ///< engine `server`: load model `argument`
+    load_adapter,     ///< engine `server`: load adapter `argument`
+    set_version,      ///< engine `server`: switch to version `argument`
+    change_role,      ///< engine `server`: take role `argument`
+};
+
+/// Content of an order.
+struct order_content {
+    order_kind kind = order_kind::request_servers;
+    std::string server;
+    std::string argument;
+    std::uint32_t count = 0;
+    bool reclaimable = false;     ///< request cheap servers
+    bool receiver_fences = true;  ///< the receiver rejects stale fencing tokens
+
+    bool operator==(const order_content&) const = default;
+};
+
+/// How far an order has come.
+enum class order_status { open, accepted, refused };
+
+/// Content of the object `order/<zone>/<slot>`.
+struct order_record {
+    std::uint64_t sequence = 0;  ///< dense per zone; together with the zone it is the order id
+    std::string need;            ///< name of the need that the order serves; a need has at most one order
+    order_content content;
+    std::uint64_t term = 0;  ///< term of the holder that created it
+    order_status status = order_status::open;
+    std::string token;  ///< unique per write
+};
+
+/// @return the record as JSON.
+std::string encode(const order_record& r);
+
+/// @return the record, or nothing if `text` is not one.
+std::optional<order_record> decode_order(const std::string& text);
+
+}  // namespace chicorygap::orders
--- /dev/null
+++ b/packages/orders/src/order_table.cpp
@@ -0,0 +1,75 @@
+#include "orders/order_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorygap::orders {
+
+order_table::order_table(std::string zone, std::size_t slots) : zone_{std::move(zone)}, slots_{slots} {}
+
+bool order_table::load(const std::vector<base::stored_object>& objects) {
+    records_.clear();
+    versions_.clear();
+    for (const auto& o : objects) {
+        auto r = decode_order(o.value);
+        if (!r || o.key != key(r->sequence)) {
+            return false;
+        }
+        versions_[r->sequence % slots_] = o.version;
+        records_.emplace(r->sequence, std::move(*r));
+    }
+    return dense();
+}
+
+bool order_table::dense() const {
+    if (records_.empty()) {
+        return true;
+    }
+    const auto last = records_.rbegin()->first;
+    const auto expected = std::min<std::uint64_t>(last, slots_);
+    return records_.size() == expected && records_.begin()->first == last - expected + 1;
+}
+
+std::optional<std::uint64_t> order_table::next_sequence() const {
+    const auto next = records_.empty() ? 1 : records_.rbegin()->first + 1;
+    if (next <= slots_) {
+        return next;
+    }
+    const auto* replaced = at(next - slots_);
+    const bool open = replaced != nullptr && replaced->status == order_status::open;
+    return open ? std::nullopt : std::optional{next};
+}
+
+const order_record* order_table::find(const std::string& need) const {
+    const auto it =
+        std::find_if(records_.begin(), records_.end(), [&](const auto& r) { return r.second.need == need; });
+    return it == records_.end() ? nullptr : &it->second;
+}
+
+const order_record* order_table::at(std::uint64_t sequence) const {
+    const auto it = records_.find(sequence);
+    return it == records_.end() ? nullptr : &it->second;
+}
+
+void order_table::put(const order_record& r, std::uint64_t version) {
+    if (r.sequence > slots_) {
+        records_.erase(r.sequence - slots_);
+    }
+    records_[r.sequence] = r;
+    versions_[r.sequence % slots_] = version;
+}
+
+std::string order_table::key(std::uint64_t sequence) const {
+    return "order/" + zone_ + '/' + std::to_string(sequence % slots_);
+}
+
+std::uint64_t order_table::version(std::uint64_t sequence) const {
+    const auto it = versions_.find(sequence % slots_);
+    return it == versions_.end() ? 0 : it->second;
+}
+
+std::string order_table::order_id(std::uint64_t sequence) const {
+    return zone_ + '-' + std::to_string(sequence);
+}
+
+}  // namespace chicorygap::orders
