Add the operator tool

Cause: operators need to check, store and compare documents without overwriting each other, and to read a daemon's reports. Conclusion: a second operator's apply is refused with the first one's changes in the tests against the stand-in platform.

--- /dev/null
+++ b/apps/tool/src/command_line.cpp
@@ -0,0 +1,125 @@
+#include "command_line.h"
+
+#include "document/section_reader.h"
+
+#include <charconv>
+#include <getopt.h>
+#include <utility>
+
+namespace chicorygap::tool {
+
+namespace {
+
+enum option_id : int { platform = 1, daemon, timeout, base_version, json, daemon_settings, help };
+
+settings::address parse_address(const std::string& name, const std::string& text) {
+    const auto a = settings::parse_address(text);
+    if (!a) {
+        throw usage_error("--" + name + " needs an IP address and port, for example 127.0.0.1:9100");
+    }
+    return *a;
+}
+
+base::duration parse_timeout(const std::string& text) {
+    const auto d = document::parse_duration(text);
+    if (!d || *d <= base::duration::zero()) {
+        throw usage_error("--timeout needs a duration, for example 500ms or 5s");
+    }
+    return *d;
+}
+
+std::uint64_t parse_version(const std::string& text) {
+    std::uint64_t n = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [rest, ec] = std::from_chars(text.data(), end, n);
+    if (ec != std::errc{} || rest != end) {
+        throw usage_error("--base needs a version number");
+    }
+    return n;
+}
+
+void apply(command_line& c, int id) {
+    switch (id) {
+        case option_id::platform:
+            c.platform = parse_address("platform", optarg);
+            break;
+        case option_id::daemon:
+            c.daemon = parse_address("daemon", optarg);
+            break;
+        case option_id::timeout:
+            c.timeout = parse_timeout(optarg);
+            break;
+        case option_id::base_version:
+            c.base_version = parse_version(optarg);
+            break;
+        case option_id::json:
+            c.json = true;
+            break;
+        case option_id::daemon_settings:
+            c.daemon_settings = true;
+            break;
+        case option_id::help:
+            c.help = true;
+            break;
+        default:
+            throw usage_error("unknown option, or an option without its value");
+    }
+}
+
+}  // namespace
+
+command_line parse_command_line(const std::vector<std::string>& arguments) {
+    static const option known[] = {
+        {"platform", required_argument, nullptr, option_id::platform},
+        {"daemon", required_argument, nullptr, option_id::daemon},
+        {"timeout", required_argument, nullptr, option_id::timeout},
+        {"base", required_argument, nullptr, option_id::base_version},
+        {"json", no_argument, nullptr, option_id::json},
+        {"settings", no_argument, nullptr, option_id::daemon_settings},
+        {"help", no_argument, nullptr, option_id::help},
+        {nullptr, 0, nullptr, 0},
+    };
+    std::string program = "chicorygap";
+    auto copies = arguments;
+    std::vector<char*> argv{program.data()};
+    for (auto& it : copies) {
+        argv.push_back(it.data());
+    }
+    argv.push_back(nullptr);
+    const int argc = static_cast<int>(argv.size()) - 1;
+    command_line c;
+    optind = 0;  // glibc restarts its scan at 0
+    opterr = 0;
+    int id = 0;
+    while ((id = getopt_long(argc, argv.data(), "", known, nullptr)) != -1) {
+        apply(c, id);
+    }
+    c.operands.assign(argv.begin() + optind, argv.end() - 1);
+    if (!c.operands.empty()) {
+        c.command = c.operands.front();
+        c.operands.erase(c.operands.begin());
+    }
+    return c;
+}
+
+const char* usage_text() {
+    return "Usage: chicorygap COMMAND [options]\n"
+           "  validate FILE...     check service documents, also against each other\n"
+           "  show SERVICE FILE    write the stored document to FILE for editing\n"
+           "  diff SERVICE FILE    compare the stored document with FILE\n"
+           "  apply FILE           store FILE unless somebody else changed the document\n"
+           "  status               show the status of a daemon\n"
+           "  burn                 show the burn rates that a daemon reports\n"
+           "  hash-key             read a key from standard input and print its digest\n"
+           "Options:\n"
+           "  --platform IP:PORT   platform (127.0.0.1:9100)\n"
+           "  --daemon IP:PORT     operator address of a daemon (127.0.0.1:8081)\n"
+           "  --timeout DURATION   limit of each call (5s)\n"
+           "  --base VERSION       version that FILE was edited from, instead of FILE.base\n"
+           "  --settings           validate daemon settings instead of service documents\n"
+           "  --json               print JSON\n"
+           "Exit codes: 0 success, 1 invalid, 2 usage, 3 conflict, 4 unavailable, 5 unknown outcome, 6 "
+           "different\n";
+}
+
+}  // namespace chicorygap::tool
--- /dev/null
+++ b/apps/tool/src/daemon_commands.cpp
@@ -0,0 +1,75 @@
+#include "base/error.h"
+#include "commands.h"
+#include "table.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+
+#include <chrono>
+
+namespace chicorygap::tool {
+
+namespace {
+
+using base::result_code;
+
+/// Reads JSON from the operator address of a daemon.
+/// @throws base::error with `not_ready` when the daemon gives no usable reply.
+Poco::Dynamic::Var read_daemon(const command_line& c, const std::string& path) {
+    const auto place = settings::to_string(c.daemon) + path;
+    try {
+        const auto us = std::chrono::duration_cast<std::chrono::microseconds>(c.timeout);
+        Poco::Net::HTTPClientSession session{c.daemon.host, c.daemon.port};
+        session.setTimeout(Poco::Timespan{us.count()});
+        Poco::Net::HTTPRequest request{"GET", path, Poco::Net::HTTPMessage::HTTP_1_1};
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
+            throw base::error{result_code::not_ready,
+                              place + ": status " + std::to_string(response.getStatus())};
+        }
+        Poco::JSON::ParseHandler::Ptr handler =
+            new Poco::JSON::ParseHandler{true};  // keeps the order of members
+        return Poco::JSON::Parser{handler}.parse(body);
+    } catch (const Poco::Exception& e) {
+        throw base::error{result_code::not_ready, place + ": " + e.displayText()};
+    }
+}
+
+void print_json(const Poco::Dynamic::Var& v, const streams& s) {
+    Poco::JSON::Stringifier::stringify(v, s.out, 2);
+    s.out << '\n';
+}
+
+}  // namespace
+
+exit_code status(const command_line& c, const streams& s) {
+    expect_operands(c, 0, "no operand");
+    const auto v = read_daemon(c, "/status");
+    if (c.json) {
+        print_json(v, s);
+    } else {
+        print_lines(v, s.out);
+    }
+    return exit_code::success;
+}
+
+exit_code burn(const command_line& c, const streams& s) {
+    expect_operands(c, 0, "no operand");
+    const auto v = read_daemon(c, "/burn");
+    if (c.json) {
+        print_json(v, s);
+    } else {
+        print_table(v, s.out);
+    }
+    return exit_code::success;
+}
+
+}  // namespace chicorygap::tool
--- /dev/null
+++ b/apps/tool/src/platform_commands.cpp
@@ -0,0 +1,283 @@
+#include "base/error.h"
+#include "commands.h"
+#include "platform/http_platform.h"
+
+#include <Poco/JSON/Array.h>
+
+#include <charconv>
+#include <filesystem>
+#include <string_view>
+#include <utility>
+
+namespace chicorygap::tool {
+
+namespace {
+
+using base::result_code;
+using document::change;
+using document::service_document;
+using platform::object;
+
+constexpr std::string_view base_header = "; version ";
+
+/// Copy of the stored document that an edit started from, kept as `FILE.base`.
+struct base_copy {
+    std::uint64_t version = 0;
+    std::string text;
+};
+
+std::string base_path(const std::string& file) {
+    return file + ".base";
+}
+
+void write_base(const std::string& file, const base_copy& b) {
+    write_file(base_path(file), std::string{base_header} + std::to_string(b.version) + "\n" + b.text);
+}
+
+std::optional<base_copy> read_base(const std::string& file) {
+    if (!std::filesystem::exists(base_path(file))) {
+        return std::nullopt;
+    }
+    const auto text = read_file(base_path(file));
+    const auto end = text.find('\n');
+    base_copy b;
+    if (!text.starts_with(base_header) || end == std::string::npos) {
+        throw usage_error(base_path(file) + ": first line is not '" + std::string{base_header} + "N'");
+    }
+    std::from_chars(text.data() + base_header.size(), text.data() + end, b.version);
+    b.text = text.substr(end + 1);
+    return b;
+}
+
+std::string object_key(const std::string& service) {
+    return std::string{document::object_prefix} + service;
+}
+
+platform::http_platform connect(const command_line& c) {
+    return platform::http_platform{{c.platform.host, c.platform.port, 1}};
+}
+
+/// Differences between two texts; a text that is no valid document counts as a single change.
+std::vector<change> compare(const std::string& before, const std::string& after) {
+    const auto a = document::parse(before, "before");
+    const auto b = document::parse(after, "after");
+    if (a.document && b.document) {
+        return document::diff(*a.document, *b.document);
+    }
+    if (before == after) {
+        return {};
+    }
+    return {{"whole document", "", a.document ? "valid" : "not valid", b.document ? "valid" : "not valid"}};
+}
+
+/// Faults that the new document would cause together with the other stored ones.
+std::vector<document::fault> joint_faults(platform::http_platform& p, const command_line& c,
+                                          const std::string& file, const service_document& d) {
+    const auto objects = p.objects().list(std::string{document::object_prefix}, c.timeout);
+    std::vector<document::parse_result> others;
+    others.reserve(objects.size());
+    std::vector<document::named_document> all;
+    for (const auto& o : objects) {
+        others.push_back(document::parse(o.value, o.key));
+        if (others.back().document && o.key != object_key(d.name.str())) {
+            all.push_back({o.key, &*others.back().document});
+        }
+    }
+    all.push_back({file, &d});
+    auto faults = document::check_together(all);
+    std::erase_if(faults, [&](const auto& f) { return f.file != file; });
+    return faults;
+}
+
+/// One attempt to store a document.
+class application {
+public:
+    application(const command_line& c, const streams& s, std::string file)
+        : c_{c}, s_{s}, file_{std::move(file)}, text_{read_file(file_)}, platform_{connect(c)} {}
+
+    exit_code run() {
+        const auto d = read_document(c_, s_, file_, text_);
+        if (!d) {
+            return exit_code::invalid;
+        }
+        key_ = object_key(d->name.str());
+        const auto faults = joint_faults(platform_, c_, file_, *d);
+        if (!faults.empty()) {
+            print_faults(c_, s_, faults);
+            return exit_code::invalid;
+        }
+        base_ = read_base(file_);
+        const auto expected = c_.base_version.value_or(base_ ? base_->version : 0);
+        const auto current = platform_.objects().get(key_, c_.timeout);
+        if (current && current->value == text_) {
+            return finish("unchanged", current->version, {});
+        }
+        if ((current ? current->version : 0) != expected) {
+            return conflict(expected, current);
+        }
+        return store(expected, current);
+    }
+
+private:
+    exit_code store(std::uint64_t expected, const std::optional<object>& before) {
+        const auto changes = before ? compare(before->value, text_) : std::vector<change>{};
+        try {
+            const auto r = platform_.objects().put(key_, text_, expected, c_.timeout);
+            return r.applied ? finish("applied", r.version, changes) : conflict(expected, r.current);
+        } catch (const base::error& e) {
+            if (e.code() != result_code::platform_reply_lost) {
+                throw;
+            }
+            return read_back(expected, changes);
+        }
+    }
+
+    // The reply was lost. Our text in the store means that the write took effect.
+    exit_code read_back(std::uint64_t expected, const std::vector<change>& changes) {
+        try {
+            const auto current = platform_.objects().get(key_, c_.timeout);
+            if (current && current->value == text_) {
+                return finish("applied", current->version, changes);
+            }
+            // The unanswered write can still arrive while the stored version is the expected one.
+            if ((current ? current->version : 0) == expected) {
+                return outcome_unknown();
+            }
+            return conflict(expected, current);
+        } catch (const base::error&) {
+            return outcome_unknown();
+        }
+    }
+
+    exit_code outcome_unknown() {
+        if (c_.json) {
+            auto j = make_json();
+            j->set("result", std::string{"unknown"});
+            print(*j, s_.out);
+        } else {
+            s_.err
+                << "the platform's reply was lost; run the same command again to see whether it was stored\n";
+        }
+        return exit_code::unknown;
+    }
+
+    exit_code finish(const std::string& result, std::uint64_t version, const std::vector<change>& changes) {
+        keep_base(version);
+        if (c_.json) {
+            auto j = make_json();
+            j->set("result", result);
+            j->set("version", Poco::UInt64{version});
+            j->set("changes", to_json(changes));
+            print(*j, s_.out);
+        } else {
+            s_.out << key_ << ": " << result << ", version " << version << '\n';
+            print(changes, s_.out);
+        }
+        return exit_code::success;
+    }
+
+    // The document is stored already, so that a full disk must not turn the result into a failure.
+    void keep_base(std::uint64_t version) {
+        try {
+            write_base(file_, {version, text_});
+        } catch (const usage_error& e) {
+            s_.err << "warning: " << e.what() << "; pass --base " << version << " next time\n";
+        }
+    }
+
+    exit_code conflict(std::uint64_t expected, const std::optional<object>& current) {
+        const auto stored = current ? current->value : std::string{};
+        const bool has_base = base_ && base_->version == expected;
+        const auto theirs = has_base ? compare(base_->text, stored) : compare(text_, stored);
+        const auto mine = has_base ? compare(base_->text, text_) : std::vector<change>{};
+        if (c_.json) {
+            auto j = make_json();
+            j->set("result", std::string{"conflict"});
+            j->set("base_version", Poco::UInt64{expected});
+            j->set("stored_version", Poco::UInt64{current ? current->version : 0});
+            j->set(has_base ? "other_changes" : "differences", to_json(theirs));
+            j->set("own_changes", to_json(mine));
+            print(*j, s_.out);
+            return exit_code::conflict;
+        }
+        s_.err << key_ << ": conflict, edited from version " << expected << ", stored version is "
+               << (current ? current->version : 0) << "; nothing was stored\n"
+               << (has_base ? "changed by others since:\n"
+                            : "differences from this file to the stored version:\n");
+        print(theirs, s_.err);
+        if (has_base) {
+            s_.err << "changed in this file:\n";
+            print(mine, s_.err);
+        }
+        s_.err << "merge the changes into the file, then apply it with --base "
+               << (current ? current->version : 0) << '\n';
+        return exit_code::conflict;
+    }
+
+    const command_line& c_;
+    const streams& s_;
+    std::string file_;
+    std::string text_;
+    platform::http_platform platform_;
+    std::string key_;
+    std::optional<base_copy> base_;
+};
+
+/// @throws usage_error when the service has no stored document.
+object stored_document(const command_line& c, const std::string& service) {
+    auto p = connect(c);
+    auto found = p.objects().get(object_key(service), c.timeout);
+    if (!found) {
+        throw usage_error("service '" + service + "' has no stored document");
+    }
+    return std::move(*found);
+}
+
+}  // namespace
+
+exit_code show(const command_line& c, const streams& s) {
+    expect_operands(c, 2, "SERVICE and FILE");
+    const auto& file = c.operands[1];
+    if (std::filesystem::exists(file)) {
+        throw usage_error(file + ": exists already");
+    }
+    const auto o = stored_document(c, c.operands[0]);
+    write_file(file, o.value);
+    write_base(file, {o.version, o.value});
+    if (c.json) {
+        auto j = make_json();
+        j->set("file", file);
+        j->set("version", Poco::UInt64{o.version});
+        print(*j, s.out);
+    } else {
+        s.out << o.key << ": version " << o.version << " written to " << file << '\n';
+    }
+    return exit_code::success;
+}
+
+exit_code diff(const command_line& c, const streams& s) {
+    expect_operands(c, 2, "SERVICE and FILE");
+    const auto text = read_file(c.operands[1]);
+    if (!read_document(c, s, c.operands[1], text)) {
+        return exit_code::invalid;
+    }
+    const auto o = stored_document(c, c.operands[0]);
+    const auto changes = compare(o.value, text);
+    if (c.json) {
+        auto j = make_json();
+        j->set("stored_version", Poco::UInt64{o.version});
+        j->set("changes", to_json(changes));
+        print(*j, s.out);
+    } else {
+        s.out << o.key << ": " << changes.size() << " changes from version " << o.version << '\n';
+        print(changes, s.out);
+    }
+    return changes.empty() ? exit_code::success : exit_code::different;
+}
+
+exit_code apply(const command_line& c, const streams& s) {
+    expect_operands(c, 1, "one FILE");
+    return application{c, s, c.operands[0]}.run();
+}
+
+}  // namespace chicorygap::tool
--- /dev/null
+++ b/apps/tool/tests/tool_test.cpp
@@ -0,0 +1,195 @@
+#include "tool/tool.h"
+
+#include "standin_platform/server.h"
+#include "table.h"
+
+#include <Poco/JSON/Parser.h>
+#include <Poco/TemporaryFile.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+namespace chicorygap::tool {
+namespace {
+
+using standin_platform::fault_kind;
+
+const std::string example = CHICORYGAP_CONFIG_FOLDER "/booking.ini";
+
+std::string content(const std::string& path) {
+    std::ifstream in{path};
+    return {std::istreambuf_iterator<char>{in}, {}};
+}
+
+class tool_test : public testing::Test {
+protected:
+    tool_test() {
+        folder_.createDirectory();
+        mine_ = folder_.path() + "/mine.ini";
+        theirs_ = folder_.path() + "/theirs.ini";
+    }
+
+    exit_code run(std::vector<std::string> arguments, const std::string& input = "") {
+        arguments.insert(arguments.end(), {"--platform", "127.0.0.1:" + std::to_string(server_.port())});
+        std::istringstream in{input};
+        out_.str("");
+        err_.str("");
+        return tool::run(arguments, {in, out_, err_});
+    }
+
+    /// Replaces text in a file.
+    static void edit(const std::string& path, const std::string& from, const std::string& to) {
+        auto text = content(path);
+        const auto at = text.find(from);
+        ASSERT_NE(at, std::string::npos) << from;
+        std::ofstream{path} << text.replace(at, from.size(), to);
+    }
+
+    /// Stores the example and fetches it for two operators.
+    void two_operators() {
+        std::ofstream{folder_.path() + "/first.ini"} << content(example);
+        ASSERT_EQ(run({"apply", folder_.path() + "/first.ini"}), exit_code::success) << err_.str();
+        ASSERT_EQ(run({"show", "booking", mine_}), exit_code::success) << err_.str();
+        ASSERT_EQ(run({"show", "booking", theirs_}), exit_code::success) << err_.str();
+        edit(theirs_, "deadline = 5s", "deadline = 8s");
+        edit(mine_, "floor_wait = 3s", "floor_wait = 4s");
+    }
+
+    std::string stored() { return server_.objects().get("document/booking")->value; }
+
+    standin_platform::server server_{{}};
+    Poco::TemporaryFile folder_;
+    std::string mine_;
+    std::string theirs_;
+    std::ostringstream out_;
+    std::ostringstream err_;
+};
+
+TEST_F(tool_test, second_operator_sees_the_first_ones_change_and_overwrites_nothing) {
+    // Guards against a concurrent edit lost without a trace.
+    two_operators();
+    ASSERT_EQ(run({"apply", theirs_}), exit_code::success) << err_.str();
+    EXPECT_EQ(run({"apply", mine_}), exit_code::conflict);
+    EXPECT_NE(err_.str().find("changed by others since:\n  [class payment] deadline: 5s -> 8s"),
+              std::string::npos)
+        << err_.str();
+    EXPECT_NE(err_.str().find("changed in this file:\n  [class query] floor_wait: 3s -> 4s"),
+              std::string::npos);
+    EXPECT_EQ(stored(), content(theirs_));
+    edit(mine_, "deadline = 5s", "deadline = 8s");
+    EXPECT_EQ(run({"apply", mine_, "--base", "2"}), exit_code::success) << err_.str();
+    EXPECT_EQ(stored(), content(mine_));
+}
+
+TEST_F(tool_test, file_without_base_does_not_replace_a_stored_document) {
+    // Guards against a file from elsewhere silently undoing what is stored.
+    two_operators();
+    const auto before = stored();
+    std::ofstream{folder_.path() + "/other.ini"} << content(mine_);
+    EXPECT_EQ(run({"apply", folder_.path() + "/other.ini", "--json"}), exit_code::conflict);
+    EXPECT_NE(out_.str().find("\"result\": \"conflict\""), std::string::npos) << out_.str();
+    EXPECT_EQ(stored(), before);
+}
+
+TEST_F(tool_test, lost_reply_is_resolved_by_reading_back) {
+    // Guards against an operator being told "failed" for a change that is active.
+    two_operators();
+    server_.faults().add({fault_kind::drop_reply, "/objects/", "PUT", 1, {}});
+    EXPECT_EQ(run({"apply", mine_}), exit_code::success) << err_.str();
+    EXPECT_EQ(stored(), content(mine_));
+    EXPECT_EQ(run({"apply", mine_}), exit_code::success);
+    EXPECT_NE(out_.str().find("unchanged"), std::string::npos);
+}
+
+TEST_F(tool_test, invalid_file_is_never_stored) {
+    // Guards against a document that every daemon would refuse.
+    two_operators();
+    const auto before = stored();
+    edit(mine_, "tier = 0", "tier = 9");
+    EXPECT_EQ(run({"apply", mine_}), exit_code::invalid);
+    EXPECT_NE(err_.str().find("'9' is out of range; allowed: 0 to 4"), std::string::npos);
+    EXPECT_EQ(run({"diff", "booking", mine_}), exit_code::invalid);
+    EXPECT_EQ(stored(),
+              content(theirs_).replace(content(theirs_).find("deadline = 8s"), 13, "deadline = 5s"));
+}
+
+TEST_F(tool_test, document_that_clashes_with_another_service_is_refused) {
+    // Guards P3: one key selecting two workspaces, or one path two services.
+    two_operators();
+    auto text = content(example);
+    text.replace(text.find("name = booking"), 14, "name = other");
+    std::ofstream{mine_} << text;
+    EXPECT_EQ(run({"apply", mine_}), exit_code::invalid);
+    EXPECT_NE(err_.str().find("is also matched by route"), std::string::npos) << err_.str();
+    const auto north = std::string{"[workspace north]"};
+    text.replace(text.find(north), north.size(), "[workspace n]");
+    text.replace(text.find("workspaces = north"), 18, "workspaces = n");
+    std::ofstream{mine_} << text;
+    EXPECT_EQ(run({"validate", example, mine_}), exit_code::invalid);
+    EXPECT_NE(err_.str().find("digest belongs to workspace 'north'"), std::string::npos) << err_.str();
+}
+
+TEST_F(tool_test, diff_lists_changes_and_signals_them_by_exit_code) {
+    // Guards against scripts that cannot tell a changed file from an equal one.
+    two_operators();
+    EXPECT_EQ(run({"diff", "booking", mine_}), exit_code::different);
+    EXPECT_NE(out_.str().find("1 changes from version 1\n  [class query] floor_wait: 3s -> 4s"),
+              std::string::npos)
+        << out_.str();
+    EXPECT_EQ(run({"diff", "booking", folder_.path() + "/first.ini"}), exit_code::success);
+}
+
+TEST_F(tool_test, examples_are_valid_together) {
+    // Guards against a demo whose two services contradict each other.
+    for (const std::string name : {"booking", "dispatch"}) {
+        const auto path = CHICORYGAP_CONFIG_FOLDER "/" + name;
+        EXPECT_EQ(run({"validate", path + ".ini", path + "-assistant.ini", "--json"}), exit_code::success)
+            << out_.str();
+    }
+    EXPECT_EQ(run({"validate", "--settings", CHICORYGAP_CONFIG_FOLDER "/daemon.example.ini"}),
+              exit_code::success);
+}
+
+TEST_F(tool_test, key_is_hashed_without_its_line_end) {
+    // Guards against digests that match no key because "\n" was hashed too.
+    const auto digest = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad\n";
+    EXPECT_EQ(run({"hash-key"}, "abc\n"), exit_code::success);
+    EXPECT_EQ(out_.str(), digest);
+    EXPECT_EQ(run({"hash-key"}, "abc"), exit_code::success);
+    EXPECT_EQ(out_.str(), digest);
+    EXPECT_EQ(run({"hash-key"}, "\n"), exit_code::usage);
+}
+
+TEST_F(tool_test, unreachable_and_misused_are_told_apart) {
+    // Guards against a script retrying what can never succeed.
+    server_.faults().add({fault_kind::refuse, "", "", 0, {}});
+    EXPECT_EQ(run({"apply", example}), exit_code::unavailable);
+    EXPECT_EQ(run({"status", "--daemon", "127.0.0.1:1"}), exit_code::unavailable);
+    for (const auto& wrong : std::vector<std::vector<std::string>>{{},
+                                                                   {"frobnicate"},
+                                                                   {"diff", "booking"},
+                                                                   {"validate", "/nonexistent"},
+                                                                   {"status", "--daemon", "x"}}) {
+        EXPECT_EQ(run(wrong), exit_code::usage);
+    }
+}
+
+TEST(table, rows_are_aligned_and_other_members_come_first) {
+    // Guards against a burn report whose figures cannot be read by column.
+    Poco::JSON::ParseHandler::Ptr handler = new Poco::JSON::ParseHandler{true};
+    const auto v = Poco::JSON::Parser{handler}.parse(
+        R"({"window":"1h","rows":[{"workspace":"north","burn":12.5},{"workspace":"w","burn":1,"late":true}]})");
+    std::ostringstream out;
+    print_table(v, out);
+    EXPECT_EQ(out.str(),
+              "window: 1h\n"
+              "workspace  burn  late\n"
+              "north      12.5  -\n"
+              "w             1  true\n");
+}
+
+}  // namespace
+}  // namespace chicorygap::tool
--- a/packages/distribution/src/document_set.cpp
+++ b/packages/distribution/src/document_set.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr std::string_view key_prefix = "document/";
+using document::object_prefix;
 
 std::string service_of(const std::string& key) {
-    return key.starts_with(key_prefix) ? key.substr(key_prefix.size()) : key;
+    return key.starts_with(object_prefix) ? key.substr(object_prefix.size()) : key;
 }
 
 document::parse_result parse_named(const item& i) {
--- a/packages/distribution/tests/distributor_test.cpp
+++ b/packages/distribution/tests/distributor_test.cpp
@@ -166,6 +166,21 @@
     EXPECT_TRUE(f.all(usable));
 }
 
+TEST(document_set, older_valid_version_is_used_while_the_newest_is_invalid) {
+    // Guards against a new daemon that first meets the invalid version serving nothing, and against parsing
+    // and reporting an invalid version again each time that a peer offers it.
+    document_set s;
+    std::vector<action> out;
+    s.offer({booking_key, 7, false, "invalid", {}}, out);
+    s.offer({booking_key, 6, false, "invalid too", {}}, out);
+    EXPECT_TRUE(s.lacks({key_hash(booking_key), 7, 5}));
+    s.offer({booking_key, 5, false, booking_text({"a"}), {}}, out);
+    EXPECT_EQ(s.entry(key_hash(booking_key)), (digest_entry{key_hash(booking_key), 7, 5}));
+    EXPECT_EQ(s.offer({booking_key, 6, false, "invalid too", {}}, out), offer_result::ignored);
+    EXPECT_EQ(out.size(), 3U);
+    EXPECT_FALSE(s.lacks({key_hash(booking_key), 7, 6})) << "found invalid here, accepted by another release";
+}
+
 TEST(distributor, deleted_document_is_withdrawn_and_not_revived) {
     // Guards against a service coming back from a peer that missed the deletion.
     document_set s;
--- a/packages/document/include/document/parser.h
+++ b/packages/document/include/document/parser.h
@@ -30,6 +30,16 @@
 /// @throws base::error with `document_invalid` and all faults as text.
 service_document parse_or_throw(const std::string& text, const std::string& file);
 
+/// A valid document and the name used in faults.
+struct named_document {
+    std::string file;
+    const service_document* document = nullptr;
+};
+
+/// Checks documents that are active at the same time: each service once, no method and path in two services,
+/// and a key digest only for workspaces of one name, since the key alone selects the workspace.
+std::vector<fault> check_together(const std::vector<named_document>& documents);
+
 /// @return INI text with every key; `parse` reads it back as an equal document.
 std::string render(const service_document& d);
 
--- a/packages/document/include/document/service_document.h
+++ b/packages/document/include/document/service_document.h
@@ -9,10 +9,14 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chicorygap::document {
 
+/// Prefix of the objects in which the platform stores documents, followed by the service's name.
+inline constexpr std::string_view object_prefix = "document/";
+
 enum class service_kind { model, plain };
 
 /// A language model offered by a service of kind `model`.
