--- a/packages/backend/include/backend/backend_request.h
+++ b/packages/backend/include/backend/backend_request.h
@@ -17,7 +17,11 @@
 struct endpoint {
     std::string host;
     std::uint16_t port = 0;
-    auto operator<=>(const endpoint&) const = default;
+    bool operator==(const endpoint&) const = default;
+    /// Order for use as a map key.
+    bool operator<(const endpoint& other) const {
+        return host != other.host ? host < other.host : port < other.port;
+    }
 };
 
 /// How the answer is read.
--- a/packages/backend/include/backend/guarded_socket.h
+++ b/packages/backend/include/backend/guarded_socket.h
@@ -19,7 +19,9 @@
 /// Socket whose reads and writes end at a deadline or when a hook asks for it.
 ///
 /// POCO's streams swallow exceptions, so the reason is kept in `stopped()` and every later read or write
-/// fails at once. Not safe for use by several threads.
+/// fails at once. Not safe for use by several threads. Deleted by POCO's reference count
+/// only.
+// NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
 class guarded_socket : public Poco::Net::StreamSocketImpl {
 public:
     using stop_hook = std::function<std::optional<base::result_code>()>;
@@ -60,7 +62,7 @@
 private:
     struct limit {
         base::time_point at;
-        base::result_code code;
+        base::result_code code = base::result_code::internal;
     };
 
     void wait(short events);
--- a/packages/backend/src/guarded_socket.cpp
+++ b/packages/backend/src/guarded_socket.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -23,6 +25,8 @@
     return static_cast<int>(std::clamp(ms, std::chrono::milliseconds{0}, max_poll).count());
 }
 
+// POCO deletes socket implementations by reference count only.
+// NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
 class guarded_listener_impl : public Poco::Net::ServerSocketImpl {
 public:
     Poco::Net::SocketImpl* acceptConnection(Poco::Net::SocketAddress& client) override {
@@ -35,6 +39,9 @@
         if (fd < 0) {
             error();
         }
+        // Without this a token waits for the acknowledgement of the previous one.
+        const int on = 1;
+        ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         client = Poco::Net::SocketAddress{reinterpret_cast<const sockaddr*>(&address), length};
         return new guarded_socket{fd};
     }
--- a/packages/front/src/credential.cpp
+++ b/packages/front/src/credential.cpp
@@ -35,9 +35,8 @@
 
 credential::credential(std::string key) : key_{std::move(key)}, digest_{sha256_hex(key_)} {}
 
-credential::credential(credential&& other) noexcept : key_{other.key_}, digest_{std::move(other.digest_)} {
-    OPENSSL_cleanse(other.key_.data(), other.key_.size());
-    other.key_.clear();
+credential::credential(credential&& other) noexcept : digest_{std::move(other.digest_)} {
+    key_.swap(other.key_);
 }
 
 credential::~credential() {
--- a/packages/front/src/lingering_close.cpp
+++ b/packages/front/src/lingering_close.cpp
@@ -76,6 +76,7 @@
 
 void lingering_close::poll_once(std::vector<entry>& entries) {
     std::vector<pollfd> fds;
+    fds.reserve(entries.size());
     for (const auto& e : entries) {
         fds.push_back({e.socket.impl()->sockfd(), POLLIN, 0});
     }
--- a/packages/front/src/overflow_filter.h
+++ b/packages/front/src/overflow_filter.h
@@ -12,6 +12,8 @@
 
 /// Answers `connections_exhausted` on the accepting thread without waiting. POCO itself would close such a
 /// connection without a word.
+// Deleted by POCO's reference count only.
+// NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
 class overflow_filter : public Poco::Net::TCPServerConnectionFilter {
 public:
     explicit overflow_filter(std::shared_ptr<server_context> context);
--- a/testing/standin_backend/src/chat.cpp
+++ b/testing/standin_backend/src/chat.cpp
@@ -124,8 +124,9 @@
             return false;
         }
         const auto time = state_.batch.token_time() * (has(fault_kind::slow) ? slow_factor : 1);
-        next = std::max(next + time, base::boot_clock::now());
-        const bool paced = n == first_ || time == base::duration::zero() || job_->wait_until(next);
+        const bool at_once = n == first_ || time == base::duration::zero();
+        next = at_once ? base::boot_clock::now() : std::max(next + time, base::boot_clock::now());
+        const bool paced = at_once || job_->wait_until(next);
         if (!paced || !emit(token_text(n))) {
             exchange_.reset();
             return false;
