--- /dev/null
+++ b/packages/membership/tests/network.h
@@ -0,0 +1,165 @@
+/// @file
+/// Several fleet state machines over a fake network in one process.
+#pragma once
+
+#include "membership/fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chicorygap::membership::testing {
+
+using namespace std::chrono_literals;
+
+/// One daemon and what it was told.
+struct node {
+    fleet machine;
+    bool running = true;
+    bool paused = false;
+    std::size_t bytes = 0;
+    std::size_t largest = 0;
+    std::vector<member_changed> changes{};
+    std::map<std::string, std::vector<server_load>> loads{};
+};
+
+/// Fake network with loss, delay of 1 ms and cuts. Time advances in ticks of 100 ms.
+class network {
+public:
+    explicit network(std::uint64_t seed) : random_{seed} {}
+
+    /// Probability that a message is lost.
+    double loss = 0;
+    /// Returns true for pairs of addresses that cannot communicate.
+    std::function<bool(const std::string&, const std::string&)> cut = [](const auto&, const auto&) {
+        return false;
+    };
+
+    node& add(const std::string& address, const std::string& zone, std::uint64_t incarnation = 1) {
+        const member self{.id = base::vm_id{"vm-" + address},
+                          .address = address,
+                          .zone = base::zone_id{zone},
+                          .incarnation = incarnation};
+        auto random = [g = std::make_shared<std::mt19937_64>(random_())] { return (*g)(); };
+        nodes.erase(address);
+        auto& n = nodes.emplace(address, node{.machine = fleet{{.self = self}, random, now}}).first->second;
+        dispatch(address, n.machine.handle(seeds_changed{seeds}, now));
+        return n;
+    }
+
+    /// Adds `count` daemons "<zone>:0", "<zone>:1", ... and lists the first ones as seeds.
+    void add_zone(const std::string& zone, int count) {
+        for (int i = 0; i < std::min(count, 3); i++) {
+            seeds.push_back({zone + ":" + std::to_string(i), base::zone_id{zone}});
+        }
+        for (int i = 0; i < count; i++) {
+            add(zone + ":" + std::to_string(i), zone);
+        }
+        for (auto& [address, n] : nodes) {
+            dispatch(address, n.machine.handle(seeds_changed{seeds}, now));
+        }
+    }
+
+    void tell(const std::string& address, const event& e) {
+        dispatch(address, nodes.at(address).machine.handle(e, now));
+    }
+
+    void run(base::duration time) {
+        for (const auto end = now + time; now < end; now += 100ms) {
+            for (auto& [address, n] : nodes) {
+                if (n.running && !n.paused) {
+                    dispatch(address, n.machine.handle(tick{}, now));
+                }
+            }
+            deliver();
+        }
+    }
+
+    /// Runs until the condition holds.
+    /// @return the time it took, or `limit` if it did not.
+    base::duration run_until(const std::function<bool()>& condition, base::duration limit) {
+        const auto begin = now;
+        while (!condition() && now - begin < limit) {
+            run(100ms);
+        }
+        return now - begin;
+    }
+
+    /// @return whether all running daemons of the zone see exactly each other.
+    [[nodiscard]] bool complete(const std::string& zone) const {
+        std::size_t expected = 0;
+        for (const auto& [address, n] : nodes) {
+            expected += n.running && n.machine.self().zone.str() == zone ? 1 : 0;
+        }
+        return std::ranges::all_of(nodes, [&](const auto& pair) {
+            const auto& n = pair.second;
+            return !n.running || n.machine.self().zone.str() != zone || alive_seen(n) == expected;
+        });
+    }
+
+    /// @return whether all other running daemons of the zone hold the state for the address.
+    [[nodiscard]] bool all_see(const std::string& address, bool live) const {
+        return std::ranges::all_of(nodes, [&](const auto& pair) {
+            const auto list = pair.second.machine.live_members();
+            return pair.first == address || !pair.second.running ||
+                   (std::ranges::find(list, address, &member::address) != list.end()) == live;
+        });
+    }
+
+    static std::size_t alive_seen(const node& n) {
+        const auto list = n.machine.live_members();
+        return static_cast<std::size_t>(std::ranges::count(list, member_state::alive, &member::state));
+    }
+
+    base::time_point now{1000s};
+    std::map<std::string, node> nodes;
+    std::vector<seed> seeds;
+
+private:
+    struct packet {
+        std::string from;
+        send content;
+    };
+
+    void dispatch(const std::string& from, std::vector<action> actions) {
+        auto& n = nodes.at(from);
+        for (auto& a : actions) {
+            if (auto* s = std::get_if<send>(&a)) {
+                const auto size = encoded_size(s->content);
+                n.bytes += size;
+                n.largest = std::max(n.largest, size);
+                if (std::uniform_real_distribution<>{}(random_) >= loss) {
+                    packets_.push_back({from, std::move(*s)});
+                }
+            } else if (auto* c = std::get_if<member_changed>(&a)) {
+                n.changes.push_back(*c);
+            } else if (auto* l = std::get_if<loads_heard>(&a)) {
+                n.loads[l->peer.str()] = l->loads;
+            }
+        }
+    }
+
+    void deliver() {
+        while (!packets_.empty()) {
+            for (auto& p : std::exchange(packets_, {})) {
+                const auto it = nodes.find(p.content.address);
+                const bool reachable = it != nodes.end() && it->second.running && !it->second.paused;
+                if (reachable && !cut(p.from, p.content.address)) {
+                    dispatch(it->first, it->second.machine.handle(received{p.content.content}, now + 1ms));
+                }
+            }
+        }
+    }
+
+    std::mt19937_64 random_;
+    std::vector<packet> packets_;
+};
+
+}  // namespace chicorygap::membership::testing
