Drive documents by the distributor

Cause: the daemon listed and watched documents itself, without relays, readiness rule or isolation rule. Change: configuration_agent runs distribution::distributor against the platform and the registry; a deleted document stops its service. Before/after: demo before: every daemon watched the platform; now only the distributor's relays do. Not measured yet. Conclusion: peers can be connected next.

--- /dev/null
+++ b/apps/daemon/src/configuration_agent.cpp
@@ -0,0 +1,187 @@
+#include "configuration_agent.h"
+
+#include "base/error.h"
+#include "base/log.h"
+#include "document/parser.h"
+
+#include <algorithm>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+namespace chicorygap::daemon_app {
+
+namespace {
+
+constexpr const char* document_prefix = "document/";
+constexpr const char* part = "configuration";
+constexpr base::duration watch_request_wait = std::chrono::milliseconds{200};
+
+std::string read_file(const std::string& path) {
+    std::ifstream in{path};
+    if (!in) {
+        throw base::error{base::result_code::settings_invalid, "cannot read document file " + path};
+    }
+    std::ostringstream buf;
+    buf << in.rdbuf();
+    return buf.str();
+}
+
+distribution::distributor_options make_options(const settings::daemon_settings& s) {
+    distribution::distributor_options o;
+    o.vm = s.vm;
+    o.zone = s.zone;
+    o.has_platform = s.platform.has_value();
+    return o;
+}
+
+distribution::platform_replied make_reply(std::uint64_t after, const std::vector<platform::object>& objects) {
+    distribution::platform_replied out{after, {}};
+    for (const auto& o : objects) {
+        out.objects.push_back({o.key, o.version, o.deleted, o.value, std::nullopt});
+    }
+    return out;
+}
+
+}  // namespace
+
+configuration_agent::configuration_agent(gateway::registry& r, const settings::daemon_settings& s,
+                                         platform::object_store* store)
+    : registry_{r},
+      settings_{s},
+      store_{store},
+      distributor_{make_options(s), base::boot_clock::now()},
+      ready_{store == nullptr} {}
+
+void configuration_agent::load_files() {
+    for (const auto& path : settings_.document_files) {
+        auto d = document::parse_or_throw(read_file(path), path);
+        registry_.apply(std::make_shared<const document::lookup>(
+            std::make_shared<const document::service_document>(std::move(d))));
+    }
+}
+
+void configuration_agent::set_sender(sender s) {
+    const std::lock_guard lock{mutex_};
+    sender_ = std::move(s);
+}
+
+void configuration_agent::handle(const distribution::event& e) {
+    const std::lock_guard lock{mutex_};
+    for (const auto& a : distributor_.handle(e, base::boot_clock::now())) {
+        std::visit([this](const auto& v) { run(v); }, a);
+    }
+}
+
+void configuration_agent::watch() {
+    const auto w = next_watch();
+    if (!w) {
+        return;
+    }
+    try {
+        const auto objects = store_->watch(document_prefix, w->after, w->wait);
+        handle(make_reply(w->after, objects));
+    } catch (const base::error& e) {
+        base::log_line{base::log_level::warning, part, "Platform watch failed."}
+            .field("reason", e.what())
+            .code(e.code());
+        handle(distribution::platform_failed{});
+    }
+}
+
+std::optional<distribution::watch_platform> configuration_agent::next_watch() {
+    std::unique_lock lock{mutex_};
+    watch_wanted_.wait_for(lock, watch_request_wait, [this] { return watch_.has_value(); });
+    return std::exchange(watch_, std::nullopt);
+}
+
+distribution::digest configuration_agent::digest(std::size_t limit) {
+    const std::lock_guard lock{mutex_};
+    return distributor_.make_digest(limit, base::boot_clock::now());
+}
+
+bool configuration_agent::ready() const {
+    const std::lock_guard lock{mutex_};
+    return ready_;
+}
+
+bool configuration_agent::keys_usable(const base::service_id& service) const {
+    const std::lock_guard lock{mutex_};
+    return unusable_.count(service) == 0;
+}
+
+std::vector<configuration_agent::document_state> configuration_agent::documents() const {
+    const std::lock_guard lock{mutex_};
+    std::vector<document_state> out;
+    for (const auto& [key, d] : documents_) {
+        out.push_back(d);
+    }
+    return out;
+}
+
+void configuration_agent::run(const distribution::send& a) {
+    if (sender_) {
+        sender_(a.to, a.content, [this, a] { handle(distribution::send_failed{a.to, a.content}); });
+    }
+}
+
+void configuration_agent::run(const distribution::watch_platform& a) {
+    watch_ = a;
+    watch_wanted_.notify_one();
+}
+
+void configuration_agent::run(const distribution::activate& a) {
+    const auto key = document_prefix + a.document->document().name.str();
+    documents_[key] = {key, a.version, {}};
+    registry_.apply(a.document);
+    base::log_line{base::log_level::info, part, "Document in force."}
+        .field("object", key)
+        .field("version", static_cast<long long>(a.version))
+        .field("withdrawn_keys", static_cast<long long>(a.withdrawn_keys.size()));
+}
+
+void configuration_agent::run(const distribution::withdraw& a) {
+    documents_.erase(document_prefix + a.service.str());
+    registry_.remove(a.service);
+    base::log_line{base::log_level::info, part, "Document deleted; the service is no longer offered."}.field(
+        "service", a.service.str());
+}
+
+void configuration_agent::run(const distribution::report_invalid& a) {
+    auto& d = documents_[a.key];
+    d.key = a.key;
+    d.fault = "version " + std::to_string(a.version) + ": " + a.faults;
+    base::log_line{base::log_level::warning, part, "Document refused; the last valid one stays in force."}
+        .field("object", a.key)
+        .field("version", static_cast<long long>(a.version))
+        .field("fault", a.faults)
+        .code(base::result_code::document_invalid);
+}
+
+void configuration_agent::run(const distribution::report_stale& a) {
+    base::log_line{base::log_level::warning, part, "The platform stores an older version; it is not used."}
+        .field("object", a.key)
+        .field("stored", static_cast<long long>(a.stored))
+        .field("known", static_cast<long long>(a.known))
+        .code(base::result_code::document_stale);
+}
+
+void configuration_agent::run(const distribution::became_ready&) {
+    ready_ = true;
+    base::log_line{base::log_level::info, part, "Documents are up to date."};
+}
+
+void configuration_agent::run(const distribution::keys_usable_changed& a) {
+    if (a.usable) {
+        unusable_.erase(a.service);
+    } else {
+        unusable_.insert(a.service);
+    }
+    base::log_line{base::log_level::warning, part,
+                   a.usable ? "Keys are usable again." : "Keys are not usable in isolation."}
+        .field("service", a.service.str())
+        .code(a.usable ? base::result_code::ok : base::result_code::isolated_key_expired);
+}
+
+}  // namespace chicorygap::daemon_app
--- /dev/null
+++ b/apps/daemon/src/configuration_agent.h
@@ -0,0 +1,87 @@
+/// @file
+/// Brings service documents into force.
+#pragma once
+
+#include "base/time.h"
+#include "distribution/distributor.h"
+#include "gateway/registry.h"
+#include "platform/object_store.h"
+#include "settings/daemon_settings.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace chicorygap::daemon_app {
+
+/// Runs the distributor against the platform, the peers and the registry.
+///
+/// Usage: `set_sender(...)`, then `tick()` twice a second on one thread and `watch()` repeatedly on another.
+/// All members are safe for use by several threads.
+class configuration_agent {
+public:
+    /// Sends a message to a peer and calls `failed` if that fails.
+    using sender = std::function<void(const base::vm_id& to, const distribution::message& m,
+                                      std::function<void()> failed)>;
+
+    /// Object key and version of a document, with the fault of a refused newer version.
+    struct document_state {
+        std::string key;
+        std::uint64_t version = 0;
+        std::string fault;
+    };
+
+    /// @param store platform's objects; null if documents come from files.
+    configuration_agent(gateway::registry& r, const settings::daemon_settings& s,
+                        platform::object_store* store);
+
+    /// Reads the documents of the settings.
+    /// @throws base::error with `document_invalid` or `settings_invalid`.
+    void load_files();
+
+    void set_sender(sender s);
+    void handle(const distribution::event& e);
+    void tick() { handle(distribution::tick{}); }
+
+    /// Waits shortly for a request to watch the platform and carries it out.
+    void watch();
+
+    /// @return digest for gossip.
+    [[nodiscard]] distribution::digest digest(std::size_t limit);
+
+    /// @return true once every reachable peer's documents are here.
+    [[nodiscard]] bool ready() const;
+    /// @return false once the keys of the service have been isolated for too long.
+    [[nodiscard]] bool keys_usable(const base::service_id& service) const;
+    [[nodiscard]] std::vector<document_state> documents() const;
+
+private:
+    void run(const distribution::send& a);
+    void run(const distribution::watch_platform& a);
+    void run(const distribution::activate& a);
+    void run(const distribution::withdraw& a);
+    void run(const distribution::report_invalid& a);
+    void run(const distribution::report_stale& a);
+    void run(const distribution::became_ready& a);
+    void run(const distribution::keys_usable_changed& a);
+    std::optional<distribution::watch_platform> next_watch();
+
+    gateway::registry& registry_;
+    const settings::daemon_settings& settings_;
+    platform::object_store* store_;
+    mutable std::mutex mutex_;
+    std::condition_variable watch_wanted_;
+    distribution::distributor distributor_;
+    sender sender_;
+    std::optional<distribution::watch_platform> watch_;
+    std::map<std::string, document_state> documents_;
+    std::set<base::service_id> unusable_;
+    bool ready_ = false;
+};
+
+}  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/daemon.cpp
+++ b/apps/daemon/src/daemon.cpp
@@ -2,7 +2,7 @@
 
 #include "backend/http_backend_client.h"
 #include "base/log.h"
-#include "document_sync.h"
+#include "configuration_agent.h"
 #include "front/operator_server.h"
 #include "front/server.h"
 #include "gateway/registry.h"
@@ -29,8 +29,7 @@
 constexpr base::duration tick_interval = std::chrono::milliseconds{50};
 constexpr base::duration server_refresh_interval = std::chrono::seconds{1};
 constexpr base::duration load_poll_interval = std::chrono::seconds{1};
-// After a failed watch; a loop without it would flood a platform that refuses calls.
-constexpr base::duration watch_pause = std::chrono::milliseconds{200};
+constexpr base::duration configuration_tick_interval = std::chrono::milliseconds{250};
 constexpr base::duration drain_poll_interval = std::chrono::milliseconds{20};
 
 base::wall_time wall_now() {
@@ -78,7 +77,7 @@
     backend::http_backend_client client_;
     std::unique_ptr<platform::http_platform> platform_;
     gateway::registry registry_;
-    document_sync documents_;
+    configuration_agent documents_;
     server_sync servers_;
     load_poller loads_{registry_};
     front::server front_;
@@ -103,6 +102,7 @@
       incarnation_{static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
                                                   std::chrono::system_clock::now().time_since_epoch())
                                                   .count())} {
+    registry_.set_keys_usable([this](const base::service_id& id) { return documents_.keys_usable(id); });
     documents_.load_files();
 }
 
@@ -182,8 +182,10 @@
         std::make_unique<periodic>("servers", server_refresh_interval, [this] { servers_.refresh(); }));
     threads_.push_back(std::make_unique<periodic>("load", load_poll_interval, [this] { loads_.poll(); }));
     if (platform_) {
-        threads_.push_back(
-            std::make_unique<periodic>("configuration", watch_pause, [this] { documents_.watch(); }));
+        threads_.push_back(std::make_unique<periodic>("configuration", configuration_tick_interval,
+                                                      [this] { documents_.tick(); }));
+        threads_.push_back(std::make_unique<periodic>("configuration", base::duration::zero(),
+                                                      [this] { documents_.watch(); }));
     }
     operators_.start();
     front_.start();
--- a/apps/daemon/src/status_json.cpp
+++ b/apps/daemon/src/status_json.cpp
@@ -12,18 +12,16 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-Object::Ptr documents_json(const document_sync& d) {
-    Object::Ptr out = new Object;
-    for (const auto& [key, version] : d.versions()) {
-        out->set(key, version);
-    }
-    return out;
-}
-
-Object::Ptr faults_json(const document_sync& d) {
-    Object::Ptr out = new Object;
-    for (const auto& [key, fault] : d.faults()) {
-        out->set(key, fault);
+Array::Ptr documents_json(const configuration_agent& d) {
+    Array::Ptr out = new Array;
+    for (const auto& v : d.documents()) {
+        Object o;
+        o.set("object", v.key);
+        o.set("version", v.version);
+        if (!v.fault.empty()) {
+            o.set("fault", v.fault);
+        }
+        out->add(o);
     }
     return out;
 }
@@ -82,14 +80,13 @@
 }  // namespace
 
 std::string status_json(const settings::daemon_settings& s, const gateway::registry& r,
-                        const document_sync& d, bool ready, bool draining) {
+                        const configuration_agent& d, bool ready, bool draining) {
     Object out;
     out.set("vm", s.vm.str());
     out.set("zone", s.zone.str());
     out.set("ready", ready);
     out.set("draining", draining);
     out.set("documents", documents_json(d));
-    out.set("document_faults", faults_json(d));
     Array services;
     for (const auto& runtime : r.all()) {
         services.add(service_json(*runtime));
--- a/apps/daemon/src/status_json.h
+++ b/apps/daemon/src/status_json.h
@@ -2,7 +2,7 @@
 /// Content of the operator page /status.
 #pragma once
 
-#include "document_sync.h"
+#include "configuration_agent.h"
 #include "gateway/registry.h"
 #include "settings/daemon_settings.h"
 
@@ -12,6 +12,6 @@
 
 /// @return what the daemon believes, as JSON: documents in force, queues and backend servers of each service.
 std::string status_json(const settings::daemon_settings& s, const gateway::registry& r,
-                        const document_sync& d, bool ready, bool draining);
+                        const configuration_agent& d, bool ready, bool draining);
 
 }  // namespace chicorygap::daemon_app
--- a/packages/gateway/include/gateway/registry.h
+++ b/packages/gateway/include/gateway/registry.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "base/id.h"
-#include "base/time.h"
 #include "front/hooks.h"
 #include "gateway/service_runtime.h"
 
@@ -27,15 +26,17 @@
     explicit registry(runtime_options o);
 
     /// Adds a service or replaces its document.
-    void apply(std::shared_ptr<const document::service_document> d);
+    void apply(std::shared_ptr<const document::lookup> d);
+    /// Stops offering a service. Its open requests end as usual.
+    void remove(const base::service_id& id);
 
     /// @return the service, or null.
     [[nodiscard]] std::shared_ptr<service_runtime> find(const base::service_id& id) const;
     [[nodiscard]] std::vector<std::shared_ptr<service_runtime>> all() const;
 
-    /// @param isolated_for time since the daemon lost the platform and all other zones; zero if it has not.
-    void set_isolation(std::function<base::duration()> isolated_for) {
-        isolated_for_ = std::move(isolated_for);
+    /// @param usable tells whether the keys of a service may be used; false after a long isolation.
+    void set_keys_usable(std::function<bool(const base::service_id&)> usable) {
+        keys_usable_ = std::move(usable);
     }
 
     /// Checks key, route and model. The workspace follows from the key alone (P3).
@@ -50,10 +51,10 @@
     [[nodiscard]] std::size_t open_requests() const;
 
 private:
-    [[nodiscard]] bool isolation_expired(const document::service_document& d) const;
+    [[nodiscard]] bool isolation_expired(const base::service_id& id) const;
 
     runtime_options options_;
-    std::function<base::duration()> isolated_for_;
+    std::function<bool(const base::service_id&)> keys_usable_;
     mutable std::mutex mutex_;
     std::map<base::service_id, std::shared_ptr<service_runtime>> services_;
 };
--- a/packages/gateway/src/registry.cpp
+++ b/packages/gateway/src/registry.cpp
@@ -45,20 +45,23 @@
 
 registry::registry(runtime_options o) : options_{std::move(o)} {}
 
-void registry::apply(std::shared_ptr<const document::service_document> d) {
-    const auto id = d->name;
-    auto index = std::make_shared<const document::lookup>(std::move(d));
+void registry::apply(std::shared_ptr<const document::lookup> d) {
     std::shared_ptr<service_runtime> existing;
     {
         const std::lock_guard lock{mutex_};
-        auto& slot = services_[id];
+        auto& slot = services_[d->document().name];
         if (!slot) {
-            slot = std::make_shared<service_runtime>(options_, index);
+            slot = std::make_shared<service_runtime>(options_, std::move(d));
             return;
         }
         existing = slot;
     }
-    existing->apply_document(std::move(index));
+    existing->apply_document(std::move(d));
+}
+
+void registry::remove(const base::service_id& id) {
+    const std::lock_guard lock{mutex_};
+    services_.erase(id);
 }
 
 std::shared_ptr<service_runtime> registry::find(const base::service_id& id) const {
@@ -76,8 +79,8 @@
     return out;
 }
 
-bool registry::isolation_expired(const document::service_document& d) const {
-    return isolated_for_ && isolated_for_() > d.isolated_key_lifetime;
+bool registry::isolation_expired(const base::service_id& id) const {
+    return keys_usable_ && !keys_usable_(id);
 }
 
 front::access_decision registry::authorize(const front::access_query& q) const {
@@ -94,7 +97,7 @@
             consider(key.code, "the key is not accepted");
             continue;
         }
-        if (isolation_expired(d->document())) {
+        if (isolation_expired(d->document().name)) {
             consider(result_code::isolated_key_expired,
                      "the zone has been isolated for too long to trust known keys");
             continue;
