--- a/benchmarks/request_path/main.cpp
+++ b/benchmarks/request_path/main.cpp
@@ -150,7 +150,7 @@
     std::printf("half_load    streams=%d tokens_per_s=%.0f probes_direct=%zu probes_routed=%zu broken=%llu\n",
                 half_load_streams, static_cast<double>(tokens) / elapsed.count(),
                 direct.first_token_ms.size(), routed.first_token_ms.size(),
-                static_cast<unsigned long long>(direct.broken + routed.broken));
+                static_cast<unsigned long long>(direct.broken) + routed.broken);
     print_added("first_token", direct.first_token_ms, routed.first_token_ms);
     print_added("token_gap", direct.gap_ms, routed.gap_ms);
     print_process("half_load", after, (after.cpu_seconds - before.cpu_seconds) / elapsed.count());
--- a/packages/front/src/caller_connection.cpp
+++ b/packages/front/src/caller_connection.cpp
@@ -48,7 +48,7 @@
 
 void caller_connection::serve(Poco::Net::HTTPServerSession& session) {
     while (session.hasMoreRequests()) {
-        context_->connections.begin_request(socket());
+        ended_ = context_->connections.begin_request(socket());
         const auto n = serve_request(session);
         if (n == next::linger) {
             // The session closes its socket when it is destroyed.
@@ -102,7 +102,12 @@
     response.setVersion(request.getVersion());
     const auto id = context_->callbacks.next_id();
     request_reader reader{context_->options, context_->callbacks, request, response, *guard_, memory};
-    auto checked = reader.read(id);
+    std::variant<call, local_answer, refusal> checked;
+    if (ended_) {
+        checked = refusal{*ended_, run_state::not_run, "the connection is being closed", std::nullopt};
+    } else {
+        checked = reader.read(id);
+    }
     limit_answer();
     const bool keep = reader.consumed() && may_keep(request);
     response.setKeepAlive(keep);
--- a/packages/front/src/caller_connection.h
+++ b/packages/front/src/caller_connection.h
@@ -11,6 +11,7 @@
 #include <Poco/Net/TCPServerConnection.h>
 
 #include <memory>
+#include <optional>
 
 namespace chicorygap::front {
 
@@ -40,7 +41,9 @@
 
     std::shared_ptr<server_context> context_;
     backend::guarded_socket* guard_;  // owned by the socket
-    std::uint64_t head_start_ = 0;    // bytes received before the current head
+    /// Set when the connection was ended while it waited for its current request.
+    std::optional<base::result_code> ended_;
+    std::uint64_t head_start_ = 0;  // bytes received before the current head
 };
 
 }  // namespace chicorygap::front
--- a/packages/front/src/overflow_filter.cpp
+++ b/packages/front/src/overflow_filter.cpp
@@ -22,7 +22,9 @@
 bool overflow_filter::accept(const Poco::Net::StreamSocket& socket) {
     const auto& o = context_->options;
     if (context_->open < o.threads + o.queue) {
-        ++context_->open;
+        if (++context_->open > o.threads) {
+            context_->connections.end_longest_waiting();
+        }
         return true;
     }
     ++context_->refused;
--- a/packages/front/src/overflow_filter.h
+++ b/packages/front/src/overflow_filter.h
@@ -10,8 +10,8 @@
 
 namespace chicorygap::front {
 
-/// Answers `connections_exhausted` on the accepting thread without waiting. POCO itself would close such a
-/// connection without a word.
+/// Ends an open connection without a request when a new one needs its thread. Answers `connections_exhausted`
+/// on the accepting thread without waiting. POCO itself would close such a connection without a word.
 // Deleted by POCO's reference count only.
 // NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
 class overflow_filter : public Poco::Net::TCPServerConnectionFilter {
--- a/packages/front/src/server.cpp
+++ b/packages/front/src/server.cpp
@@ -11,6 +11,8 @@
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
 
+#include <algorithm>
+
 namespace chicorygap::front {
 
 namespace {
@@ -63,7 +65,8 @@
     impl(server_options options, hooks h)
         : context_{std::make_shared<server_context>(std::move(options), std::move(h))},
           listener_{listen(context_->options)},
-          pool_{idle_threads, context_->options.threads, idle_thread_seconds, context_->options.stack_bytes} {
+          pool_{std::min(idle_threads, context_->options.threads), context_->options.threads,
+                idle_thread_seconds, context_->options.stack_bytes} {
         context_->params = make_params(context_->options);
         server_ = std::make_unique<Poco::Net::TCPServer>(new connection_factory{context_}, pool_, listener_,
                                                          context_->params);
--- a/packages/front/tests/limits_test.cpp
+++ b/packages/front/tests/limits_test.cpp
@@ -77,8 +77,13 @@
     start(o);
     expect_refusal(ask(request_text("POST /x", good_key, std::string(300'000, 'a'))),
                    result_code::queue_full);
-    EXPECT_EQ(ask(request_text("POST /x", good_key, std::string(100'000, 'a'))).substr(9, 3), "200");
-    EXPECT_EQ(ask(request_text("POST /x", good_key, std::string(100'000, 'a'))).substr(9, 3), "200");
+    // One connection, because its next request is read only after the memory of the previous one was
+    // returned.
+    raw_client c{front->port()};
+    for (int i = 0; i < 3; ++i) {
+        c.send(request_text("POST /x", good_key, std::string(100'000, 'a')));
+        EXPECT_EQ(c.read_answer().substr(9, 3), "200");
+    }
 }
 
 // Guards against callers that hold a thread by sending slowly.
@@ -161,6 +166,36 @@
     EXPECT_EQ(waiting.read_answer().substr(9, 3), "200");
 }
 
+// Guards against a connection that waits silently because connections without a request hold all threads.
+TEST_F(limits_test, gives_threads_of_waiting_connections_to_new_ones) {
+    server_options o;
+    o.threads = 1;
+    o.queue = 1;
+    start(o);
+    raw_client kept{front->port()};
+    kept.send(chat_text(good_key, 1, false));
+    kept.read_answer();
+    EXPECT_EQ(ask(chat_text(good_key, 1, false)).substr(9, 3), "200");
+    EXPECT_EQ(kept.read_all(), "");
+}
+
+// Guards against callers that wait for permission to send their body, and bodies read for an unknown key.
+TEST_F(limits_test, permits_a_body_only_after_the_key_was_checked) {
+    start();
+    const auto head = [](const std::string& key) {
+        return "PUT /x HTTP/1.1\r\nAuthorization: Bearer " + key +
+               "\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+    };
+    raw_client c{front->port()};
+    c.send(head(good_key));
+    EXPECT_EQ(c.read_until("\r\n\r\n").substr(9, 3), "100");
+    c.send("abc");
+    EXPECT_EQ(body_of(c.read_answer()), "abc");
+    raw_client other{front->port()};
+    other.send(head("sk-other"));
+    expect_refusal(other.read_answer(), result_code::key_unknown);
+}
+
 // P12. Guards against a drain that interrupts a running request or waits for idle connections.
 TEST_F(limits_test, drains_without_interrupting_a_stream) {
     start();
