Reserve slots for the load of higher tiers

Lower tiers leave the square root of the slots that higher tiers occupy, at most a fifth; the floor is exempt. Preemption starts when the slack is below three times the predicted wait; refusal still compares with the prediction.

--- a/packages/admission/src/state.h
+++ b/packages/admission/src/state.h
@@ -15,6 +15,9 @@
 
 namespace chicorygap::admission {
 
+/// The wait for a slot is about exponential: one wait in twenty is longer than three times its mean.
+inline constexpr int preemption_margin = 3;
+
 class controller::state {
 public:
     explicit state(policy p);
@@ -56,7 +59,7 @@
     // state_schedule.cpp
     void remove_expired();
     void start_waiting();
-    class_state* strict_class();
+    class_state* strict_class(bool keep_reserve);
     class_state* overdue_class();
     bool preempt_and_start(const request& r);
     [[nodiscard]] bool harms_higher_tier(const class_state& c) const;
@@ -75,6 +78,7 @@
     [[nodiscard]] double floor_wait_seconds(const class_state& c) const;
     [[nodiscard]] bool floor_due(const class_state& c) const;
     [[nodiscard]] int floor_slots(const class_state& c) const;
+    [[nodiscard]] int reserved_slots(double load_above) const;
 
     class_state& class_of(request_index i) { return classes_[requests_[i].service_class]; }
     [[nodiscard]] int usable_slots() const { return ramp_.usable(); }
--- a/packages/admission/src/state_arrival.cpp
+++ b/packages/admission/src/state_arrival.cpp
@@ -90,12 +90,16 @@
             return;
         }
         const base::duration wait = predicted_wait_of(i);
-        if (requests_[i].deadline - now_ >= wait) {
+        const base::duration slack = requests_[i].deadline - now_;
+        if (slack >= preemption_margin * wait) {
             return;
         }
         if (n < max_preemptions_per_arrival && near_head(i) && preempt_and_start(requests_[i])) {
             continue;
         }
+        if (slack >= wait) {
+            return;
+        }
         refuse_late(i, wait);
         return;
     }
--- a/packages/admission/src/state_predict.cpp
+++ b/packages/admission/src/state_predict.cpp
@@ -1,6 +1,7 @@
 #include "state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chicorygap::admission {
 
@@ -9,6 +10,10 @@
 // Part of the slots that a class is always assumed to get; the prediction stays finite under overload.
 constexpr double min_rate_share = 0.02;
 constexpr double unknown_wait_seconds = 1;
+// Lower tiers leave one standard deviation of the slots that higher tiers occupy (Poisson arrivals), so that
+// an urgent request usually finds a free slot while a burst of a lower tier fills the rest.
+constexpr double max_reserved_share = 0.2;
+constexpr double min_reserved_load = 0.1;
 
 }  // namespace
 
@@ -25,6 +30,11 @@
     return std::max(1, static_cast<int>(usable_slots() * c.rules.floor_share));
 }
 
+int controller::state::reserved_slots(double load_above) const {
+    const double reserve = std::min(std::sqrt(load_above), max_reserved_share * usable_slots());
+    return load_above < min_reserved_load ? 0 : static_cast<int>(reserve);
+}
+
 double controller::state::floor_wait_seconds(const class_state& c) const {
     const std::chrono::duration<double> interval = c.rules.floor_wait;
     const auto since = c.unmet_since ? now_ - *c.unmet_since : base::duration::zero();
--- a/packages/admission/src/state_schedule.cpp
+++ b/packages/admission/src/state_schedule.cpp
@@ -1,6 +1,7 @@
 #include "state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorygap::admission {
 
@@ -41,7 +42,7 @@
 void controller::state::start_waiting() {
     while (running_ < usable_slots()) {
         class_state* c = overdue_class();
-        c = c == nullptr ? strict_class() : c;
+        c = c == nullptr ? strict_class(true) : c;
         if (c == nullptr) {
             return;
         }
@@ -49,16 +50,26 @@
     }
 }
 
-class_state* controller::state::strict_class() {
+class_state* controller::state::strict_class(bool keep_reserve) {
     class_state* best = nullptr;
+    base::tier tier;
+    double load_above = 0;  // slots that the tiers above `tier` occupy
+    double load_here = 0;
     for (const auto index : order_) {
         class_state& c = classes_[index];
-        if (best != nullptr && best->rules.tier.outranks(c.rules.tier)) {
-            break;
+        if (tier.outranks(c.rules.tier)) {
+            if (best != nullptr) {
+                break;
+            }
+            load_above += std::exchange(load_here, 0);
+            tier = c.rules.tier;
         }
-        if (c.backlogged() && (best == nullptr || c.unmet_since < best->unmet_since)) {
+        const int reserve = keep_reserve ? reserved_slots(load_above) : 0;
+        if (c.backlogged() && running_ < usable_slots() - reserve &&
+            (best == nullptr || c.unmet_since < best->unmet_since)) {
             best = &c;
         }
+        load_here += c.load.at(now_);
     }
     return best;
 }
@@ -167,8 +178,8 @@
 }
 
 void controller::state::rescue_urgent() {
-    const auto next = now_ + std::chrono::duration_cast<base::duration>(
-                                 std::chrono::duration<double>{next_release_seconds()});
+    const auto next = now_ + preemption_margin * std::chrono::duration_cast<base::duration>(
+                                                     std::chrono::duration<double>{next_release_seconds()});
     for (const auto index : order_) {
         class_state& c = classes_[index];
         const request_index i = c.queue.best();
@@ -184,7 +195,7 @@
         return false;
     }
     // The freed slot belongs to the head of the highest tier; the floor never takes it.
-    start_request(*strict_class());
+    start_request(*strict_class(false));
     return true;
 }
 
--- a/packages/admission/tests/controller_test.cpp
+++ b/packages/admission/tests/controller_test.cpp
@@ -224,6 +224,23 @@
     EXPECT_EQ(ids<refuse>(c.handle(late, again)), names{});
 }
 
+// Guards against a burst of a low tier that fills every slot while urgent requests keep arriving.
+TEST(controller, a_low_tier_leaves_slots_for_the_load_of_a_higher_one) {
+    auto p = two_tiers();
+    p.classes[0].expected_service_time = 5s;
+    controller c{p};
+    c.handle(capacity_changed{20}, t0);
+    for (int i = 0; i < 5; ++i) {
+        c.handle(request_of("u" + std::to_string(i), urgent), t0);
+        c.handle(finished{base::request_id{"u" + std::to_string(i)}, 256, 5s}, t0);
+    }
+    for (int i = 0; i < 30; ++i) {
+        c.handle(request_of("b" + std::to_string(i), batch), t0);
+    }
+    EXPECT_EQ(c.snapshot(t0).running, 18U);  // the urgent class occupies five slots on average
+    EXPECT_EQ(ids<start>(c.handle(request_of("u9", urgent), t0)), names{"u9"});
+}
+
 // Guards against a removed class whose queued requests never get an answer.
 TEST(controller, a_removed_class_refuses_its_queue) {
     auto p = two_tiers();
