Keep announced slots and preempted slots consistent in dispatch

Announce the slots before the end of a request reaches admission, and start a preempting request on the server of its victim. The new test fails without the second change.

--- a/packages/dispatch/src/core_state.cpp
+++ b/packages/dispatch/src/core_state.cpp
@@ -134,6 +134,7 @@
     for (const auto& a : admission_.handle(e, now_)) {
         std::visit([this](const auto& v) { apply(v); }, a);
     }
+    freed_server_ = {};
 }
 
 void core::state::apply(const admission::start& a) {
@@ -170,6 +171,7 @@
     totals_.preempted++;
     if (r->attempt != 0) {
         r->preempted = true;
+        freed_server_ = r->server;
         actions_.emplace_back(cancel_attempt{a.id, r->attempt, result_code::preempted});
     }
 }
@@ -180,7 +182,10 @@
                                          .idempotent = r.terms.idempotent,
                                          .prefixes = r.terms.prefixes,
                                          .excluded = r.tried};
-    auto c = router_.choose(request, now_);
+    // A preempting request takes the slot that its victim frees; the router still counts it as taken.
+    const auto freed = std::exchange(freed_server_, {});
+    const bool usable = !freed.empty() && std::find(r.tried.begin(), r.tried.end(), freed) == r.tried.end();
+    auto c = usable ? std::optional{routing::choice{.server = freed}} : router_.choose(request, now_);
     if (!c && !r.tried.empty()) {
         // With every other server gone, a server that failed before is better than a refusal.
         auto any = request;
@@ -215,6 +220,8 @@
     const auto tokens = static_cast<std::int64_t>(r.ledger.delivered_tokens());
     if (std::exchange(r.admitted, false)) {
         admitted_--;
+        // Announced first: a slot that was free on an overloaded server only must not be filled again.
+        update_capacity();
         admit(admission::finished{id, tokens, service_time});
     } else {
         // Preempted and queued again, but the attempt ended by itself first.
--- a/packages/dispatch/src/core_state.h
+++ b/packages/dispatch/src/core_state.h
@@ -54,6 +54,8 @@
     retry::budget budget_;
     std::unordered_map<base::request_id, open_request> open_;
     int admitted_ = 0;
+    /// Server of the attempt that is being preempted, for the request that starts next.
+    base::backend_server_id freed_server_;
     int announced_slots_ = -1;
     counters totals_;
 
--- a/packages/dispatch/tests/core_test.cpp
+++ b/packages/dispatch/tests/core_test.cpp
@@ -71,6 +71,24 @@
     EXPECT_EQ(c.open_requests(), 0U);
 }
 
+// Guards against an urgent request that preempts on one server and then waits on another, full one.
+TEST(core, preempting_request_takes_the_slot_of_its_victim) {
+    auto c = make_core(4, 1);
+    std::map<std::string, base::backend_server_id> servers;
+    for (int n = 0; n < 4; n++) {
+        const auto id = "b" + std::to_string(n);
+        servers[id] = only<start_attempt>(c.handle(make_submit(id, batch), t0)).at(0).server;
+    }
+    auto s = make_submit("u", urgent);
+    s.start_deadline = t0 + 200ms;
+    const auto actions = c.handle(s, t0 + 100ms);
+    const auto cancelled = only<cancel_attempt>(actions);
+    const auto started = only<start_attempt>(actions);
+    ASSERT_EQ(cancelled.size(), 1U);
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started[0].server, servers.at(cancelled[0].request.str()));
+}
+
 // Guards against a stream that restarts from the beginning, or on the server that just failed.
 TEST(core, broken_stream_continues_on_another_server_behind_the_delivered_tokens) {
     auto c = make_core(2, 2);
