Connect daemons: membership, load sharing, pressure, burn report

Cause: daemons did not know each other; burn rates were not counted. Change: fleet_agent runs membership over the peer calls and passes loads, pressure and members on; burn_agent serves /burn and /burn.html.

--- /dev/null
+++ b/apps/daemon/src/burn_agent.h
@@ -0,0 +1,45 @@
+/// @file
+/// Service-level burn of this daemon.
+#pragma once
+
+#include "base/id.h"
+#include "base/time.h"
+#include "burn/digest.h"
+#include "burn/recorder.h"
+#include "burn/report.h"
+#include "gateway/registry.h"
+#include "gateway/request_record.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace chicorygap::daemon_app {
+
+/// Counts ended requests against the targets of their classes and reports burn rates.
+///
+/// Reports cover this daemon's own requests; the other live daemons are listed as missing.
+/// All members are safe for use by several threads.
+class burn_agent {
+public:
+    burn_agent(base::vm_id vm, const gateway::registry& r);
+
+    void record(const gateway::request_record& r);
+
+    /// @param expected live daemons of the fleet.
+    /// @param at wall time shown in the report.
+    [[nodiscard]] std::string json(const std::vector<base::vm_id>& expected, base::wall_time at) const;
+    [[nodiscard]] std::string html(const std::vector<base::vm_id>& expected, base::wall_time at) const;
+
+private:
+    [[nodiscard]] burn::report make_report(const std::vector<base::vm_id>& expected) const;
+    [[nodiscard]] std::vector<burn::objective> objectives() const;
+
+    const gateway::registry& registry_;
+    mutable std::mutex mutex_;
+    burn::recorder recorder_;
+};
+
+}  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/daemon.cpp
+++ b/apps/daemon/src/daemon.cpp
@@ -2,7 +2,9 @@
 
 #include "backend/http_backend_client.h"
 #include "base/log.h"
+#include "burn_agent.h"
 #include "configuration_agent.h"
+#include "fleet_agent.h"
 #include "front/operator_server.h"
 #include "front/server.h"
 #include "gateway/registry.h"
@@ -28,6 +30,8 @@
 
 constexpr base::duration tick_interval = std::chrono::milliseconds{50};
 constexpr base::duration server_refresh_interval = std::chrono::seconds{1};
+constexpr base::duration fleet_tick_interval = std::chrono::milliseconds{100};
+constexpr base::duration seed_refresh_interval = std::chrono::seconds{10};
 constexpr base::duration load_poll_interval = std::chrono::seconds{1};
 constexpr base::duration configuration_tick_interval = std::chrono::milliseconds{250};
 constexpr base::duration drain_poll_interval = std::chrono::milliseconds{20};
@@ -36,6 +40,13 @@
     return std::chrono::time_point_cast<base::wall_time::duration>(std::chrono::system_clock::now());
 }
 
+/// Time at which this daemon started; tells it from an earlier one at the same address.
+std::uint64_t start_microseconds() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
 /// Random numbers for decisions that are not security relevant; one generator for all threads.
 class shared_random {
 public:
@@ -69,6 +80,7 @@
     base::request_id next_id();
     void record(const gateway::request_record& r);
     void wait_for_running_requests();
+    [[nodiscard]] std::vector<base::vm_id> live_daemons() const;
 
     settings::daemon_settings settings_;
     shared_random random_;
@@ -77,14 +89,16 @@
     backend::http_backend_client client_;
     std::unique_ptr<platform::http_platform> platform_;
     gateway::registry registry_;
+    burn_agent burn_{settings_.vm, registry_};
     configuration_agent documents_;
     server_sync servers_;
     load_poller loads_{registry_};
-    front::server front_;
-    front::operator_server operators_;
+    const std::uint64_t incarnation_;
+    fleet_agent fleet_;
     std::atomic<bool> draining_{false};
     std::atomic<std::uint64_t> next_request_{1};
-    const std::uint64_t incarnation_;
+    front::server front_;
+    front::operator_server operators_;
     std::vector<std::unique_ptr<periodic>> threads_;
 };
 
@@ -97,11 +111,16 @@
       registry_{make_runtime_options()},
       documents_{registry_, settings_, platform_ ? &platform_->objects() : nullptr},
       servers_{registry_, settings_, platform_ ? &platform_->vms() : nullptr},
+      incarnation_{start_microseconds()},
+      fleet_{settings_,
+             registry_,
+             documents_,
+             platform_ ? &platform_->vms() : nullptr,
+             [this] { return random_(); },
+             incarnation_,
+             {}},
       front_{make_front_options(), make_front_hooks()},
-      operators_{settings_.operators.host, settings_.operators.port, make_operator_hooks()},
-      incarnation_{static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
-                                                  std::chrono::system_clock::now().time_since_epoch())
-                                                  .count())} {
+      operators_{settings_.operators.host, settings_.operators.port, make_operator_hooks()} {
     registry_.set_keys_usable([this](const base::service_id& id) { return documents_.keys_usable(id); });
     documents_.load_files();
 }
@@ -133,6 +152,8 @@
     front::operator_hooks h;
     h.ready = [this] { return ready(); };
     h.metrics_text = [this] { return prometheus::TextSerializer{}.Serialize(metrics_.Collect()); };
+    h.burn_json = [this] { return burn_.json(live_daemons(), wall_now()); };
+    h.burn_html = [this] { return burn_.html(live_daemons(), wall_now()); };
     h.status_json = [this] { return status_json(settings_, registry_, documents_, ready(), draining_); };
     return h;
 }
@@ -162,6 +183,7 @@
 
 void daemon::impl::record(const gateway::request_record& r) {
     request_metrics_.record(r);
+    burn_.record(r);
     if (r.code == base::result_code::ok) {
         return;
     }
@@ -176,11 +198,25 @@
         .code(r.code);
 }
 
+std::vector<base::vm_id> daemon::impl::live_daemons() const {
+    std::vector<base::vm_id> out;
+    for (const auto& list : {fleet_.members(), fleet_.contacts()}) {
+        for (const auto& m : list) {
+            out.push_back(m.id);
+        }
+    }
+    return out;
+}
+
 void daemon::impl::start() {
     threads_.push_back(std::make_unique<periodic>("dispatch", tick_interval, [this] { registry_.tick(); }));
     threads_.push_back(
         std::make_unique<periodic>("servers", server_refresh_interval, [this] { servers_.refresh(); }));
     threads_.push_back(std::make_unique<periodic>("load", load_poll_interval, [this] { loads_.poll(); }));
+    threads_.push_back(
+        std::make_unique<periodic>("membership", fleet_tick_interval, [this] { fleet_.tick(); }));
+    threads_.push_back(
+        std::make_unique<periodic>("membership", seed_refresh_interval, [this] { fleet_.refresh_seeds(); }));
     if (platform_) {
         threads_.push_back(std::make_unique<periodic>("configuration", configuration_tick_interval,
                                                       [this] { documents_.tick(); }));
@@ -203,6 +239,7 @@
     std::this_thread::sleep_for(settings_.drain_delay);  // the load balancer still sends requests meanwhile
     front_.drain();
     wait_for_running_requests();
+    fleet_.leave();
     front_.stop();
     operators_.stop();
     threads_.clear();
--- /dev/null
+++ b/apps/daemon/src/fleet_agent.h
@@ -0,0 +1,75 @@
+/// @file
+/// Connects the daemon with its peers.
+#pragma once
+
+#include "base/random.h"
+#include "configuration_agent.h"
+#include "gateway/registry.h"
+#include "membership/fleet.h"
+#include "peer/node.h"
+#include "platform/vm_list.h"
+#include "settings/daemon_settings.h"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace chicorygap::daemon_app {
+
+/// Runs membership over the calls between daemons and passes on what it learns: loads and pressure to the
+/// services, members to the configuration.
+///
+/// Usage: `fleet_agent f{...}; ` then `tick()` every 100 ms and `refresh_seeds()` every few seconds.
+/// All members are safe for use by several threads. The lock is never held while the peer node is called
+/// back.
+class fleet_agent {
+public:
+    /// @param incarnation start time of the daemon in microseconds.
+    /// @param vms platform list that gives further seeds; may be null.
+    /// @param extra handlers of the calls that are not gossip.
+    fleet_agent(const settings::daemon_settings& s, gateway::registry& r, configuration_agent& c,
+                platform::vm_list* vms, base::random_function random, std::uint64_t incarnation,
+                peer::handlers extra);
+    ~fleet_agent();
+    fleet_agent(const fleet_agent&) = delete;
+    fleet_agent& operator=(const fleet_agent&) = delete;
+
+    void tick();
+    /// Reads the platform's VM list. Without it the last seeds stay.
+    /// @throws base::error with `platform_unavailable`.
+    void refresh_seeds();
+    /// Tells the peers that this daemon shuts down.
+    void leave();
+
+    /// @return address of a live member or contact, or an empty string.
+    [[nodiscard]] std::string address_of(const base::vm_id& vm) const;
+    [[nodiscard]] std::vector<membership::member> members() const;
+    [[nodiscard]] std::vector<membership::member> contacts() const;
+    [[nodiscard]] peer::traffic statistics() const { return node_->statistics(); }
+    [[nodiscard]] peer::node& node() { return *node_; }
+
+private:
+    using replies = std::optional<membership::message>;
+
+    replies answer(const membership::message& m);
+    void apply(const membership::event& e);
+    replies run(const std::vector<membership::action>& actions, const std::string& asker);
+    void send(const membership::send& a);
+    void run(const membership::loads_heard& a);
+    void run(const membership::pressure_changed& a);
+    void publish_members();
+    [[nodiscard]] membership::local_state make_local_state() const;
+
+    const settings::daemon_settings& settings_;
+    gateway::registry& registry_;
+    configuration_agent& configuration_;
+    platform::vm_list* vms_;
+    std::uint64_t ticks_ = 0;  // only used by `tick`
+    mutable std::mutex mutex_;
+    membership::fleet fleet_;
+    std::unique_ptr<peer::node> node_;
+};
+
+}  // namespace chicorygap::daemon_app
--- a/packages/front/include/front/hooks.h
+++ b/packages/front/include/front/hooks.h
@@ -49,6 +49,9 @@
     /// Prometheus text format.
     std::function<std::string()> metrics_text;
     std::function<std::string()> status_json;
+    /// Burn-rate report as JSON and as a self-contained page.
+    std::function<std::string()> burn_json;
+    std::function<std::string()> burn_html;
 };
 
 }  // namespace chicorygap::front
--- a/packages/front/include/front/operator_server.h
+++ b/packages/front/include/front/operator_server.h
@@ -10,8 +10,8 @@
 
 namespace chicorygap::front {
 
-/// Serves /healthz, /readyz, /metrics and /status on its own port and threads, so that a full caller port
-/// does not hide the daemon's state.
+/// Serves /healthz, /readyz, /metrics, /status, /burn and /burn.html on its own port and threads, so that a
+/// full caller port does not hide the daemon's state.
 class operator_server {
 public:
     /// Binds the address. @param port 0 selects a free port.
--- a/packages/front/src/operator_server.cpp
+++ b/packages/front/src/operator_server.cpp
@@ -46,6 +46,12 @@
     if (path == "/status" && h.status_json) {
         return {HTTPResponse::HTTP_OK, "application/json", h.status_json()};
     }
+    if (path == "/burn" && h.burn_json) {
+        return {HTTPResponse::HTTP_OK, "application/json", h.burn_json()};
+    }
+    if (path == "/burn.html" && h.burn_html) {
+        return {HTTPResponse::HTTP_OK, "text/html; charset=utf-8", h.burn_html()};
+    }
     return not_found();
 }
 
