Pass documents and digests between daemons

Cause: the distributor's messages had no way to the peers. Change: peer call distribute with typed pushes, fetches and digests; configuration_agent queues them, because reading a document takes milliseconds and the event loop must not wait.

--- a/apps/daemon/src/configuration_agent.cpp
+++ b/apps/daemon/src/configuration_agent.cpp
@@ -16,6 +16,8 @@
 
 constexpr const char* document_prefix = "document/";
 constexpr const char* part = "configuration";
+// Bounds the memory that peers can occupy; a document has at most 1 MB.
+constexpr std::size_t inbox_limit = 64;
 constexpr base::duration watch_request_wait = std::chrono::milliseconds{200};
 
 std::string read_file(const std::string& path) {
@@ -74,6 +76,29 @@
     }
 }
 
+void configuration_agent::post(distribution::event e) {
+    {
+        const std::lock_guard lock{inbox_mutex_};
+        if (inbox_.size() >= inbox_limit) {
+            return;  // a lost message is repaired by the digests
+        }
+        inbox_.push_back(std::move(e));
+    }
+    inbox_changed_.notify_one();
+}
+
+void configuration_agent::run_inbox() {
+    std::deque<distribution::event> events;
+    {
+        std::unique_lock lock{inbox_mutex_};
+        inbox_changed_.wait_for(lock, watch_request_wait, [this] { return !inbox_.empty(); });
+        events.swap(inbox_);
+    }
+    for (const auto& e : events) {
+        handle(e);
+    }
+}
+
 void configuration_agent::watch() {
     const auto w = next_watch();
     if (!w) {
@@ -122,7 +147,7 @@
 
 void configuration_agent::run(const distribution::send& a) {
     if (sender_) {
-        sender_(a.to, a.content, [this, a] { handle(distribution::send_failed{a.to, a.content}); });
+        sender_(a.to, a.content, [this, a] { post(distribution::send_failed{a.to, a.content}); });
     }
 }
 
--- a/apps/daemon/src/configuration_agent.h
+++ b/apps/daemon/src/configuration_agent.h
@@ -10,6 +10,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -48,6 +49,11 @@
     void handle(const distribution::event& e);
     void tick() { handle(distribution::tick{}); }
 
+    /// Queues an event. Unlike `handle` it never waits for a document to be read, which takes milliseconds.
+    void post(distribution::event e);
+    /// Waits shortly for queued events and handles them.
+    void run_inbox();
+
     /// Waits shortly for a request to watch the platform and carries it out.
     void watch();
 
@@ -79,6 +85,9 @@
     distribution::distributor distributor_;
     sender sender_;
     std::optional<distribution::watch_platform> watch_;
+    std::mutex inbox_mutex_;
+    std::condition_variable inbox_changed_;
+    std::deque<distribution::event> inbox_;
     std::map<std::string, document_state> documents_;
     std::set<base::service_id> unusable_;
     bool ready_ = false;
--- a/apps/daemon/src/fleet_agent.cpp
+++ b/apps/daemon/src/fleet_agent.cpp
@@ -13,6 +13,10 @@
 constexpr const char* part = "membership";
 // One probe leaves per second, so that a fresher state than half a second would hardly be seen.
 constexpr std::uint64_t ticks_per_local_state = 5;
+// One digest a second reaches every member of a zone of 90 within a few rounds.
+constexpr std::uint64_t ticks_per_digest = 10;
+// 40 entries of 24 bytes keep a digest below 1 KB; larger sets go round.
+constexpr std::size_t digest_entries = 40;
 
 membership::fleet_options make_options(const settings::daemon_settings& s, std::uint64_t incarnation) {
     membership::fleet_options o;
@@ -54,13 +58,21 @@
       registry_{r},
       configuration_{c},
       vms_{vms},
+      random_{random},
       fleet_{make_options(s, incarnation), std::move(random), base::boot_clock::now()} {
     extra.probe = [this](const membership::message& m) { return answer(m); };
     extra.probe_indirect = extra.probe;
+    extra.distribute = [this](const distribution::member& from, const distribution::message& m) {
+        configuration_.post(distribution::received{from, m});
+    };
     peer::node_options o;
     o.listen = settings::to_string(s.peers);
     o.call_timeout = s.timeouts.peer;
     node_ = std::make_unique<peer::node>(o, std::move(extra));
+    configuration_.set_sender(
+        [this](const base::vm_id& to, const distribution::message& m, std::function<void()> failed) {
+            send_document(to, m, std::move(failed));
+        });
     apply(membership::seeds_changed{static_seeds(s)});
 }
 
@@ -73,6 +85,9 @@
         apply(make_local_state());
     }
     apply(membership::tick{});
+    if (ticks_ % ticks_per_digest == 0) {
+        send_digest();
+    }
 }
 
 void fleet_agent::refresh_seeds() {
@@ -179,6 +194,39 @@
     }
 }
 
+void fleet_agent::send_document(const base::vm_id& to, const distribution::message& m,
+                                std::function<void()> failed) {
+    const auto address = address_of(to);
+    if (address.empty()) {
+        failed();
+        return;
+    }
+    const distribution::member self{settings_.vm, settings_.zone};
+    node_->distribute(address, self, m, [failed = std::move(failed)](const peer::outcome<peer::done>& o) {
+        if (!o.value) {
+            failed();
+        }
+    });
+}
+
+void fleet_agent::send_digest() {
+    const auto peers = others();
+    if (peers.empty()) {
+        return;
+    }
+    const auto& to = peers[base::pick(random_, peers.size())];
+    send_document(to.id, configuration_.digest(digest_entries), [] {});
+}
+
+std::vector<membership::member> fleet_agent::others() const {
+    const std::lock_guard lock{mutex_};
+    auto out = fleet_.live_members();
+    const auto contacts = fleet_.contacts();
+    out.insert(out.end(), contacts.begin(), contacts.end());
+    std::erase_if(out, [this](const membership::member& m) { return m.id == settings_.vm; });
+    return out;
+}
+
 void fleet_agent::run(const membership::loads_heard& a) {
     std::unordered_map<std::uint64_t, int> in_flight;
     for (const auto& l : a.loads) {
--- a/apps/daemon/src/fleet_agent.h
+++ b/apps/daemon/src/fleet_agent.h
@@ -11,6 +11,7 @@
 #include "settings/daemon_settings.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -57,15 +58,19 @@
     void apply(const membership::event& e);
     replies run(const std::vector<membership::action>& actions, const std::string& asker);
     void send(const membership::send& a);
+    void send_document(const base::vm_id& to, const distribution::message& m, std::function<void()> failed);
+    void send_digest();
     void run(const membership::loads_heard& a);
     void run(const membership::pressure_changed& a);
     void publish_members();
+    [[nodiscard]] std::vector<membership::member> others() const;
     [[nodiscard]] membership::local_state make_local_state() const;
 
     const settings::daemon_settings& settings_;
     gateway::registry& registry_;
     configuration_agent& configuration_;
     platform::vm_list* vms_;
+    base::random_function random_;
     std::uint64_t ticks_ = 0;  // only used by `tick`
     mutable std::mutex mutex_;
     membership::fleet fleet_;
--- a/packages/peer/include/peer/node.h
+++ b/packages/peer/include/peer/node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/id.h"
+#include "distribution/actions.h"
 #include "membership/message.h"
 #include "peer/types.h"
 
@@ -29,6 +30,8 @@
     std::function<usage_reply(const usage_report&)> report_usage{};
     /// The reply may be given later and from any thread.
     std::function<void(const claim_request&, std::function<void(claim_reply)> reply)> claim{};
+    /// @param from sender of the message.
+    std::function<void(const distribution::member& from, const distribution::message&)> distribute{};
     /// @return JSON text.
     std::function<std::string()> status{};
 };
@@ -71,6 +74,9 @@
     void report_usage(const std::string& address, const usage_report& r, completion<usage_reply> done);
     void claim(const std::string& address, const claim_request& r, completion<claim_reply> done);
     void status(const std::string& address, completion<std::string> done);
+    /// @param from this daemon.
+    void distribute(const std::string& address, const distribution::member& from,
+                    const distribution::message& m, completion<done> done);
 
     /// @return counters of all connections.
     [[nodiscard]] traffic statistics() const;
--- a/packages/peer/schema/peer.capnp
+++ b/packages/peer/schema/peer.capnp
@@ -78,6 +78,54 @@
   body @3 :Text;
 }
 
+struct TextDelta {
+  baseVersion @0 :UInt64;
+  prefix @1 :UInt64;
+  suffix @2 :UInt64;
+  middle @3 :Text;
+  checksum @4 :UInt64;
+}
+
+struct DocumentItem {
+  key @0 :Text;
+  version @1 :UInt64;
+  deleted @2 :Bool;
+  text @3 :Text;
+  # Present instead of the text if the pointer is set.
+  delta @4 :TextDelta;
+}
+
+struct DigestEntry {
+  keyHash @0 :UInt64;
+  newest @1 :UInt64;
+  active @2 :UInt64;
+}
+
+struct DocumentDigest {
+  complete @0 :Bool;
+  entries @1 :List(DigestEntry);
+  # Ages in milliseconds, -1 if there is no evidence.
+  platformAgeMs @2 :Int64 = -1;
+  outsideAgeMs @3 :Int64 = -1;
+}
+
+struct DocumentPush {
+  root @0 :Text;
+  items @1 :List(DocumentItem);
+}
+
+# One message of the distribution of documents.
+struct Distribution {
+  senderVm @0 :Text;
+  senderZone @1 :Text;
+  union {
+    push @2 :DocumentPush;
+    fetch @3 :List(UInt64);
+    digest @4 :DocumentDigest;
+    digestRequest @5 :Void;
+  }
+}
+
 interface Peer {
   # An empty reply (hasReply false) means that the receiver has nothing to say.
   probe @0 (message :Gossip) -> (hasReply :Bool, reply :Gossip);
@@ -87,4 +135,5 @@
   reportUsage @4 (report :UsageReport) -> (accepted :Bool, term :UInt64);
   claim @5 (claim :Claim) -> (reply :ClaimReply);
   status @6 () -> (json :Text);
+  distribute @7 (message :Distribution) -> ();
 }
--- a/packages/peer/src/node.cpp
+++ b/packages/peer/src/node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "client.h"
+#include "distribution_encoding.h"
 #include "encoding.h"
 #include "event_loop.h"
 #include "server.h"
@@ -248,4 +249,17 @@
                              });
 }
 
+void node::distribute(const std::string& address, const distribution::member& from,
+                      const distribution::message& m, completion<peer::done> done) {
+    auto e = std::make_shared<capnp::MallocMessageBuilder>();
+    encode(from, m, e->initRoot<wire::Distribution>());
+    const auto& o = impl_->options();
+    impl_->call<peer::done>(address, o.document_timeout, size_of<wire::Distribution>(e), o.message_bytes,
+                            std::move(done), [e](wire::Peer::Client& peer) {
+                                auto request = peer.distributeRequest();
+                                request.setMessage(read<wire::Distribution>(e));
+                                return request.send().then([](auto&&) { return peer::done{}; });
+                            });
+}
+
 }  // namespace chicorygap::peer
--- a/packages/peer/src/service.cpp
+++ b/packages/peer/src/service.cpp
@@ -1,6 +1,7 @@
 #include "service.h"
 
 #include "base/error.h"
+#include "distribution_encoding.h"
 
 #include <utility>
 
@@ -114,4 +115,11 @@
     return kj::READY_NOW;
 }
 
+kj::Promise<void> service::distribute(DistributeContext c) {
+    require(handlers_.distribute);
+    const auto in = c.getParams().getMessage();
+    handlers_.distribute(decode_sender(in), decode(in));
+    return kj::READY_NOW;
+}
+
 }  // namespace chicorygap::peer
--- a/packages/peer/src/service.h
+++ b/packages/peer/src/service.h
@@ -51,6 +51,7 @@
     kj::Promise<void> reportUsage(ReportUsageContext c) override;  // NOLINT(readability-identifier-naming)
     kj::Promise<void> claim(ClaimContext c) override;
     kj::Promise<void> status(StatusContext c) override;
+    kj::Promise<void> distribute(DistributeContext c) override;
 
 private:
     template <typename Context>
