--- a/packages/peer/src/counting_stream.cpp
+++ b/packages/peer/src/counting_stream.cpp
@@ -7,6 +7,23 @@
 
 namespace chicorygap::peer {
 
+namespace {
+
+// MessageReader::sizeInWords reads memory that is uninitialized until the message's root was read (Cap'n
+// Proto 0.9.2).
+std::uint64_t serialized_bytes(capnp::MessageReader& m) {
+    std::uint64_t words = 0;
+    unsigned segments = 0;
+    for (auto s = m.getSegment(segments); s.begin() != nullptr; s = m.getSegment(segments)) {
+        words += s.size();
+        segments++;
+    }
+    const std::uint64_t table_words = segments / 2 + 1;
+    return (table_words + words) * sizeof(capnp::word);
+}
+
+}  // namespace
+
 counting_stream::counting_stream(kj::Own<kj::AsyncIoStream> socket, traffic_counters& counters,
                                  kj::Timer& timer)
     : socket_{kj::mv(socket)},
@@ -22,7 +39,7 @@
         .then([this](kj::Maybe<capnp::MessageReaderAndFds> read) {
             KJ_IF_MAYBE (message, read) {
                 counters_.messages_received++;
-                counters_.bytes_received += message->reader->sizeInWords() * sizeof(capnp::word);
+                counters_.bytes_received += serialized_bytes(*message->reader);
                 last_received_ = timer_.now();
             }
             return read;
--- a/packages/peer/src/event_loop.cpp
+++ b/packages/peer/src/event_loop.cpp
@@ -1,26 +1,33 @@
 #include "event_loop.h"
 
+#include "base/error.h"
+
+#include <cstdint>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <utility>
 
 namespace chicorygap::peer {
 
-event_loop::event_loop() : thread_{[this] { run(); }} {}
+event_loop::event_loop() : wake_fd_{eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)} {
+    if (wake_fd_ < 0) {
+        throw base::error{base::result_code::internal, "eventfd failed"};
+    }
+    thread_ = std::thread{[this] { run(); }};
+}
 
 event_loop::~event_loop() {
     if (thread_.joinable()) {
         stop([](kj::AsyncIoContext&) {});
     }
+    close(wake_fd_);
 }
 
 void event_loop::post(work w) {
     const std::lock_guard lock{mutex_};
-    if (stopping_) {
-        return;
-    }
-    queue_.push_back(std::move(w));
-    if (waker_.get() != nullptr) {
-        waker_->fulfill();
-        waker_ = nullptr;
+    if (!stopping_) {
+        queue_.push_back(std::move(w));
+        wake();
     }
 }
 
@@ -29,38 +36,37 @@
         const std::lock_guard lock{mutex_};
         stopping_ = true;
         last_ = std::move(last);
-        if (waker_.get() != nullptr) {
-            waker_->fulfill();
-            waker_ = nullptr;
-        }
+        wake();
     }
     thread_.join();
 }
 
 void event_loop::run() {
     auto io = kj::setupAsyncIo();
-    while (true) {
-        kj::Promise<void> wake = nullptr;
-        for (auto& w : take(wake)) {
+    using provider = kj::LowLevelAsyncIoProvider;
+    auto input =
+        io.lowLevelProvider->wrapInputFd(wake_fd_, provider::ALREADY_CLOEXEC | provider::ALREADY_NONBLOCK);
+    bool stopping = false;
+    while (!stopping) {
+        std::uint64_t count = 0;
+        input->read(&count, sizeof count).wait(io.waitScope);
+        for (auto& w : take(stopping)) {
             w(io);
         }
-        {
-            const std::lock_guard lock{mutex_};
-            if (stopping_ && queue_.empty()) {
-                break;
-            }
-        }
-        wake.wait(io.waitScope);
     }
     last_(io);
 }
 
-std::vector<event_loop::work> event_loop::take(kj::Promise<void>& wake) {
+std::vector<event_loop::work> event_loop::take(bool& stopping) {
     const std::lock_guard lock{mutex_};
-    auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
-    wake = kj::mv(pair.promise);
-    waker_ = kj::mv(pair.fulfiller);
+    stopping = stopping_;
     return std::exchange(queue_, {});
 }
 
+void event_loop::wake() const {
+    const std::uint64_t one = 1;
+    // Fails only if the counter is full, and then the loop is awake anyway.
+    [[maybe_unused]] const auto n = write(wake_fd_, &one, sizeof one);
+}
+
 }  // namespace chicorygap::peer
--- a/packages/peer/src/event_loop.h
+++ b/packages/peer/src/event_loop.h
@@ -33,13 +33,14 @@
 
 private:
     void run();
-    std::vector<work> take(kj::Promise<void>& wake);
+    std::vector<work> take(bool& stopping);
+    void wake() const;
 
     std::mutex mutex_;
     std::vector<work> queue_;
     work last_;
     bool stopping_ = false;
-    kj::Own<kj::CrossThreadPromiseFulfiller<void>> waker_;
+    int wake_fd_;  // event counter, written by other threads
     std::thread thread_;
 };
 
--- a/packages/peer/src/node.cpp
+++ b/packages/peer/src/node.cpp
@@ -9,7 +9,6 @@
 
 #include <capnp/message.h>
 
-#include <exception>
 #include <future>
 #include <utility>
 
@@ -51,20 +50,21 @@
 class node::impl {
 public:
     impl(node_options o, handlers h) : options_{std::move(o)}, handlers_{std::move(h)} {
-        std::promise<void> ready;
-        loop_.post([this, &ready](kj::AsyncIoContext& io) {
+        // The reason is passed as text, because a kj::Exception must be destroyed on the thread that threw
+        // it.
+        std::promise<std::string> failure;
+        loop_.post([this, &failure](kj::AsyncIoContext& io) {
+            std::string reason;
             try {
                 open(io);
-                ready.set_value();
-            } catch (...) {
-                ready.set_exception(std::current_exception());
+            } catch (const kj::Exception& e) {
+                reason = std::string{"cannot listen: "} + e.getDescription().cStr();
             }
+            failure.set_value(reason);
         });
-        try {
-            ready.get_future().get();
-        } catch (const kj::Exception& e) {
+        if (const auto reason = failure.get_future().get(); !reason.empty()) {
             close();
-            throw base::error{base::result_code::connect_failed, e.getDescription().cStr()};
+            throw base::error{base::result_code::connect_failed, reason};
         }
     }
 
