--- a/packages/orders/include/orders/order_record.h
+++ b/packages/orders/include/orders/order_record.h
@@ -10,7 +10,7 @@
 
 /// What an order asks for.
 enum class order_kind {
-    request_servers,  ///< platform: `count` backend servers in zone `argument`
+    request_servers,  ///< platform: `count` backend servers of kind `argument` for `service`
     release_server,   ///< platform: give `server` back once its running requests have ended
     load_model,       ///< engine `server`: load model `argument`
     load_adapter,     ///< engine `server`: load adapter `argument`
@@ -21,6 +21,7 @@
 /// Content of an order.
 struct order_content {
     order_kind kind = order_kind::request_servers;
+    std::string service;
     std::string server;
     std::string argument;
     std::uint32_t count = 0;
--- a/packages/orders/src/order_record.cpp
+++ b/packages/orders/src/order_record.cpp
@@ -34,10 +34,10 @@
     o.set("sequence", r.sequence);
     o.set("need", r.need);
     o.set("kind", std::string{kinds.at(static_cast<std::size_t>(r.content.kind))});
+    o.set("service", r.content.service);
     o.set("server", r.content.server);
     o.set("argument", r.content.argument);
     o.set("count", r.content.count);
-    o.set("reclaimable", r.content.reclaimable);
     o.set("receiver_fences", r.content.receiver_fences);
     o.set("term", r.term);
     o.set("status", std::string{statuses.at(static_cast<std::size_t>(r.status))});
@@ -55,10 +55,10 @@
         r.sequence = o->getValue<Poco::UInt64>("sequence");
         r.need = o->getValue<std::string>("need");
         r.content.kind = from_name<order_kind>(kinds, o->getValue<std::string>("kind"));
+        r.content.service = o->getValue<std::string>("service");
         r.content.server = o->getValue<std::string>("server");
         r.content.argument = o->getValue<std::string>("argument");
         r.content.count = o->getValue<Poco::UInt32>("count");
-        r.content.reclaimable = o->getValue<bool>("reclaimable");
         r.content.receiver_fences = o->getValue<bool>("receiver_fences");
         r.term = o->getValue<Poco::UInt64>("term");
         r.status = from_name<order_status>(statuses, o->getValue<std::string>("status"));
