--- a/packages/idempotency/tests/shard_owner_test.cpp
+++ b/packages/idempotency/tests/shard_owner_test.cpp
@@ -179,6 +179,20 @@
     EXPECT_EQ(a.last(1), verdict::refused);
 }
 
+// Guards against a permit from an owner that is cut off after its write took effect.
+TEST_F(shard_owner_test, partitioned_owner_with_a_lost_reply_grants_nothing) {
+    a.send(role_acquired{1}, now);
+    store.inject(store_fault::drop_reply);
+    a.send(make_claim(1, "k"), now);
+    b.send(role_acquired{2}, now);
+    b.send(make_claim(2, "k"), now);
+    EXPECT_EQ(b.last(2), verdict::unknown);
+    a.send(role_lost{}, now + 8s);
+    EXPECT_EQ(a.last(1), verdict::refused);
+    a.send(tick{}, now + 1min);
+    EXPECT_EQ(a.last(1), verdict::refused);
+}
+
 // Guards against objects above the store's limit and against losing records when a segment is closed.
 TEST_F(shard_owner_test, many_records_stay_below_1_mb_per_object_and_survive_a_takeover) {
     auto o = options("a");
--- a/packages/lease/tests/role_lease_test.cpp
+++ b/packages/lease/tests/role_lease_test.cpp
@@ -215,6 +215,33 @@
     EXPECT_LE(now - died, 15s);
 }
 
+// Guards against a holder that counts a lost acquisition from its repetition after an outage.
+TEST_F(role_lease_test, reply_lost_and_then_store_down) {
+    store.inject(store_fault::none);
+    store.inject(store_fault::drop_reply);
+    run(100ms, {&a});
+    store.set_down(true);
+    run(20s, {&a, &b});
+    EXPECT_FALSE(a.machine.may_act(now));
+    store.set_down(false);
+    run(15s, {&a, &b});
+    EXPECT_TRUE(a.machine.may_act(now) != b.machine.may_act(now));
+}
+
+// Guards against a former holder that, cut off and paused, takes its old lease for valid on its return.
+TEST_F(role_lease_test, partitioned_and_paused_holder_stays_out) {
+    run(2s, {&a, &b});
+    store.inject(store_fault::drop_request);
+    run(3s, {&a});
+    run(16s, {&b});
+    EXPECT_TRUE(b.machine.may_act(now));
+    store.inject(store_fault::drop_request);
+    a.send(tick{}, now);
+    EXPECT_FALSE(a.machine.may_act(now));
+    run(30s, {&a, &b});
+    EXPECT_TRUE(b.machine.may_act(now));
+}
+
 // Guards against a permanent loss of the role to a daemon that is cut off from the platform.
 TEST_F(role_lease_test, partitioned_holder_stops_and_another_zone_member_takes_over) {
     fakes::message_store unreachable;
--- a/packages/usage/tests/window_keeper_test.cpp
+++ b/packages/usage/tests/window_keeper_test.cpp
@@ -212,6 +212,45 @@
     EXPECT_EQ(c.machine.reported(), c.machine.frozen());
 }
 
+// Guards against counts that are billed twice or never when the holder dies during an outage of the store.
+TEST_F(window_keeper_test, store_down_and_holder_killed_bills_once) {
+    a.send(role_acquired{1, wall}, now);
+    count(3);
+    report(a);
+    pass(64s, {&a});
+    store.set_down(true);
+    count(4);
+    report(a);
+    pass(64s, {&a});
+    store.set_down(false);
+    b.send(role_acquired{2, wall}, now);
+    daemon.set_holder(2);
+    report(b);
+    pass(180s, {&b});
+    EXPECT_EQ(billed(a), 3U);
+    EXPECT_EQ(billed(b), 4U);
+}
+
+// Guards against figures from memory when the freeze took effect but its sender was paused before it knew.
+TEST_F(window_keeper_test, freeze_reply_lost_and_holder_paused_keeps_the_figures) {
+    a.send(role_acquired{1, wall}, now);
+    count(3);
+    report(a);
+    pass(62s, {&a});
+    store.inject(store_fault::drop_reply);
+    pass(1s, {&a});
+    b.send(role_acquired{2, wall}, now);
+    daemon.set_holder(2);
+    count(2);
+    report(b);
+    pass(62s, {&b});
+    pass(5s, {&a});
+    EXPECT_EQ(billed(b), 5U);
+    for (const auto& bill : a.bills) {
+        EXPECT_EQ(bill.rows.at(0).figures, b.bills.at(0).rows.at(0).figures);
+    }
+}
+
 // Guards against double counting when a daemon is killed and restarted, and against memory for dead
 // incarnations.
 TEST_F(window_keeper_test, restarted_daemon_is_counted_from_zero) {
