Make the coordination packages clean under clang-tidy

Cause: the linter found implicit widening, copies and, in clang-tidy 14, defaulted three-way comparisons. Change: explicit comparison operators, references and a deduction guide. Conclusion: no change of behaviour.

--- a/packages/control/src/shard_role.cpp
+++ b/packages/control/src/shard_role.cpp
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-shard_role::shard_role(idempotency::shard_options o, base::duration call_timeout,
+shard_role::shard_role(const idempotency::shard_options& o, base::duration call_timeout,
                        platform::object_store& store, base::now_function now, decision_sink decided)
     : executor_{store, call_timeout},
       now_{std::move(now)},
--- a/packages/control/src/zone_role.cpp
+++ b/packages/control/src/zone_role.cpp
@@ -14,6 +14,9 @@
     using Functions::operator()...;
 };
 
+template <typename... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
 // Calls of one pass; a machine with more to do continues at the next tick, so that the lease is renewed in
 // between.
 constexpr int calls_per_pass = 20;
--- a/packages/idempotency/include/idempotency/digest.h
+++ b/packages/idempotency/include/idempotency/digest.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <cstring>
@@ -19,7 +18,8 @@
 struct digest {
     std::array<std::uint8_t, 16> bytes{};
 
-    auto operator<=>(const digest&) const = default;
+    bool operator==(const digest&) const = default;
+    bool operator<(const digest& o) const noexcept { return bytes < o.bytes; }
 
     /// @return 32 lower-case hex digits.
     [[nodiscard]] std::string hex() const;
--- a/packages/idempotency/include/idempotency/shard_owner.h
+++ b/packages/idempotency/include/idempotency/shard_owner.h
@@ -29,9 +29,8 @@
     base::duration batch_interval{};
     base::duration retry_delay = std::chrono::milliseconds{200};
     base::duration retention = std::chrono::hours{24};
-    std::size_t segment_bytes =
-        256 * 1024;                        ///< a segment is closed when it exceeds this; the store takes 1 MB
-    std::size_t batch_bytes = 256 * 1024;  ///< entries of one write
+    std::size_t segment_bytes = 262'144;   ///< a segment is closed when it exceeds this; the store takes 1 MB
+    std::size_t batch_bytes = 262'144;     ///< entries of one write
     std::size_t slots = 64;                ///< largest number of segments
     std::size_t max_records = 100'000;     ///< records held in memory
     std::size_t max_waiting = 10'000;      ///< claims and outcomes not yet written
--- a/packages/idempotency/src/segment.cpp
+++ b/packages/idempotency/src/segment.cpp
@@ -59,7 +59,7 @@
         s.next = o.getValue<Poco::UInt64>("next");
     }
     for (const auto& v : *o.getArray("ages")) {
-        const auto a = v.extract<array_ptr>();
+        const auto& a = v.extract<array_ptr>();
         s.ages.push_back(
             {a->getElement<Poco::UInt64>(0), std::chrono::milliseconds{a->getElement<Poco::Int64>(1)}});
     }
--- a/packages/usage/include/usage/counts.h
+++ b/packages/usage/include/usage/counts.h
@@ -4,7 +4,6 @@
 
 #include "base/id.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -21,7 +20,8 @@
     base::workspace_id workspace;
     base::class_id traffic_class;
 
-    auto operator<=>(const row_key&) const = default;
+    bool operator==(const row_key&) const = default;
+    bool operator<(const row_key& o) const;
 };
 
 /// Numbers of one row.
@@ -46,7 +46,8 @@
     std::string daemon;
     std::uint64_t incarnation = 0;
 
-    auto operator<=>(const source&) const = default;
+    bool operator==(const source&) const = default;
+    bool operator<(const source& o) const;
 };
 
 /// Cumulative row of a report.
--- a/packages/usage/src/counts.cpp
+++ b/packages/usage/src/counts.cpp
@@ -1,6 +1,7 @@
 #include "usage/counts.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace chicorygap::usage {
 
@@ -12,6 +13,15 @@
 
 }  // namespace
 
+bool row_key::operator<(const row_key& o) const {
+    return std::tie(service.str(), workspace.str(), traffic_class.str()) <
+           std::tie(o.service.str(), o.workspace.str(), o.traffic_class.str());
+}
+
+bool source::operator<(const source& o) const {
+    return std::tie(daemon, incarnation) < std::tie(o.daemon, o.incarnation);
+}
+
 counts& counts::operator+=(const counts& o) noexcept {
     requests += o.requests;
     prompt_tokens += o.prompt_tokens;
--- a/packages/usage/src/window_record.cpp
+++ b/packages/usage/src/window_record.cpp
@@ -80,7 +80,7 @@
     const auto keys = o.getArray("keys");
     mark_table out;
     for (const auto& v : *o.getArray("marks")) {
-        const auto s = v.extract<Array::Ptr>();
+        const auto& s = v.extract<Array::Ptr>();
         auto& rows = out[{s->getElement<std::string>(0), s->getElement<Poco::UInt64>(1)}];
         for (unsigned i = 2; i + 3 < s->size(); i += 4) {
             const auto key = keys->getArray(s->getElement<unsigned>(i));
@@ -133,7 +133,7 @@
         r.window = o->getValue<Poco::Int64>("window");
         r.token = o->getValue<std::string>("token");
         for (const auto& v : *o->getArray("rows")) {
-            const auto a = v.extract<Array::Ptr>();
+            const auto& a = v.extract<Array::Ptr>();
             r.rows.push_back({key_at(*a, 0), counts_at(*a, 3), counts_at(*a, 6)});
         }
         r.marks = marks_of(*o);
