--- a/packages/front/tests/front_fixture.h
+++ b/packages/front/tests/front_fixture.h
@@ -25,7 +25,7 @@
 
 class front_fixture : public ::testing::Test {
 protected:
-    void start(server_options o = {}) {
+    void start(const server_options& o = {}) {
         front = std::make_unique<server>(o, make_hooks());
         front->start();
     }
--- a/testing/standin_backend/src/engine.h
+++ b/testing/standin_backend/src/engine.h
@@ -87,8 +87,8 @@
 private:
     struct sample {
         base::time_point at;
-        std::size_t running;
-        std::size_t queued;
+        std::size_t running = 0;
+        std::size_t queued = 0;
     };
 
     void start_waiting();
--- a/testing/standin_backend/src/exchange.cpp
+++ b/testing/standin_backend/src/exchange.cpp
@@ -31,7 +31,7 @@
 std::string received_request::text() const {
     std::string out = method + " " + target + "\n";
     for (const auto& [n, v] : fields) {
-        out += n + ": " + v + "\n";
+        out.append(n).append(": ").append(v).append("\n");
     }
     return out + "\n" + body;
 }
--- a/testing/standin_backend/src/handler.cpp
+++ b/testing/standin_backend/src/handler.cpp
@@ -163,16 +163,15 @@
     const auto j = std::make_shared<job>(0);
     const auto kind = f ? f->kind : fault_kind::clear;
     const auto delay = kind == fault_kind::delay ? f->delay : base::duration{};
-    if (!state_.batch.enter(id, j)) {
-        e.reset();
-    } else if (kind == fault_kind::silent) {
+    const bool entered = state_.batch.enter(id, j);
+    if (entered && kind == fault_kind::silent) {
         j->wait_forever();
         e.cut();
-    } else if (!j->wait_until(base::boot_clock::now() + state_.settings.plain_time + delay)) {
-        e.reset();
-    } else {
+    } else if (entered && j->wait_until(base::boot_clock::now() + state_.settings.plain_time + delay)) {
         state_.log.count_run(key);
         plain_answer(e, f);
+    } else {
+        e.reset();
     }
     state_.batch.leave(id, j);
 }
