--- a/packages/backend/src/http_backend_client.cpp
+++ b/packages/backend/src/http_backend_client.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// The next attempt waits for the cancellation of one that timed out; its server may not answer at all.
+constexpr base::duration timed_out_cancel_limit = std::chrono::milliseconds{100};
+
 attempt_outcome not_sent(result_code code, std::string detail) {
     attempt_outcome o;
     o.code = code;
@@ -81,16 +84,19 @@
             pool_.put(request.server, std::move(c));
         } else if (a.abandoned()) {
             c.reset();
-            send_cancel(request);
+            const bool timed_out = outcome.code == result_code::first_byte_timeout ||
+                                   outcome.code == result_code::token_gap_timeout;
+            send_cancel(request, timed_out ? std::min(timed_out_cancel_limit, options_.cancel_limit)
+                                           : options_.cancel_limit);
         }
         return outcome;
     }
 
     /// Uses a new connection, because the one of the attempt may be stalled.
-    void send_cancel(const backend_request& request) {
+    void send_cancel(const backend_request& request, base::duration limit) {
         try {
-            connection c{request.server, options_.cancel_limit};
-            const auto end = base::boot_clock::now() + options_.cancel_limit;
+            connection c{request.server, limit};
+            const auto end = base::boot_clock::now() + limit;
             c.guard().set_deadline(end, result_code::first_byte_timeout);
             Poco::Net::HTTPRequest cancel{"POST", "/cancel/" + request.id.str(), "HTTP/1.1"};
             cancel.setHost(request.server.host, request.server.port);
--- a/packages/front/include/front/caller_monitor.h
+++ b/packages/front/include/front/caller_monitor.h
@@ -9,8 +9,8 @@
 public:
     virtual ~caller_monitor() = default;
 
-    /// @return true when the caller has closed the connection or it has failed. May be called from any thread
-    /// while `hooks::execute` runs.
+    /// @return true when the caller has closed the connection, also if only its sending side, or it has
+    /// failed. May be called from any thread while `hooks::execute` runs.
     [[nodiscard]] virtual bool gone() const = 0;
 
 protected:
--- a/packages/front/tests/server_test.cpp
+++ b/packages/front/tests/server_test.cpp
@@ -1,4 +1,5 @@
 #include "front_fixture.h"
+#include "stream_text.h"
 
 #include <gtest/gtest.h>
 
@@ -14,30 +15,6 @@
 
 class server_test : public front_fixture {};
 
-/// @return the JSON objects of the data lines in an answer with chunked encoding.
-std::vector<Poco::JSON::Object::Ptr> chunks_of(const std::string& answer) {
-    std::vector<Poco::JSON::Object::Ptr> out;
-    const std::string field = "data: {";
-    for (auto at = answer.find(field); at != std::string::npos; at = answer.find(field, at + 1)) {
-        Poco::JSON::Parser parser;
-        const auto begin = at + field.size() - 1;
-        out.push_back(parser.parse(answer.substr(begin, answer.find('\n', at) - begin))
-                          .extract<Poco::JSON::Object::Ptr>());
-    }
-    return out;
-}
-
-std::string text_of(const std::vector<Poco::JSON::Object::Ptr>& chunks) {
-    std::string text;
-    for (const auto& c : chunks) {
-        const auto choices = c->getArray("choices");
-        if (choices && choices->size() > 0) {
-            text += choices->getObject(0)->getObject("delta")->optValue<std::string>("content", "");
-        }
-    }
-    return text;
-}
-
 // Guards against streams that chat client libraries cannot read.
 TEST_F(server_test, streams_a_chat_in_the_usual_form) {
     start();
--- a/testing/standin_backend/include/standin_backend/fault.h
+++ b/testing/standin_backend/include/standin_backend/fault.h
@@ -22,7 +22,7 @@
     crash,       ///< resets the connection after `after_tokens`
     truncate,    ///< ends the answer after `after_tokens` as if it were complete, without its terminator
     wrong_id,    ///< echoes another request id
-    no_done,     ///< sends a stream without `[DONE]` and ends the body regularly
+    no_done,     ///< sends a stream without `[DONE]` and ends the body regularly; drops an unstreamed reply
     clear,       ///< removes all faults
 };
 
--- a/testing/standin_backend/src/chat.cpp
+++ b/testing/standin_backend/src/chat.cpp
@@ -193,10 +193,10 @@
         text += token;
         return true;
     });
-    if (!finished) {
+    if (!finished && !has(fault_kind::no_done)) {
         return;
     }
-    if (has(fault_kind::drop_reply)) {
+    if (!finished || has(fault_kind::drop_reply)) {
         exchange_.reset();
         return;
     }
