Close a race that left a new connection waiting for a thread

Cause: a connection accepted while the last served one was between its answer and its next wait found no waiting connection to end, and then waited for the keep-alive time (30 s, seen once in a test run). Change: a connection checks for waiting ones after it is marked as waiting itself; connections that end after an answer are closed with lingering. Conclusion: the race is closed by the order of the two checks.

--- a/packages/front/src/caller_connection.cpp
+++ b/packages/front/src/caller_connection.cpp
@@ -50,12 +50,15 @@
     while (session.hasMoreRequests()) {
         ended_ = context_->connections.begin_request(socket());
         const auto n = serve_request(session);
-        if (n == next::linger) {
-            // The session closes its socket when it is destroyed.
-            context_->closing.add(session.detachSocket());
+        if (n == next::close) {
             return;
         }
-        if (n != next::keep || !context_->connections.end_request(socket())) {
+        // Asked after the connection was marked as waiting: a connection that was accepted before that did
+        // not find this one and needs its thread.
+        const bool keep = n == next::keep && context_->connections.end_request(socket()) && !crowded();
+        if (!keep) {
+            // The session closes its socket when it is destroyed.
+            context_->closing.add(session.detachSocket());
             return;
         }
         session.setKeepAlive(true);
@@ -178,9 +181,12 @@
     guard_->set_idle(context_->options.write_limit, result_code::caller_too_slow);
 }
 
+bool caller_connection::crowded() const {
+    return context_->open > context_->options.threads;
+}
+
 bool caller_connection::may_keep(const Poco::Net::HTTPServerRequestImpl& request) const {
-    const bool crowded = context_->open > context_->options.threads;
-    return request.getKeepAlive() && !crowded && !context_->connections.draining();
+    return request.getKeepAlive() && !crowded() && !context_->connections.draining();
 }
 
 }  // namespace chicorygap::front
--- a/packages/front/src/caller_connection.h
+++ b/packages/front/src/caller_connection.h
@@ -37,6 +37,8 @@
     void refuse(const refusal& r, http_responder& out);
     void limit_head();
     void limit_answer();
+    /// @return true when accepted connections wait for a thread.
+    [[nodiscard]] bool crowded() const;
     [[nodiscard]] bool may_keep(const Poco::Net::HTTPServerRequestImpl& request) const;
 
     std::shared_ptr<server_context> context_;
