Check the lease before writing orders and reports

The undefined-behaviour sanitizer also found a null source passed to memcpy for a faulty last line of an INI file.

--- a/apps/tool/tests/tool_test.cpp
+++ b/apps/tool/tests/tool_test.cpp
@@ -112,8 +112,7 @@
     EXPECT_EQ(run({"apply", mine_}), exit_code::invalid);
     EXPECT_NE(err_.str().find("'9' is out of range; allowed: 0 to 4"), std::string::npos);
     EXPECT_EQ(run({"diff", "booking", mine_}), exit_code::invalid);
-    EXPECT_EQ(stored(),
-              content(theirs_).replace(content(theirs_).find("deadline = 8s"), 13, "deadline = 5s"));
+    EXPECT_EQ(stored(), before);
 }
 
 TEST_F(tool_test, document_that_clashes_with_another_service_is_refused) {
--- a/packages/document/src/ini.cpp
+++ b/packages/document/src/ini.cpp
@@ -3,7 +3,6 @@
 #include <ini.h>
 
 #include <algorithm>
-#include <cstring>
 #include <map>
 #include <mutex>
 #include <string_view>
@@ -61,7 +60,7 @@
         if (!check(content, size)) {
             content = {};
         }
-        std::memcpy(buf, content.data(), content.size());
+        content.copy(buf, content.size());
         buf[content.size()] = '\n';
         buf[content.size() + 1] = '\0';
         return buf;
--- a/packages/platform/include/platform/billing_service.h
+++ b/packages/platform/include/platform/billing_service.h
@@ -4,6 +4,7 @@
 
 #include "base/id.h"
 #include "base/time.h"
+#include "platform/order_service.h"
 
 #include <cstdint>
 #include <vector>
@@ -44,6 +45,10 @@
 public:
     virtual ~billing_service() = default;
     virtual usage_reply report(const usage_report& r, base::duration timeout) = 0;
+    /// As `report`, but only if `may_send` allows it.
+    /// @throws base::error with `lease_not_held`, without effect, when it does not.
+    virtual usage_reply report_guarded(const usage_report& r, const send_guard& may_send,
+                                       base::duration timeout);
 };
 
 }  // namespace chicorygap::platform
--- a/packages/platform/include/platform/order_service.h
+++ b/packages/platform/include/platform/order_service.h
@@ -6,6 +6,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace chicorygap::platform {
@@ -33,11 +34,18 @@
     std::uint64_t newest_token = 0;  ///< newest fencing token seen for the zone.
 };
 
+/// Called after connecting and immediately before the first byte of an order or report is written; false
+/// stops it. The role holder checks its lease here, so that no order leaves after the lease has lapsed.
+using send_guard = std::function<bool()>;
+
 /// Order interface. Calls throw `base::error` with `platform_unavailable` or `platform_reply_lost`.
 class order_service {
 public:
     virtual ~order_service() = default;
     virtual order_reply submit(const order& o, base::duration timeout) = 0;
+    /// As `submit`, but only if `may_send` allows it.
+    /// @throws base::error with `lease_not_held`, without effect, when it does not.
+    virtual order_reply submit_guarded(const order& o, const send_guard& may_send, base::duration timeout);
 };
 
 }  // namespace chicorygap::platform
--- a/packages/platform/src/http_channel.cpp
+++ b/packages/platform/src/http_channel.cpp
@@ -109,6 +109,10 @@
         // POCO reconnects on its own when the first write of a request head fails.
         s->setTimeout(d.remaining(), d.remaining(), d.remaining());
         s->socket().setSendTimeout(d.remaining());
+        if (c.may_send && !c.may_send()) {
+            give_back(std::move(s));
+            throw base::error{result_code::lease_not_held, c.method + " " + c.target + ": not sent"};
+        }
         sent = true;
         send(*s, c);
         auto reply = receive(*s, d);
--- a/packages/platform/src/http_channel.h
+++ b/packages/platform/src/http_channel.h
@@ -23,6 +23,7 @@
     std::string body;    ///< JSON; empty for none.
     std::string if_match;
     bool has_effect = false;  ///< a lost reply leaves the outcome unknown.
+    send_guard may_send;      ///< empty for calls that need no lease.
 };
 
 /// Reply to a call.
@@ -46,7 +47,7 @@
 
     /// Runs one call.
     /// @param timeout limit for the whole exchange.
-    /// @throws base::error with `platform_unavailable` or `platform_reply_lost`.
+    /// @throws base::error with `platform_unavailable`, `platform_reply_lost` or `lease_not_held`.
     http_reply run(const http_call& c, base::duration timeout);
 
 private:
--- a/packages/platform/src/http_platform.cpp
+++ b/packages/platform/src/http_platform.cpp
@@ -78,7 +78,7 @@
     explicit http_object_store(http_channel& channel) : channel_{channel} {}
 
     std::optional<object> get(const std::string& key, base::duration timeout) override {
-        const http_call c{call_kind::read, "GET", path_of(key), "", "", false};
+        const http_call c{call_kind::read, "GET", path_of(key), "", "", false, {}};
         return exchange(channel_, c, timeout, [](const http_reply& r) -> std::optional<object> {
             if (r.status == status_not_found) {
                 return std::nullopt;
@@ -91,17 +91,18 @@
                    base::duration timeout) override {
         Poco::JSON::Object j;
         j.set("value", value);
-        const http_call c{call_kind::write, "PUT", path_of(key), to_text(j), std::to_string(expected), true};
+        const http_call c{
+            call_kind::write, "PUT", path_of(key), to_text(j), std::to_string(expected), true, {}};
         return exchange(channel_, c, timeout, put_result_of);
     }
 
     put_result remove(const std::string& key, std::uint64_t expected, base::duration timeout) override {
-        const http_call c{call_kind::write, "DELETE", path_of(key), "", std::to_string(expected), true};
+        const http_call c{call_kind::write, "DELETE", path_of(key), "", std::to_string(expected), true, {}};
         return exchange(channel_, c, timeout, put_result_of);
     }
 
     std::vector<object> list(const std::string& prefix, base::duration timeout) override {
-        const http_call c{call_kind::list, "GET", "/objects?prefix=" + encoded(prefix), "", "", false};
+        const http_call c{call_kind::list, "GET", "/objects?prefix=" + encoded(prefix), "", "", false, {}};
         return exchange(channel_, c, timeout, objects_of);
     }
 
@@ -110,7 +111,7 @@
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
         const auto target = "/objects?prefix=" + encoded(prefix) + "&after=" + std::to_string(after) +
                             "&wait_ms=" + std::to_string(wait.count());
-        const http_call c{call_kind::watch, "GET", target, "", "", false};
+        const http_call c{call_kind::watch, "GET", target, "", "", false, {}};
         return exchange(channel_, c, timeout + watch_margin, objects_of);
     }
 
@@ -127,14 +128,14 @@
     explicit http_vm_list(http_channel& channel) : channel_{channel} {}
 
     std::vector<vm> vms(base::duration timeout) override {
-        const http_call c{call_kind::vm_list, "GET", "/vms", "", "", false};
+        const http_call c{call_kind::vm_list, "GET", "/vms", "", "", false, {}};
         return exchange(channel_, c, timeout,
                         [](const http_reply& r) { return items_of(r, "vms", vm_from_json); });
     }
 
     std::vector<backend_server> servers(const base::zone_id& zone, base::duration timeout) override {
         const http_call c{
-            call_kind::server_list, "GET", "/servers?zone=" + encoded(zone.str()), "", "", false};
+            call_kind::server_list, "GET", "/servers?zone=" + encoded(zone.str()), "", "", false, {}};
         return exchange(channel_, c, timeout,
                         [](const http_reply& r) { return items_of(r, "servers", server_from_json); });
     }
@@ -148,7 +149,11 @@
     explicit http_order_service(http_channel& channel) : channel_{channel} {}
 
     order_reply submit(const order& o, base::duration timeout) override {
-        const http_call c{call_kind::order, "POST", "/orders", to_text(*to_json(o)), "", true};
+        return submit_guarded(o, {}, timeout);
+    }
+
+    order_reply submit_guarded(const order& o, const send_guard& may_send, base::duration timeout) override {
+        const http_call c{call_kind::order, "POST", "/orders", to_text(*to_json(o)), "", true, may_send};
         return exchange(channel_, c, timeout,
                         [](const http_reply& r) { return order_reply_from_json(*body_of(r)); });
     }
@@ -162,7 +167,12 @@
     explicit http_billing_service(http_channel& channel) : channel_{channel} {}
 
     usage_reply report(const usage_report& u, base::duration timeout) override {
-        const http_call c{call_kind::usage, "POST", "/usage", to_text(*to_json(u)), "", true};
+        return report_guarded(u, {}, timeout);
+    }
+
+    usage_reply report_guarded(const usage_report& u, const send_guard& may_send,
+                               base::duration timeout) override {
+        const http_call c{call_kind::usage, "POST", "/usage", to_text(*to_json(u)), "", true, may_send};
         return exchange(channel_, c, timeout,
                         [](const http_reply& r) { return usage_reply_from_json(*body_of(r)); });
     }
--- a/packages/platform/tests/http_platform_test.cpp
+++ b/packages/platform/tests/http_platform_test.cpp
@@ -114,6 +114,22 @@
     EXPECT_EQ(server_.orders().records().at(0).first.count, 2U);
 }
 
+TEST_F(http_platform_test, order_and_report_are_not_sent_once_the_lease_has_lapsed) {
+    // Guards P6 and P7: a holder that was paused while connecting must not write any more.
+    const order o{"o1", base::zone_id{"z"}, base::service_id{"s"}, order_action::request, "k", 1, {}, 1};
+    const auto lapsed = [] { return false; };
+    EXPECT_EQ(code_of([&] { platform_.orders().submit_guarded(o, lapsed, 1s); }),
+              result_code::lease_not_held);
+    EXPECT_EQ(code_of([&] { platform_.billing().report_guarded({}, lapsed, 1s); }),
+              result_code::lease_not_held);
+    EXPECT_TRUE(server_.orders().records().empty());
+    EXPECT_TRUE(server_.billing().windows().empty());
+    EXPECT_TRUE(platform_.orders()
+                    .submit_guarded(
+                        o, [] { return true; }, 1s)
+                    .accepted);
+}
+
 TEST_F(http_platform_test, window_is_billed_once_with_its_first_figures) {
     // Guards P7.
     usage_report r{base::zone_id{"zone-a"}, base::wall_time{60'000ms}, 3, {}};
