Check route workspaces through a set

Cause: a route that lists 2,000 workspaces searched the list of all workspaces for each of them; faults of a whole file were shown with line 0. Change: look the names up in a set; omit the line when there is none.

--- a/packages/document/src/document_parser.h
+++ b/packages/document/src/document_parser.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace chicorygap::document {
@@ -47,6 +48,7 @@
     const std::string& file_;
     std::vector<fault> faults_;
     service_document document_;
+    std::unordered_set<std::string> workspace_names_;
     std::map<std::string, std::string> key_places_;  // digest to its first place in the file
 };
 
--- a/packages/document/src/fault.cpp
+++ b/packages/document/src/fault.cpp
@@ -3,7 +3,10 @@
 namespace chicorygap::document {
 
 std::string to_string(const fault& f) {
-    std::string out = f.file + ":" + std::to_string(f.line) + ":";
+    std::string out = f.file + ":";
+    if (f.line > 0) {
+        out += std::to_string(f.line) + ":";
+    }
     if (!f.section.empty()) {
         out += " [" + f.section + "]";
     }
--- a/packages/document/src/read_routes.cpp
+++ b/packages/document/src/read_routes.cpp
@@ -67,7 +67,7 @@
             break;
         }
         out.workspaces.emplace_back(w);
-        if (find_workspace(document_, out.workspaces.back()) == nullptr) {
+        if (!workspace_names_.contains(w)) {
             r.report("workspaces", "workspace '" + w + "' is not defined", "all, or names of workspaces");
         }
     }
--- a/packages/document/src/read_sections.cpp
+++ b/packages/document/src/read_sections.cpp
@@ -122,6 +122,7 @@
     for (const auto* const key : {"requests_per_second", "tokens_per_second", "concurrency"}) {
         r.lines(key);  // known even when absent
     }
+    workspace_names_.insert(name);
     document_.workspaces.push_back(std::move(w));
 }
 
