--- a/packages/distribution/tests/distributor_test.cpp
+++ b/packages/distribution/tests/distributor_test.cpp
@@ -128,6 +128,25 @@
     EXPECT_LE(f.time_to(f.publish(booking_text({"a"}, 3)), 20s), 8s);
 }
 
+TEST(distributor, edits_of_two_operators_end_at_the_later_one_in_either_order) {
+    // Guards P13: each relay learns of one of two edits first and pushes it; the two pushes cross.
+    const item first{booking_key, 101, false, booking_text({"a", "b"}), {}};
+    const item second{booking_key, 102, false, booking_text({"a"}), {}};
+    const member relay{base::vm_id{"relay"}, base::zone_id{"zone-0"}};
+    for (const bool crossed : {false, true}) {
+        distributor_options o;
+        o.vm = base::vm_id{"vm"};
+        o.zone = relay.zone;
+        const base::time_point now{std::chrono::hours{1}};
+        distributor d{o, now};
+        d.handle(received{relay, push{relay.vm, {crossed ? second : first}}}, now);
+        d.handle(received{relay, push{relay.vm, {crossed ? first : second}}}, now);
+        EXPECT_EQ(d.documents().entry(key_hash(booking_key)).active, 102U);
+        const auto& active = *d.documents().active().at(0);
+        EXPECT_EQ(active.find_key(document::hash_key("b"), {}).code, base::result_code::key_unknown);
+    }
+}
+
 TEST(distributor, partitioned_zone_catches_up_after_healing) {
     // Guards P13: versions merge by number, and the partitioned zone never goes back.
     auto f = settled(2, 10);
