Offer documents only to peers with an older newest version

Cause: a peer of another release that found our active version invalid would be sent the whole document with every digest. Change: offer only what is above the peer's newest version; a peer fetches an older valid version that it lacks itself.

--- a/packages/distribution/include/distribution/document_set.h
+++ b/packages/distribution/include/distribution/document_set.h
@@ -39,8 +39,8 @@
     [[nodiscard]] std::vector<item> items(std::uint64_t key_hash) const;
     /// @return the newest version, as a delta to the one before when that is smaller.
     [[nodiscard]] item latest_change(const std::string& key) const;
-    /// @return what a peer with these versions lacks: the latest change if that suffices, else full texts;
-    /// empty when the peer has everything.
+    /// @return what to offer to a peer with these versions: the latest change if that suffices, else full
+    /// texts; empty when the peer has seen the newest version.
     [[nodiscard]] std::vector<item> update_for(const digest_entry& e) const;
     /// @return documents in use.
     [[nodiscard]] std::vector<std::shared_ptr<const document::lookup>> active() const;
--- a/packages/distribution/src/document_set.cpp
+++ b/packages/distribution/src/document_set.cpp
@@ -189,7 +189,9 @@
 
 std::vector<item> document_set::update_for(const digest_entry& e) const {
     const auto own = entry(e.key_hash);
-    if (own.newest <= e.newest && own.active <= e.active) {
+    // A peer of another release may have found our active version invalid and would be sent it with every
+    // digest; it fetches an active version that it has not seen itself.
+    if (own.newest <= e.newest) {
         return {};
     }
     const auto& key = keys_.at(e.key_hash);
--- a/packages/distribution/tests/distributor_test.cpp
+++ b/packages/distribution/tests/distributor_test.cpp
@@ -197,6 +197,9 @@
     EXPECT_EQ(s.entry(key_hash(booking_key)), (digest_entry{key_hash(booking_key), 7, 5}));
     EXPECT_EQ(s.offer({booking_key, 6, false, "invalid too", {}}, out), offer_result::ignored);
     EXPECT_EQ(out.size(), 3U);
+    EXPECT_TRUE(s.update_for({key_hash(booking_key), 7, 4}).empty())
+        << "the peer may have found version 5 invalid";
+    EXPECT_EQ(s.update_for({key_hash(booking_key), 4, 4}).size(), 2U);
     EXPECT_FALSE(s.lacks({key_hash(booking_key), 7, 6})) << "found invalid here, accepted by another release";
 }
 
