--- a/benchmarks/burn/report_benchmark.cpp
+++ b/benchmarks/burn/report_benchmark.cpp
@@ -46,6 +46,7 @@
 void report_in_all_formats(benchmark::State& state) {
     const auto digests = make_digests(static_cast<int>(state.range(0)));
     std::vector<objective> objectives;
+    objectives.reserve(tiers);
     for (int t = 0; t < tiers; ++t) {
         objectives.push_back({service, class_name(t), base::tier{static_cast<std::uint8_t>(t)}, 0.99});
     }
@@ -62,6 +63,7 @@
 void record_outcome(benchmark::State& state) {
     recorder r{base::vm_id{"daemon"}};
     std::vector<outcome> outcomes;
+    outcomes.reserve(static_cast<std::size_t>(state.range(0)) * tiers);
     for (int i = 0; i < state.range(0) * tiers; ++i) {
         outcomes.push_back({service,
                             class_name(i % tiers),
--- a/packages/burn/src/cause_counter.cpp
+++ b/packages/burn/src/cause_counter.cpp
@@ -35,6 +35,7 @@
         }
     }
     std::vector<cause> out;
+    out.reserve(sum.size());
     for (const auto& [name, misses] : sum) {
         out.push_back({name, misses});
     }
--- a/packages/burn/src/render_text.cpp
+++ b/packages/burn/src/render_text.cpp
@@ -55,10 +55,13 @@
 
 std::string readable(base::duration d) {
     const auto minutes = std::chrono::duration_cast<std::chrono::minutes>(d).count();
-    if (minutes < 120) {
+    constexpr long minutes_per_hour = 60;
+    constexpr long minutes_per_day = 24 * minutes_per_hour;
+    if (minutes < 2 * minutes_per_hour) {
         return std::to_string(minutes) + "m";
     }
-    return minutes < 48 * 60 ? fixed(double(minutes) / 60, 1) + "h" : fixed(double(minutes) / 1440, 1) + "d";
+    return minutes < 2 * minutes_per_day ? fixed(double(minutes) / minutes_per_hour, 1) + "h"
+                                         : fixed(double(minutes) / minutes_per_day, 1) + "d";
 }
 
 std::string missing_list(const report& r) {
--- a/packages/scaling/tests/planner_test.cpp
+++ b/packages/scaling/tests/planner_test.cpp
@@ -31,6 +31,7 @@
 std::vector<server> servers_in(const base::zone_id& zone, const server_kind_id& kind, int count,
                                int running = 1) {
     std::vector<server> out;
+    out.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         out.push_back({base::backend_server_id{kind.str() + std::to_string(i)}, kind, zone,
                        server_state::active, running});
--- a/tools/replay/src/line_fields.cpp
+++ b/tools/replay/src/line_fields.cpp
@@ -82,7 +82,7 @@
     if (it == fields_.end()) {
         fail("missing field '" + field + "'");
     }
-    const std::string value = it->second;
+    std::string value = it->second;
     fields_.erase(it);
     return value;
 }
