Reserve slots for 99% of the higher tiers' load

Reserve 2.33 deviations, at most a quarter of the slots. The unit test states 15 of 20 slots for the lower tier instead of 18 for the same load.

--- a/packages/admission/src/state_predict.cpp
+++ b/packages/admission/src/state_predict.cpp
@@ -10,9 +10,10 @@
 // Part of the slots that a class is always assumed to get; the prediction stays finite under overload.
 constexpr double min_rate_share = 0.02;
 constexpr double unknown_wait_seconds = 1;
-// Lower tiers leave one standard deviation of the slots that higher tiers occupy (Poisson arrivals), so that
-// an urgent request usually finds a free slot while a burst of a lower tier fills the rest.
-constexpr double max_reserved_share = 0.2;
+// Lower tiers leave this many standard deviations of the slots that higher tiers occupy (Poisson arrivals),
+// so that 99% of urgent requests find a free slot while a burst of a lower tier fills the rest.
+constexpr double reserve_deviations = 2.33;
+constexpr double max_reserved_share = 0.25;
 constexpr double min_reserved_load = 0.1;
 
 }  // namespace
@@ -31,7 +32,8 @@
 }
 
 int controller::state::reserved_slots(double load_above) const {
-    const double reserve = std::min(std::sqrt(load_above), max_reserved_share * usable_slots());
+    const double reserve =
+        std::min(reserve_deviations * std::sqrt(load_above), max_reserved_share * usable_slots());
     return load_above < min_reserved_load ? 0 : static_cast<int>(reserve);
 }
 
--- a/packages/admission/tests/controller_test.cpp
+++ b/packages/admission/tests/controller_test.cpp
@@ -237,7 +237,7 @@
     for (int i = 0; i < 30; ++i) {
         c.handle(request_of("b" + std::to_string(i), batch), t0);
     }
-    EXPECT_EQ(c.snapshot(t0).running, 18U);  // the urgent class occupies five slots on average
+    EXPECT_EQ(c.snapshot(t0).running, 15U);  // the urgent class occupies five slots on average
     EXPECT_EQ(ids<start>(c.handle(request_of("u9", urgent), t0)), names{"u9"});
 }
 
