--- a/scripts/replay.sh
+++ b/scripts/replay.sh
@@ -5,7 +5,7 @@
 scripts/install-packages.sh
 export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 cmake --preset release > /dev/null
-cmake --build build/release --target replay_traces -- --quiet
+cmake --build build/release --target replay_traces -- --quiet >&2
 if [ "$#" -eq 0 ]; then
     set -- traces/*.trace
 fi
