State the bound on the wait of a class

The floor's bound was only in the property test. Document it with the floor, and the slot reserve with the controller.

--- a/packages/admission/include/admission/controller.h
+++ b/packages/admission/include/admission/controller.h
@@ -16,7 +16,8 @@
 ///
 /// There is one queue per class. Tiers have strict priority; classes of one tier alternate by waiting time;
 /// inside a class, workspaces share by start-time fair queueing on estimated tokens. A backlogged class
-/// that had no start for its `floor_wait` is served out of turn, so that no class starves.
+/// that had no start for its `floor_wait` is served out of turn, so that no class starves. Lower tiers leave
+/// slots free for the load of higher ones, at most a quarter; the floor is exempt.
 ///
 /// Usage:
 /// @code
--- a/packages/admission/include/admission/event.h
+++ b/packages/admission/include/admission/event.h
@@ -38,7 +38,8 @@
     base::duration service_time{};
 };
 
-/// A running request could not be placed on a backend server; it returns to the head of its queue.
+/// A running request could not be placed on a backend server; it returns to the head of its queue. Nothing
+/// starts beyond the running requests until the next `capacity_changed`.
 struct returned {
     base::request_id id;
 };
--- a/packages/admission/include/admission/policy.h
+++ b/packages/admission/include/admission/policy.h
@@ -16,7 +16,11 @@
 struct class_policy {
     base::class_id id;
     base::tier tier;
-    /// Longest time a backlogged class goes without a start before the floor serves it out of turn.
+    /// Time without a start after which the floor serves a class with demand out of turn.
+    ///
+    /// Bound on the wait for the next start: twice this time, plus one slot release per class, plus the end
+    /// of one own run when the class's floor slots are taken. The floor waits the second `floor_wait` only
+    /// while it would make a queued higher-tier request miss its deadline, and it never sheds or preempts.
     base::duration floor_wait = std::chrono::seconds{5};
     /// Part of the slots that requests started by the floor may hold at once (always at least one slot).
     double floor_share = 0.05;
