Carry claims by digest and outcomes between daemons

Cause: a shard owner stores digests; workspace, service and key need not travel, and outcomes had no call. Change: claim_request holds record and request digests; call recordOutcome. Before/after: builds clean. Conclusion: the claim path can be wired.

--- a/packages/peer/include/peer/node.h
+++ b/packages/peer/include/peer/node.h
@@ -30,6 +30,9 @@
     std::function<usage_reply(const usage_report&)> report_usage{};
     /// The reply may be given later and from any thread.
     std::function<void(const claim_request&, std::function<void(claim_reply)> reply)> claim{};
+    /// Records the outcome of a permitted request. Throws `base::error` if the receiver does not own its
+    /// shard.
+    std::function<void(const outcome_report&)> record_outcome{};
     /// @param from sender of the message.
     std::function<void(const distribution::member& from, const distribution::message&)> distribute{};
     /// @return JSON text.
@@ -73,6 +76,7 @@
                completion<std::optional<document>> done);
     void report_usage(const std::string& address, const usage_report& r, completion<usage_reply> done);
     void claim(const std::string& address, const claim_request& r, completion<claim_reply> done);
+    void record_outcome(const std::string& address, const outcome_report& r, completion<done> done);
     void status(const std::string& address, completion<std::string> done);
     /// @param from this daemon.
     void distribute(const std::string& address, const distribution::member& from,
--- a/packages/peer/include/peer/types.h
+++ b/packages/peer/include/peer/types.h
@@ -57,13 +57,22 @@
 
 /// Request for the permit to run a non-idempotent request.
 struct claim_request {
-    base::workspace_id workspace{};
-    base::service_id service{};
-    std::string key{};
-    /// Digest of the request, to detect a key that is used for another one.
+    /// Hex digest that identifies the record.
+    std::string record{};
+    /// Hex digest of the request, to detect a key that is used for another one.
     std::string digest{};
 };
 
+/// Outcome of a request that was granted a permit.
+struct outcome_report {
+    /// Hex digest that identifies the record.
+    std::string record{};
+    std::uint16_t status = 0;
+    std::string body{};
+    /// False if the body was too long to be recorded.
+    bool whole = true;
+};
+
 /// Answer to a claim.
 struct claim_reply {
     enum class verdict : std::uint8_t {
--- a/packages/peer/schema/peer.capnp
+++ b/packages/peer/schema/peer.capnp
@@ -64,11 +64,17 @@
 }
 
 struct Claim {
-  workspace @0 :Text;
-  service @1 :Text;
-  key @2 :Text;
-  # Digest of the request, to detect a key that is used for another one.
-  digest @3 :Text;
+  # Hex digests of the record's id and of the request, which detects a key that is used for another one.
+  record @0 :Text;
+  digest @1 :Text;
+}
+
+struct Outcome {
+  record @0 :Text;
+  status @1 :UInt16;
+  body @2 :Text;
+  # False if the body was too long to be recorded.
+  whole @3 :Bool;
 }
 
 struct ClaimReply {
@@ -136,4 +142,5 @@
   claim @5 (claim :Claim) -> (reply :ClaimReply);
   status @6 () -> (json :Text);
   distribute @7 (message :Distribution) -> ();
+  recordOutcome @8 (outcome :Outcome) -> ();
 }
--- a/packages/peer/src/encoding.cpp
+++ b/packages/peer/src/encoding.cpp
@@ -159,15 +159,23 @@
 }
 
 void encode(const claim_request& r, wire::Claim::Builder out) {
-    out.setWorkspace(r.workspace.str());
-    out.setService(r.service.str());
-    out.setKey(r.key);
+    out.setRecord(r.record);
     out.setDigest(r.digest);
 }
 
 claim_request decode(wire::Claim::Reader in) {
-    return {base::workspace_id{text(in.getWorkspace())}, base::service_id{text(in.getService())},
-            text(in.getKey()), text(in.getDigest())};
+    return {text(in.getRecord()), text(in.getDigest())};
+}
+
+void encode(const outcome_report& r, wire::Outcome::Builder out) {
+    out.setRecord(r.record);
+    out.setStatus(r.status);
+    out.setBody(r.body);
+    out.setWhole(r.whole);
+}
+
+outcome_report decode(wire::Outcome::Reader in) {
+    return {text(in.getRecord()), in.getStatus(), text(in.getBody()), in.getWhole()};
 }
 
 void encode(const claim_reply& r, wire::ClaimReply::Builder out) {
--- a/packages/peer/src/encoding.h
+++ b/packages/peer/src/encoding.h
@@ -21,6 +21,9 @@
 void encode(const claim_request& r, wire::Claim::Builder out);
 claim_request decode(wire::Claim::Reader in);
 
+void encode(const outcome_report& r, wire::Outcome::Builder out);
+outcome_report decode(wire::Outcome::Reader in);
+
 void encode(const claim_reply& r, wire::ClaimReply::Builder out);
 /// @throws base::error with `body_malformed` for values out of range.
 claim_reply decode(wire::ClaimReply::Reader in);
--- a/packages/peer/src/node.cpp
+++ b/packages/peer/src/node.cpp
@@ -242,6 +242,17 @@
         });
 }
 
+void node::record_outcome(const std::string& address, const outcome_report& r, completion<peer::done> done) {
+    const auto e = encode_message<wire::Outcome>(r);
+    const auto& o = impl_->options();
+    impl_->call<peer::done>(address, o.call_timeout, size_of<wire::Outcome>(e), o.message_bytes,
+                            std::move(done), [e](wire::Peer::Client& peer) {
+                                auto request = peer.recordOutcomeRequest();
+                                request.setOutcome(read<wire::Outcome>(e));
+                                return request.send().then([](auto&&) { return peer::done{}; });
+                            });
+}
+
 void node::status(const std::string& address, completion<std::string> done) {
     impl_->call<std::string>(address, impl_->options().call_timeout, 0, 0, std::move(done),
                              [](wire::Peer::Client& peer) {
--- a/packages/peer/src/service.cpp
+++ b/packages/peer/src/service.cpp
@@ -122,4 +122,10 @@
     return kj::READY_NOW;
 }
 
+kj::Promise<void> service::recordOutcome(RecordOutcomeContext c) {
+    require(handlers_.record_outcome);
+    handlers_.record_outcome(decode(c.getParams().getOutcome()));
+    return kj::READY_NOW;
+}
+
 }  // namespace chicorygap::peer
--- a/packages/peer/src/service.h
+++ b/packages/peer/src/service.h
@@ -54,6 +54,8 @@
     kj::Promise<void> claim(ClaimContext c) override;
     kj::Promise<void> status(StatusContext c) override;
     kj::Promise<void> distribute(DistributeContext c) override;
+    kj::Promise<void> recordOutcome(
+        RecordOutcomeContext c) override;  // NOLINT(readability-identifier-naming)
 
 private:
     template <typename Context>
--- a/packages/peer/tests/node_test.cpp
+++ b/packages/peer/tests/node_test.cpp
@@ -127,20 +127,17 @@
     {
         std::thread writer;
         node server{{}, {.claim = [&](const claim_request& r, const std::function<void(claim_reply)>& reply) {
-                        if (r.key == "late") {
+                        if (r.record == "late") {
                             late = reply;
                             return;
                         }
-                        writer = std::thread{[reply, body = r.key + r.digest] {
+                        writer = std::thread{[reply, body = r.record + r.digest] {
                             reply({claim_reply::verdict::recorded, base::run_state::run, 201, body});
                         }};
                     }}};
         node client{{.claim_timeout = 100ms}, {}};
         const auto claim = [&](const std::string& key) {
-            return await<claim_reply>([&](auto d) {
-                client.claim(address_of(server), {base::workspace_id{"w"}, base::service_id{"s"}, key, "d"},
-                             d);
-            });
+            return await<claim_reply>([&](auto d) { client.claim(address_of(server), {key, "d"}, d); });
         };
         const auto r = claim("k");
         writer.join();
