--- a/apps/daemon/src/daemon.cpp
+++ b/apps/daemon/src/daemon.cpp
@@ -3,6 +3,7 @@
 #include "backend/http_backend_client.h"
 #include "base/log.h"
 #include "burn_agent.h"
+#include "claim_agent.h"
 #include "configuration_agent.h"
 #include "fleet_agent.h"
 #include "front/operator_server.h"
@@ -12,6 +13,7 @@
 #include "load_poller.h"
 #include "periodic.h"
 #include "platform/http_platform.h"
+#include "roles_agent.h"
 #include "server_sync.h"
 #include "status_json.h"
 
@@ -32,6 +34,8 @@
 constexpr base::duration server_refresh_interval = std::chrono::seconds{1};
 constexpr base::duration fleet_tick_interval = std::chrono::milliseconds{100};
 constexpr base::duration seed_refresh_interval = std::chrono::seconds{10};
+constexpr base::duration candidate_interval = std::chrono::milliseconds{500};
+constexpr base::duration claim_tick_interval = std::chrono::milliseconds{100};
 constexpr base::duration load_poll_interval = std::chrono::seconds{1};
 constexpr base::duration configuration_tick_interval = std::chrono::milliseconds{250};
 constexpr base::duration drain_poll_interval = std::chrono::milliseconds{20};
@@ -74,6 +78,8 @@
 private:
     gateway::runtime_options make_runtime_options();
     front::hooks make_front_hooks();
+    peer::handlers make_peer_handlers();
+    void update_roles();
     front::operator_hooks make_operator_hooks();
     front::server_options make_front_options() const;
     [[nodiscard]] bool ready() const;
@@ -88,12 +94,14 @@
     gateway::request_metrics request_metrics_{metrics_};
     backend::http_backend_client client_;
     std::unique_ptr<platform::http_platform> platform_;
+    claim_agent claims_;
     gateway::registry registry_;
     burn_agent burn_{settings_.vm, registry_};
     configuration_agent documents_;
     server_sync servers_;
     load_poller loads_{registry_};
     const std::uint64_t incarnation_;
+    std::unique_ptr<roles_agent> roles_;
     fleet_agent fleet_;
     std::atomic<bool> draining_{false};
     std::atomic<std::uint64_t> next_request_{1};
@@ -108,17 +116,21 @@
                     ? std::make_unique<platform::http_platform>(
                           platform::http_platform_options{settings_.platform->host, settings_.platform->port})
                     : nullptr},
+      claims_{platform_ ? &platform_->objects() : nullptr},
       registry_{make_runtime_options()},
       documents_{registry_, settings_, platform_ ? &platform_->objects() : nullptr},
       servers_{registry_, settings_, platform_ ? &platform_->vms() : nullptr},
       incarnation_{start_microseconds()},
+      roles_{platform_ ? std::make_unique<roles_agent>(
+                             settings_, *platform_, [this] { return random_(); }, incarnation_)
+                       : nullptr},
       fleet_{settings_,
              registry_,
              documents_,
              platform_ ? &platform_->vms() : nullptr,
              [this] { return random_(); },
              incarnation_,
-             {}},
+             make_peer_handlers()},
       front_{make_front_options(), make_front_hooks()},
       operators_{settings_.operators.host, settings_.operators.port, make_operator_hooks()} {
     registry_.set_keys_usable([this](const base::service_id& id) { return documents_.keys_usable(id); });
@@ -132,10 +144,29 @@
     o.wall_now = wall_now;
     o.random = [this] { return random_(); };
     o.client = &client_;
+    o.permits = &claims_;
     o.on_end = [this](const gateway::request_record& r) { record(r); };
     return o;
 }
 
+peer::handlers daemon::impl::make_peer_handlers() {
+    peer::handlers h;
+    if (roles_) {
+        h.claim = [this](const peer::claim_request& r, const std::function<void(peer::claim_reply)>& reply) {
+            roles_->claim(r, reply);
+        };
+        h.record_outcome = [this](const peer::outcome_report& r) { roles_->record_outcome(r); };
+    }
+    return h;
+}
+
+void daemon::impl::update_roles() {
+    auto members = fleet_.members();
+    const auto contacts = fleet_.contacts();
+    members.insert(members.end(), contacts.begin(), contacts.end());
+    roles_->update_candidates(members);
+}
+
 front::hooks daemon::impl::make_front_hooks() {
     front::hooks h;
     h.check_key = [this](const base::key_digest& k) { return registry_.check_key(k); };
@@ -223,6 +254,13 @@
         threads_.push_back(std::make_unique<periodic>("configuration", base::duration::zero(),
                                                       [this] { documents_.watch(); }));
     }
+    if (roles_) {
+        roles_->start();
+        threads_.push_back(
+            std::make_unique<periodic>("roles", candidate_interval, [this] { update_roles(); }));
+    }
+    claims_.attach(fleet_.node());
+    threads_.push_back(std::make_unique<periodic>("claims", claim_tick_interval, [this] { claims_.tick(); }));
     operators_.start();
     front_.start();
     base::log_line{base::log_level::info, "daemon", "Started."}
@@ -239,10 +277,14 @@
     std::this_thread::sleep_for(settings_.drain_delay);  // the load balancer still sends requests meanwhile
     front_.drain();
     wait_for_running_requests();
+    threads_.clear();
+    if (roles_) {
+        roles_->stop();
+    }
+    claims_.detach();
     fleet_.leave();
     front_.stop();
     operators_.stop();
-    threads_.clear();
     base::log_line{base::log_level::info, "daemon", "Stopped."};
 }
 
--- /dev/null
+++ b/apps/daemon/src/roles_agent.cpp
@@ -0,0 +1,176 @@
+#include "roles_agent.h"
+
+#include "base/error.h"
+#include "base/log.h"
+#include "distribution/rendezvous.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace chicorygap::daemon_app {
+
+namespace {
+
+constexpr const char* part = "roles";
+constexpr std::size_t candidates_per_role = 2;
+constexpr base::duration store_timeout = std::chrono::milliseconds{500};
+
+base::wall_time wall_now() {
+    return std::chrono::time_point_cast<base::wall_time::duration>(std::chrono::system_clock::now());
+}
+
+peer::claim_reply make_reply(const idempotency::decision& d) {
+    using verdict = peer::claim_reply::verdict;
+    switch (d.result) {
+        case idempotency::verdict::granted:
+            return {verdict::granted, base::run_state::not_run, 0, {}};
+        case idempotency::verdict::known:
+            if (d.recorded && d.recorded->whole) {
+                return {verdict::recorded, base::run_state::run,
+                        static_cast<std::uint16_t>(d.recorded->status), d.recorded->body};
+            }
+            return {verdict::unknown, base::run_state::run, 0, {}};
+        case idempotency::verdict::unknown:
+            return {verdict::unknown, base::run_state::unknown, 0, {}};
+        case idempotency::verdict::reused:
+            return {verdict::key_reused, base::run_state::not_run, 0, {}};
+        case idempotency::verdict::refused:
+            break;
+    }
+    return {verdict::unavailable, base::run_state::not_run, 0, {}};
+}
+
+bool is_candidate(const std::string& role, const base::vm_id& self, const std::vector<base::vm_id>& members) {
+    const auto order = distribution::rendezvous_order(role, members);
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(candidates_per_role, order.size()));
+    return std::find(order.begin(), end, self) != end;
+}
+
+std::string shard_name(std::uint32_t shard) {
+    return "once-" + std::to_string(shard);
+}
+
+}  // namespace
+
+roles_agent::roles_agent(const settings::daemon_settings& s, platform::http_platform& p,
+                         base::random_function random, std::uint64_t incarnation)
+    : settings_{s}, controller_{base::boot_clock::now} {
+    const auto self = settings::to_string(s.peers);
+    control::zone_role_options zone;
+    zone.zone = s.zone.str();
+    zone.daemon = self;
+    zone.incarnation = incarnation;
+    control::zone_role_hooks hooks;
+    hooks.now = base::boot_clock::now;
+    hooks.wall_now = wall_now;
+    hooks.random = std::move(random);
+    zone_ = &controller_.add(
+        std::make_unique<control::zone_role>(zone, p.objects(), p.orders(), p.billing(), std::move(hooks)));
+    for (std::uint32_t n = 0; n < idempotency::shard_count; n++) {
+        idempotency::shard_options o;
+        o.shard = n;
+        o.owner = self;
+        o.incarnation = incarnation;
+        shards_.at(n) = &controller_.add(
+            std::make_unique<control::shard_role>(o, store_timeout, p.objects(), base::boot_clock::now,
+                                                  [this](const idempotency::decision& d) { decided(d); }));
+    }
+}
+
+void roles_agent::start() {
+    controller_.start();
+}
+
+void roles_agent::stop() {
+    controller_.stop();
+}
+
+void roles_agent::update_candidates(const std::vector<membership::member>& members) {
+    std::vector<base::vm_id> all;
+    std::vector<base::vm_id> zone;
+    for (const auto& m : members) {
+        all.push_back(m.id);
+        if (m.zone == settings_.zone) {
+            zone.push_back(m.id);
+        }
+    }
+    controller_.post([this, all, zone] {
+        zone_->set_candidate(is_candidate("zone-control", settings_.vm, zone));
+        for (std::uint32_t n = 0; n < idempotency::shard_count; n++) {
+            shards_.at(n)->set_candidate(is_candidate(shard_name(n), settings_.vm, all));
+        }
+        note_held();
+    });
+}
+
+void roles_agent::claim(const peer::claim_request& r, claim_answer answer) {
+    const auto id = idempotency::digest::from_hex(r.record);
+    const auto body = idempotency::digest::from_hex(r.digest);
+    if (!id || !body) {
+        throw base::error{base::result_code::body_malformed, "claim without digests"};
+    }
+    controller_.post([this, id = *id, body = *body, answer = std::move(answer)]() mutable {
+        const auto number = next_claim_++;
+        waiting_.emplace(number, std::move(answer));
+        shards_.at(idempotency::shard_of(id))->handle(idempotency::claim{number, id, body});
+    });
+}
+
+void roles_agent::decided(const idempotency::decision& d) {
+    const auto it = waiting_.find(d.claim_number);
+    if (it == waiting_.end()) {
+        return;
+    }
+    const auto answer = std::move(it->second);
+    waiting_.erase(it);
+    answer(make_reply(d));
+}
+
+void roles_agent::record_outcome(const peer::outcome_report& r) {
+    const auto id = idempotency::digest::from_hex(r.record);
+    if (!id) {
+        throw base::error{base::result_code::body_malformed, "outcome without a digest"};
+    }
+    controller_.post([this, id = *id, r] {
+        shards_.at(idempotency::shard_of(id))
+            ->handle(idempotency::outcome_reported{id, {r.status, r.body, r.whole}});
+    });
+}
+
+void roles_agent::note_held() {
+    std::map<std::string, std::uint64_t> now_held;
+    const auto now = base::boot_clock::now();
+    if (zone_->lease().may_act(now)) {
+        now_held["zone-control"] = zone_->lease().term();
+    }
+    for (std::uint32_t n = 0; n < idempotency::shard_count; n++) {
+        if (shards_.at(n)->lease().may_act(now)) {
+            now_held[shard_name(n)] = shards_.at(n)->lease().term();
+        }
+    }
+    const std::lock_guard lock{held_mutex_};
+    for (const auto& [role, term] : now_held) {
+        if (held_.count(role) == 0) {
+            base::log_line{base::log_level::info, part, "Role acquired."}
+                .field("role", role)
+                .field("term", static_cast<long long>(term));
+        }
+    }
+    for (const auto& [role, term] : held_) {
+        if (now_held.count(role) == 0) {
+            base::log_line{base::log_level::info, part, "Role lost."}
+                .field("role", role)
+                .field("term", static_cast<long long>(term))
+                .code(base::result_code::lease_not_held);
+        }
+    }
+    held_ = std::move(now_held);
+}
+
+std::map<std::string, std::uint64_t> roles_agent::held() const {
+    const std::lock_guard lock{held_mutex_};
+    return held_;
+}
+
+}  // namespace chicorygap::daemon_app
--- /dev/null
+++ b/apps/daemon/src/roles_agent.h
@@ -0,0 +1,68 @@
+/// @file
+/// Roles that this daemon may hold by lease.
+#pragma once
+
+#include "base/random.h"
+#include "control/controller.h"
+#include "control/shard_role.h"
+#include "control/zone_role.h"
+#include "membership/message.h"
+#include "peer/types.h"
+#include "platform/http_platform.h"
+#include "settings/daemon_settings.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chicorygap::daemon_app {
+
+/// Runs the zone's role and the at-most-once shards on one thread, and answers the claims of all daemons.
+///
+/// Each role has two candidates, the first two live members by rendezvous hash, so that the reads of lease
+/// objects do not grow with the fleet: 51 roles with two candidates are about 100 reads/s.
+class roles_agent {
+public:
+    using claim_answer = std::function<void(peer::claim_reply)>;
+
+    /// @param p platform; outlives this object.
+    /// @param incarnation start time of the daemon in microseconds.
+    roles_agent(const settings::daemon_settings& s, platform::http_platform& p, base::random_function random,
+                std::uint64_t incarnation);
+
+    void start();
+    /// Hands all roles over and ends the thread.
+    void stop();
+
+    /// Chooses the roles that this daemon competes for.
+    /// @param members live daemons, including this one.
+    void update_candidates(const std::vector<membership::member>& members);
+
+    /// Answers a claim later, from the roles' thread.
+    void claim(const peer::claim_request& r, claim_answer answer);
+    void record_outcome(const peer::outcome_report& r);
+
+    /// Roles held, by name with their terms.
+    [[nodiscard]] std::map<std::string, std::uint64_t> held() const;
+
+private:
+    void decided(const idempotency::decision& d);
+    void note_held();
+
+    const settings::daemon_settings& settings_;
+    control::controller controller_;
+    control::zone_role* zone_ = nullptr;
+    std::array<control::shard_role*, idempotency::shard_count> shards_{};
+
+    // Used on the roles' thread only.
+    std::uint64_t next_claim_ = 1;
+    std::map<std::uint64_t, claim_answer> waiting_;
+
+    mutable std::mutex held_mutex_;
+    std::map<std::string, std::uint64_t> held_;
+};
+
+}  // namespace chicorygap::daemon_app
