Report usage to the zone's role holder; drop unused peer calls

Cause: usage was counted nowhere; push and fetch of the peer package had been replaced by distribute and had no caller. Change: usage_agent counts ended requests and reports each second; roles_agent answers once the windows have taken a report; the peer carries usage::usage_report; KJ is kept from starting addr2line for stack traces. Tests of push and fetch now exercise distribute and recordOutcome with the same limits and failures.

--- a/apps/daemon/src/daemon.cpp
+++ b/apps/daemon/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon.h"
 
 #include "backend/http_backend_client.h"
+#include "base/error.h"
 #include "base/log.h"
 #include "burn_agent.h"
 #include "claim_agent.h"
@@ -16,6 +17,7 @@
 #include "roles_agent.h"
 #include "server_sync.h"
 #include "status_json.h"
+#include "usage_agent.h"
 
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -34,6 +36,7 @@
 constexpr base::duration server_refresh_interval = std::chrono::seconds{1};
 constexpr base::duration fleet_tick_interval = std::chrono::milliseconds{100};
 constexpr base::duration seed_refresh_interval = std::chrono::seconds{10};
+constexpr base::duration usage_interval = std::chrono::seconds{1};
 constexpr base::duration candidate_interval = std::chrono::milliseconds{500};
 constexpr base::duration claim_tick_interval = std::chrono::milliseconds{100};
 constexpr base::duration load_poll_interval = std::chrono::seconds{1};
@@ -86,6 +89,7 @@
     base::request_id next_id();
     void record(const gateway::request_record& r);
     void wait_for_running_requests();
+    void report_last_usage();
     [[nodiscard]] std::vector<base::vm_id> live_daemons() const;
 
     settings::daemon_settings settings_;
@@ -102,6 +106,7 @@
     load_poller loads_{registry_};
     const std::uint64_t incarnation_;
     std::unique_ptr<roles_agent> roles_;
+    std::unique_ptr<usage_agent> usage_;
     fleet_agent fleet_;
     std::atomic<bool> draining_{false};
     std::atomic<std::uint64_t> next_request_{1};
@@ -124,6 +129,9 @@
       roles_{platform_ ? std::make_unique<roles_agent>(
                              settings_, *platform_, [this] { return random_(); }, incarnation_)
                        : nullptr},
+      usage_{platform_
+                 ? std::make_unique<usage_agent>(settings_, platform_->objects(), incarnation_, wall_now)
+                 : nullptr},
       fleet_{settings_,
              registry_,
              documents_,
@@ -155,6 +163,10 @@
         h.claim = [this](const peer::claim_request& r, const std::function<void(peer::claim_reply)>& reply) {
             roles_->claim(r, reply);
         };
+        h.report_usage = [this](const usage::usage_report& r,
+                                const std::function<void(peer::usage_reply)>& reply) {
+            roles_->report_usage(r, reply);
+        };
         h.record_outcome = [this](const peer::outcome_report& r) { roles_->record_outcome(r); };
     }
     return h;
@@ -215,6 +227,9 @@
 void daemon::impl::record(const gateway::request_record& r) {
     request_metrics_.record(r);
     burn_.record(r);
+    if (usage_) {
+        usage_->record(r);
+    }
     if (r.code == base::result_code::ok) {
         return;
     }
@@ -258,6 +273,8 @@
         roles_->start();
         threads_.push_back(
             std::make_unique<periodic>("roles", candidate_interval, [this] { update_roles(); }));
+        threads_.push_back(
+            std::make_unique<periodic>("usage", usage_interval, [this] { usage_->report(fleet_.node()); }));
     }
     claims_.attach(fleet_.node());
     threads_.push_back(std::make_unique<periodic>("claims", claim_tick_interval, [this] { claims_.tick(); }));
@@ -278,6 +295,7 @@
     front_.drain();
     wait_for_running_requests();
     threads_.clear();
+    report_last_usage();
     if (roles_) {
         roles_->stop();
     }
@@ -288,6 +306,19 @@
     base::log_line{base::log_level::info, "daemon", "Stopped."};
 }
 
+void daemon::impl::report_last_usage() {
+    if (!usage_) {
+        return;
+    }
+    try {
+        usage_->report(fleet_.node());
+    } catch (const base::error& e) {
+        base::log_line{base::log_level::warning, "usage", "The last counts could not be reported."}
+            .field("reason", e.what())
+            .code(e.code());
+    }
+}
+
 void daemon::impl::wait_for_running_requests() {
     const auto end = base::boot_clock::now() + settings_.drain_limit;
     while (front_.running() > 0 && base::boot_clock::now() < end) {
--- a/apps/daemon/src/roles_agent.cpp
+++ b/apps/daemon/src/roles_agent.cpp
@@ -65,6 +65,12 @@
     hooks.now = base::boot_clock::now;
     hooks.wall_now = wall_now;
     hooks.random = std::move(random);
+    hooks.report_taken = [this](const usage::report_taken& r) { taken(r); };
+    hooks.bill_rejected = [](usage::window_number w) {
+        base::log_line{base::log_level::error, part, "Billing rejected a usage window."}
+            .field("window", w)
+            .code(base::result_code::order_refused);
+    };
     zone_ = &controller_.add(
         std::make_unique<control::zone_role>(zone, p.objects(), p.orders(), p.billing(), std::move(hooks)));
     for (std::uint32_t n = 0; n < idempotency::shard_count; n++) {
@@ -138,6 +144,32 @@
     });
 }
 
+void roles_agent::report_usage(const usage::usage_report& r, std::function<void(peer::usage_reply)> answer) {
+    controller_.post([this, r, answer = std::move(answer)] {
+        const auto now = base::boot_clock::now();
+        if (!zone_->lease().may_act(now)) {
+            answer({false, 0});
+            return;
+        }
+        const auto key = std::make_pair(r.from, r.sequence);
+        reports_.emplace(key, answer);
+        zone_->handle(usage::keeper_event{r});
+        if (reports_.erase(key) != 0) {  // not taken, for example because the windows are still being loaded
+            answer({false, zone_->lease().term()});
+        }
+    });
+}
+
+void roles_agent::taken(const usage::report_taken& r) {
+    const auto it = reports_.find({r.from, r.sequence});
+    if (it == reports_.end()) {
+        return;
+    }
+    const auto answer = std::move(it->second);
+    reports_.erase(it);
+    answer({true, r.term});
+}
+
 void roles_agent::note_held() {
     std::map<std::string, std::uint64_t> now_held;
     const auto now = base::boot_clock::now();
--- a/apps/daemon/src/roles_agent.h
+++ b/apps/daemon/src/roles_agent.h
@@ -15,7 +15,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicorygap::daemon_app {
@@ -44,12 +46,15 @@
     /// Answers a claim later, from the roles' thread.
     void claim(const peer::claim_request& r, claim_answer answer);
     void record_outcome(const peer::outcome_report& r);
+    /// Answers a usage report once the windows have taken it.
+    void report_usage(const usage::usage_report& r, std::function<void(peer::usage_reply)> answer);
 
     /// Roles held, by name with their terms.
     [[nodiscard]] std::map<std::string, std::uint64_t> held() const;
 
 private:
     void decided(const idempotency::decision& d);
+    void taken(const usage::report_taken& r);
     void note_held();
 
     const settings::daemon_settings& settings_;
@@ -60,6 +65,7 @@
     // Used on the roles' thread only.
     std::uint64_t next_claim_ = 1;
     std::map<std::uint64_t, claim_answer> waiting_;
+    std::map<std::pair<usage::source, std::uint64_t>, std::function<void(peer::usage_reply)>> reports_;
 
     mutable std::mutex held_mutex_;
     std::map<std::string, std::uint64_t> held_;
--- a/packages/peer/include/peer/node.h
+++ b/packages/peer/include/peer/node.h
@@ -6,6 +6,7 @@
 #include "distribution/actions.h"
 #include "membership/message.h"
 #include "peer/types.h"
+#include "usage/counts.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,10 +25,8 @@
 
     std::function<gossip_reply(const membership::message&)> probe{};
     std::function<gossip_reply(const membership::message&)> probe_indirect{};
-    std::function<void(const document&)> push{};
-    /// @return the document if it is newer than the given version.
-    std::function<std::optional<document>(const base::service_id&, std::uint64_t newer_than)> fetch{};
-    std::function<usage_reply(const usage_report&)> report_usage{};
+    /// The reply may be given later and from any thread.
+    std::function<void(const usage::usage_report&, std::function<void(usage_reply)> reply)> report_usage{};
     /// The reply may be given later and from any thread.
     std::function<void(const claim_request&, std::function<void(claim_reply)> reply)> claim{};
     /// Records the outcome of a permitted request. Throws `base::error` if the receiver does not own its
@@ -49,7 +48,7 @@
 /// @code
 /// node n{{.listen = "10.0.0.7:7400"}, {.probe = on_probe}};
 /// n.probe("10.0.0.8:7400", message, [](outcome<std::optional<membership::message>> o) { ... });
-/// auto doc = await<std::optional<document>>([&](auto done) { n.fetch(address, service, 7, done); });
+/// auto text = await<std::string>([&](auto done) { n.status(address, done); });
 /// @endcode
 class node {
 public:
@@ -71,10 +70,7 @@
                completion<std::optional<membership::message>> done);
     void probe_indirect(const std::string& address, const membership::message& m,
                         completion<std::optional<membership::message>> done);
-    void push(const std::string& address, const document& d, completion<done> done);
-    void fetch(const std::string& address, const base::service_id& service, std::uint64_t newer_than,
-               completion<std::optional<document>> done);
-    void report_usage(const std::string& address, const usage_report& r, completion<usage_reply> done);
+    void report_usage(const std::string& address, const usage::usage_report& r, completion<usage_reply> done);
     void claim(const std::string& address, const claim_request& r, completion<claim_reply> done);
     void record_outcome(const std::string& address, const outcome_report& r, completion<done> done);
     void status(const std::string& address, completion<std::string> done);
--- a/packages/peer/include/peer/types.h
+++ b/packages/peer/include/peer/types.h
@@ -18,36 +18,6 @@
 
 namespace chicorygap::peer {
 
-/// One version of a service document.
-struct document {
-    base::service_id service{};
-    std::uint64_t version = 0;
-    std::string text{};
-
-    bool operator==(const document&) const = default;
-};
-
-/// Usage of one workspace and class, cumulative since the daemon's start.
-struct usage_counter {
-    base::service_id service{};
-    base::workspace_id workspace{};
-    base::class_id request_class{};
-    std::uint64_t requests = 0;
-    std::uint64_t prompt_tokens = 0;
-    std::uint64_t output_tokens = 0;
-
-    bool operator==(const usage_counter&) const = default;
-};
-
-/// Report of one daemon to the role holder of its zone.
-struct usage_report {
-    base::vm_id daemon{};
-    std::uint64_t incarnation = 0;
-    /// Increases with each report, so that an overtaken one can be ignored.
-    std::uint64_t sequence = 0;
-    std::vector<usage_counter> counters{};
-};
-
 /// Answer to a usage report.
 struct usage_reply {
     /// False if the receiver does not hold the role.
@@ -120,7 +90,7 @@
     base::duration connect_timeout = std::chrono::milliseconds{500};
     /// Timeout of gossip, usage reports and status.
     base::duration call_timeout = std::chrono::seconds{1};
-    /// Timeout of `push` and `fetch`.
+    /// Timeout of `distribute`.
     base::duration document_timeout = std::chrono::seconds{5};
     /// Timeout of `claim`, which waits for a write to the platform.
     base::duration claim_timeout = std::chrono::seconds{3};
--- a/packages/peer/schema/peer.capnp
+++ b/packages/peer/schema/peer.capnp
@@ -40,27 +40,27 @@
   inFlight @9 :List(UInt16);
 }
 
-struct Document {
-  service @0 :Text;
-  version @1 :UInt64;
-  text @2 :Text;
+struct UsageCounts {
+  requests @0 :UInt64;
+  promptTokens @1 :UInt64;
+  outputTokens @2 :UInt64;
 }
 
-struct UsageCounter {
+struct UsageRow {
   service @0 :Text;
   workspace @1 :Text;
   class @2 :Text;
-  requests @3 :UInt64;
-  promptTokens @4 :UInt64;
-  outputTokens @5 :UInt64;
+  # Since the daemon's start, and the part counted before the report's window began.
+  total @3 :UsageCounts;
+  opening @4 :UsageCounts;
 }
 
 struct UsageReport {
   daemon @0 :Text;
   incarnation @1 :UInt64;
   sequence @2 :UInt64;
-  # Cumulative since the daemon's start.
-  counters @3 :List(UsageCounter);
+  window @3 :Int64;
+  rows @4 :List(UsageRow);
 }
 
 struct Claim {
@@ -136,11 +136,9 @@
   # An empty reply (hasReply false) means that the receiver has nothing to say.
   probe @0 (message :Gossip) -> (hasReply :Bool, reply :Gossip);
   probeIndirect @1 (message :Gossip) -> (hasReply :Bool, reply :Gossip);
-  push @2 (document :Document) -> ();
-  fetch @3 (service :Text, newerThan :UInt64) -> (found :Bool, document :Document);
-  reportUsage @4 (report :UsageReport) -> (accepted :Bool, term :UInt64);
-  claim @5 (claim :Claim) -> (reply :ClaimReply);
+  distribute @2 (message :Distribution) -> ();
+  reportUsage @3 (report :UsageReport) -> (accepted :Bool, term :UInt64);
+  claim @4 (claim :Claim) -> (reply :ClaimReply);
+  recordOutcome @5 (outcome :Outcome) -> ();
   status @6 () -> (json :Text);
-  distribute @7 (message :Distribution) -> ();
-  recordOutcome @8 (outcome :Outcome) -> ();
 }
--- a/packages/peer/src/encoding.cpp
+++ b/packages/peer/src/encoding.cpp
@@ -122,38 +122,40 @@
     return m;
 }
 
-void encode(const document& d, wire::Document::Builder out) {
-    out.setService(d.service.str());
-    out.setVersion(d.version);
-    out.setText(d.text);
+void encode(const usage::counts& c, wire::UsageCounts::Builder out) {
+    out.setRequests(c.requests);
+    out.setPromptTokens(c.prompt_tokens);
+    out.setOutputTokens(c.output_tokens);
 }
 
-document decode(wire::Document::Reader in) {
-    return {base::service_id{text(in.getService())}, in.getVersion(), text(in.getText())};
+usage::counts decode(wire::UsageCounts::Reader in) {
+    return {in.getRequests(), in.getPromptTokens(), in.getOutputTokens()};
 }
 
-void encode(const usage_report& r, wire::UsageReport::Builder out) {
-    out.setDaemon(r.daemon.str());
-    out.setIncarnation(r.incarnation);
+void encode(const usage::usage_report& r, wire::UsageReport::Builder out) {
+    out.setDaemon(r.from.daemon);
+    out.setIncarnation(r.from.incarnation);
     out.setSequence(r.sequence);
-    auto list = out.initCounters(static_cast<unsigned>(r.counters.size()));
+    out.setWindow(r.window);
+    auto list = out.initRows(static_cast<unsigned>(r.rows.size()));
     for (unsigned i = 0; i < list.size(); i++) {
-        const auto& c = r.counters[i];
-        list[i].setService(c.service.str());
-        list[i].setWorkspace(c.workspace.str());
-        list[i].setClass(c.request_class.str());
-        list[i].setRequests(c.requests);
-        list[i].setPromptTokens(c.prompt_tokens);
-        list[i].setOutputTokens(c.output_tokens);
+        const auto& row = r.rows[i];
+        list[i].setService(row.key.service.str());
+        list[i].setWorkspace(row.key.workspace.str());
+        list[i].setClass(row.key.traffic_class.str());
+        encode(row.total, list[i].initTotal());
+        encode(row.opening, list[i].initOpening());
     }
 }
 
-usage_report decode(wire::UsageReport::Reader in) {
-    usage_report r{base::vm_id{text(in.getDaemon())}, in.getIncarnation(), in.getSequence(), {}};
-    for (const auto c : in.getCounters()) {
-        r.counters.push_back({base::service_id{text(c.getService())},
-                              base::workspace_id{text(c.getWorkspace())}, base::class_id{text(c.getClass())},
-                              c.getRequests(), c.getPromptTokens(), c.getOutputTokens()});
+usage::usage_report decode(wire::UsageReport::Reader in) {
+    usage::usage_report r{{text(in.getDaemon()), in.getIncarnation()}, in.getSequence(), in.getWindow(), {}};
+    for (const auto row : in.getRows()) {
+        r.rows.push_back(
+            {{base::service_id{text(row.getService())}, base::workspace_id{text(row.getWorkspace())},
+              base::class_id{text(row.getClass())}},
+             decode(row.getTotal()),
+             decode(row.getOpening())});
     }
     return r;
 }
--- a/packages/peer/src/encoding.h
+++ b/packages/peer/src/encoding.h
@@ -5,6 +5,7 @@
 #include "membership/message.h"
 #include "peer.capnp.h"
 #include "peer/types.h"
+#include "usage/counts.h"
 
 namespace chicorygap::peer {
 
@@ -12,11 +13,8 @@
 /// @throws base::error with `body_malformed` for values out of range.
 membership::message decode(wire::Gossip::Reader in);
 
-void encode(const document& d, wire::Document::Builder out);
-document decode(wire::Document::Reader in);
-
-void encode(const usage_report& r, wire::UsageReport::Builder out);
-usage_report decode(wire::UsageReport::Reader in);
+void encode(const usage::usage_report& r, wire::UsageReport::Builder out);
+usage::usage_report decode(wire::UsageReport::Reader in);
 
 void encode(const claim_request& r, wire::Claim::Builder out);
 claim_request decode(wire::Claim::Reader in);
--- a/packages/peer/src/event_loop.cpp
+++ b/packages/peer/src/event_loop.cpp
@@ -2,6 +2,8 @@
 
 #include "base/error.h"
 
+#include <kj/exception.h>
+
 #include <cstdint>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -9,6 +11,18 @@
 
 namespace chicorygap::peer {
 
+namespace {
+
+// KJ adds a stack trace to the text of exceptions by starting addr2line. A daemon must start no process.
+class no_stack_traces : public kj::ExceptionCallback {
+public:
+    StackTraceMode stackTraceMode() override {  // NOLINT(readability-identifier-naming)
+        return StackTraceMode::NONE;
+    }
+};
+
+}  // namespace
+
 event_loop::event_loop() : wake_fd_{eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)} {
     if (wake_fd_ < 0) {
         throw base::error{base::result_code::internal, "eventfd failed"};
@@ -42,6 +56,7 @@
 }
 
 void event_loop::run() {
+    const no_stack_traces quiet;
     auto io = kj::setupAsyncIo();
     using provider = kj::LowLevelAsyncIoProvider;
     auto input =
--- a/packages/peer/src/node.cpp
+++ b/packages/peer/src/node.cpp
@@ -11,6 +11,7 @@
 #include <capnp/message.h>
 
 #include <future>
+#include <optional>
 #include <utility>
 
 namespace chicorygap::peer {
@@ -103,8 +104,8 @@
 private:
     void open(kj::AsyncIoContext& io) {
         tasks_ = kj::heap<kj::TaskSet>(log_);
-        claims_ = std::make_shared<claim_board>(loop_);
-        wire::Peer::Client peer = kj::heap<service>(handlers_, options_, claims_);
+        boards_.emplace(loop_);
+        wire::Peer::Client peer = kj::heap<service>(handlers_, options_, *boards_);
         server_ = std::make_unique<server>(io, options_, counters_, peer, *tasks_);
         client_ = std::make_unique<client>(io, options_, counters_, *tasks_);
         port_ = server_->port();
@@ -121,8 +122,8 @@
 
     void close() {
         loop_.stop([this](kj::AsyncIoContext&) {
-            if (claims_) {
-                claims_->close();
+            if (boards_) {
+                boards_->close();
             }
             tasks_ = nullptr;
             client_ = nullptr;
@@ -135,7 +136,7 @@
     traffic_counters counters_;
     task_log log_;
     kj::Own<kj::TaskSet> tasks_;
-    std::shared_ptr<claim_board> claims_;
+    std::optional<reply_boards> boards_;
     std::unique_ptr<server> server_;
     std::unique_ptr<client> client_;
     std::uint16_t port_ = 0;
@@ -192,32 +193,8 @@
                         });
 }
 
-void node::push(const std::string& address, const document& d, completion<peer::done> done) {
-    const auto e = encode_message<wire::Document>(d);
-    const auto& o = impl_->options();
-    impl_->call<peer::done>(address, o.document_timeout, size_of<wire::Document>(e), o.message_bytes,
-                            std::move(done), [e](wire::Peer::Client& peer) {
-                                auto request = peer.pushRequest();
-                                request.setDocument(read<wire::Document>(e));
-                                return request.send().then([](auto&&) { return peer::done{}; });
-                            });
-}
-
-void node::fetch(const std::string& address, const base::service_id& service, std::uint64_t newer_than,
-                 completion<std::optional<document>> done) {
-    using result = std::optional<document>;
-    impl_->call<result>(address, impl_->options().document_timeout, 0, 0, std::move(done),
-                        [service, newer_than](wire::Peer::Client& peer) {
-                            auto request = peer.fetchRequest();
-                            request.setService(service.str());
-                            request.setNewerThan(newer_than);
-                            return request.send().then([](auto&& r) {
-                                return r.getFound() ? result{decode(r.getDocument())} : std::nullopt;
-                            });
-                        });
-}
-
-void node::report_usage(const std::string& address, const usage_report& r, completion<usage_reply> done) {
+void node::report_usage(const std::string& address, const usage::usage_report& r,
+                        completion<usage_reply> done) {
     const auto e = encode_message<wire::UsageReport>(r);
     const auto& o = impl_->options();
     impl_->call<usage_reply>(address, o.call_timeout, size_of<wire::UsageReport>(e), o.message_bytes,
--- a/packages/peer/src/service.cpp
+++ b/packages/peer/src/service.cpp
@@ -18,34 +18,6 @@
 
 }  // namespace
 
-kj::Promise<claim_reply> claim_board::open(std::function<void(claim_reply)>& reply) {
-    auto pair = kj::newPromiseAndFulfiller<claim_reply>();
-    const auto id = next_++;
-    waiting_.emplace(id, kj::mv(pair.fulfiller));
-    reply = [self = shared_from_this(), id](claim_reply r) { self->answer(id, std::move(r)); };
-    return kj::mv(pair.promise);
-}
-
-void claim_board::close() {
-    const std::lock_guard lock{mutex_};
-    loop_ = nullptr;
-    waiting_.clear();
-}
-
-void claim_board::answer(std::uint64_t id, claim_reply r) {
-    const std::lock_guard lock{mutex_};
-    if (loop_ == nullptr) {
-        return;
-    }
-    loop_->post([self = shared_from_this(), id, r = std::move(r)](kj::AsyncIoContext&) {
-        const auto it = self->waiting_.find(id);
-        if (it != self->waiting_.end()) {
-            it->second->fulfill(claim_reply{r});
-            self->waiting_.erase(it);
-        }
-    });
-}
-
 template <typename Context>
 void service::answer_gossip(Context& c, const decltype(handlers::probe)& handler) {
     require(handler);
@@ -72,39 +44,24 @@
     return kj::READY_NOW;
 }
 
-kj::Promise<void> service::push(PushContext c) {
-    require(handlers_.push);
-    handlers_.push(decode(c.getParams().getDocument()));
-    return kj::READY_NOW;
-}
-
-kj::Promise<void> service::fetch(FetchContext c) {
-    require(handlers_.fetch);
-    const auto in = c.getParams();
-    const auto name = in.getService();
-    const auto found = handlers_.fetch(base::service_id{{name.cStr(), name.size()}}, in.getNewerThan());
-    auto out = c.getResults();
-    out.setFound(found.has_value());
-    if (found) {
-        encode(*found, out.initDocument());
-    }
-    return kj::READY_NOW;
-}
-
 kj::Promise<void> service::reportUsage(ReportUsageContext c) {
     require(handlers_.report_usage);
-    const auto reply = handlers_.report_usage(decode(c.getParams().getReport()));
-    auto out = c.getResults();
-    out.setAccepted(reply.accepted);
-    out.setTerm(reply.term);
-    return kj::READY_NOW;
+    const auto report = decode(c.getParams().getReport());
+    std::function<void(usage_reply)> reply;
+    auto promise = boards_.usage->open(reply);
+    handlers_.report_usage(report, reply);
+    return promise.then([c](usage_reply r) mutable {
+        auto out = c.getResults();
+        out.setAccepted(r.accepted);
+        out.setTerm(r.term);
+    });
 }
 
 kj::Promise<void> service::claim(ClaimContext c) {
     require(handlers_.claim);
     const auto request = decode(c.getParams().getClaim());
     std::function<void(claim_reply)> reply;
-    auto promise = claims_->open(reply);
+    auto promise = boards_.claims->open(reply);
     handlers_.claim(request, reply);
     return promise.then([c](const claim_reply& r) mutable { encode(r, c.getResults().initReply()); });
 }
--- a/packages/peer/tests/node_test.cpp
+++ b/packages/peer/tests/node_test.cpp
@@ -80,41 +80,52 @@
 
 // Guards against a call whose arguments or result are lost on the way.
 TEST(node, all_calls_reach_their_handlers) {
-    const document doc{base::service_id{"s"}, 8, std::string(1000000, 'd')};
-    document pushed;
-    usage_report reported;
+    const distribution::member sender{base::vm_id{"vm"}, base::zone_id{"z"}};
+    const distribution::message documents =
+        distribution::push{base::vm_id{"vm"}, {{"document/s", 8, false, std::string(1000000, 'd'), {}}}};
+    distribution::member from;
+    distribution::message distributed;
+    usage::usage_report reported;
+    outcome_report outcome;
     node server{{},
                 {.probe_indirect = [](const auto&) { return gossip{}; },
-                 .push = [&](const document& d) { pushed = d; },
-                 .fetch = [&](const auto&,
-                              std::uint64_t newer) { return newer < 8 ? std::optional{doc} : std::nullopt; },
                  .report_usage =
-                     [&](const usage_report& r) {
+                     [&](const usage::usage_report& r, const auto& reply) {
                          reported = r;
-                         return usage_reply{true, 3};
+                         reply(usage_reply{true, 3});
+                     },
+                 .record_outcome = [&](const outcome_report& r) { outcome = r; },
+                 .distribute =
+                     [&](const distribution::member& f, const distribution::message& m) {
+                         from = f;
+                         distributed = m;
                      },
                  .status = [] { return std::string{"{}"}; }}};
     node client{{}, {}};
     const auto to = address_of(server);
-    const auto fetch = [&](std::uint64_t newer) {
-        return await<std::optional<document>>(
-            [&](auto d) { client.fetch(to, base::service_id{"s"}, newer, d); });
-    };
     EXPECT_FALSE(await<gossip>([&](auto d) { client.probe_indirect(to, full_message(1, 1, "n"), d); }));
-    await<done>([&](auto d) { client.push(to, doc, d); });
-    EXPECT_EQ(pushed, doc);
-    EXPECT_EQ(fetch(7), doc);
-    EXPECT_EQ(fetch(8), std::nullopt);
-    const usage_report report{
-        base::vm_id{"vm"},
-        5,
+    await<done>([&](auto d) { client.distribute(to, sender, documents, d); });
+    EXPECT_EQ(from, sender);
+    EXPECT_EQ(distributed, documents);
+    await<done>([&](auto d) { client.record_outcome(to, {"r", 201, "body", true}, d); });
+    EXPECT_EQ(outcome.record, "r");
+    EXPECT_EQ(outcome.status, 201);
+    EXPECT_EQ(outcome.body, "body");
+    const usage::usage_report report{
+        {"vm", 5},
         6,
-        {{base::service_id{"s"}, base::workspace_id{"w"}, base::class_id{"c"}, 1, 2, 3}}};
+        7,
+        {{{base::service_id{"s"}, base::workspace_id{"w"}, base::class_id{"c"}}, {1, 2, 3}, {1, 1, 1}}}};
     const auto reply = await<usage_reply>([&](auto d) { client.report_usage(to, report, d); });
     EXPECT_TRUE(reply.accepted);
     EXPECT_EQ(reply.term, 3U);
-    EXPECT_EQ(reported.counters, report.counters);
+    EXPECT_EQ(reported.from, report.from);
     EXPECT_EQ(reported.sequence, 6U);
+    EXPECT_EQ(reported.window, 7);
+    ASSERT_EQ(reported.rows.size(), 1U);
+    EXPECT_EQ(reported.rows[0].key, report.rows[0].key);
+    EXPECT_EQ(reported.rows[0].total, report.rows[0].total);
+    EXPECT_EQ(reported.rows[0].opening, report.rows[0].opening);
     EXPECT_EQ(await<std::string>([&](auto d) { client.status(to, d); }), "{}");
     EXPECT_GT(client.statistics().bytes_sent, 1000000U);
     EXPECT_GT(server.statistics().messages_received, 6U);
@@ -152,32 +163,27 @@
 
 // Guards against calls that hang when the peer refuses, fails or cannot take the message.
 TEST(node, failures_are_reported) {
-    node server{{},
-                {.push =
-                     [](const auto&) {
-                         throw base::error{base::result_code::document_stale, "old"};
-                     },
-                 .fetch =
-                     [](const auto&, auto) {
-                         return std::optional{document{base::service_id{"s"}, 1, std::string(5000000, 'x')}};
-                     }}};
+    node server{{}, {.distribute = [](const auto&, const auto&) {
+                    throw base::error{base::result_code::document_stale, "old"};
+                }}};
+    node verbose{{}, {.status = [] { return std::string(5000000, 'x'); }}};
     node client{{}, {}};
     const auto to = address_of(server);
     const auto status = [&](const std::string& a) {
         return code_of<std::string>([&](auto d) { client.status(a, d); });
     };
     EXPECT_EQ(status(to), base::result_code::backend_refused) << "no handler";
-    EXPECT_EQ(code_of<done>([&](auto d) { client.push(to, {}, d); }), base::result_code::backend_refused);
+    EXPECT_EQ(code_of<done>([&](auto d) { client.distribute(to, {}, distribution::fetch{}, d); }),
+              base::result_code::backend_refused);
     EXPECT_EQ(status("127.0.0.1:1"), base::result_code::connect_failed);
     EXPECT_EQ(code_of<gossip>([&](auto d) { client.probe(to, full_message(40, 0, "n"), d); }),
               base::result_code::body_too_large);
     EXPECT_EQ(code_of<done>([&](auto d) {
-                  client.push(to, {{}, 1, std::string(2000000, 'x')}, d);
+                  const distribution::item large{"document/s", 1, false, std::string(2000000, 'x'), {}};
+                  client.distribute(to, {}, distribution::push{{}, {large}}, d);
               }),
               base::result_code::body_too_large);
-    EXPECT_NE(code_of<std::optional<document>>([&](auto d) { client.fetch(to, {}, 0, d); }),
-              base::result_code::ok)
-        << "a reply over the limit";
+    EXPECT_NE(status(address_of(verbose)), base::result_code::ok) << "a reply over the limit";
     EXPECT_EQ(status(to), base::result_code::backend_refused) << "the node still works";
     EXPECT_THROW((node{{.listen = address_of(server)}, {}}), base::error);
 }
