Retry unsent attempts without budget

Change: attempts of which no byte was sent take no budget and none of the three attempts; five more of them are allowed. Ruled out: unlimited unsent attempts, which could loop over dead servers.

--- a/packages/retry/include/retry/attempt_ledger.h
+++ b/packages/retry/include/retry/attempt_ledger.h
@@ -20,7 +20,7 @@
     bool idempotent = true;
     /// The response is a stream of tokens, which another server can continue from a position.
     bool resumable = false;
-    /// Attempts including the first one and hedges.
+    /// Attempts that may have reached a server, including the first one and hedges.
     std::uint32_t max_attempts = 3;
     /// Time without output after which a hedge may start; none disables hedging.
     std::optional<base::duration> hedge_after{};
@@ -59,6 +59,9 @@
 /// @endcode
 class attempt_ledger {
 public:
+    /// Further attempts that may end before a byte was sent, for example on servers that crashed together.
+    static constexpr std::uint32_t max_unsent_attempts = 5;
+
     explicit attempt_ledger(request_terms t);
 
     /// Records the start of an attempt. The first one needs no permission, later ones that of `next` or
@@ -121,6 +124,8 @@
     [[nodiscard]] base::result_code obstacle(base::time_point now) const;
     [[nodiscard]] base::result_code refusal(base::time_point now) const;
     [[nodiscard]] bool may_have_been_sent() const;
+    [[nodiscard]] std::uint32_t sent_attempts() const;
+    [[nodiscard]] bool last_was_unsent() const;
 
     request_terms terms_;
     std::vector<attempt> attempts_;
--- a/packages/retry/src/attempt_ledger.cpp
+++ b/packages/retry/src/attempt_ledger.cpp
@@ -76,7 +76,8 @@
     if (const auto reason = refusal(now); reason != result_code::ok) {
         return {false, reason, 0};
     }
-    if (!attempts_.empty() && !b.try_spend(now)) {
+    // An attempt that never reached a server costs it nothing, so that repeating it needs no budget.
+    if (!attempts_.empty() && !last_was_unsent() && !b.try_spend(now)) {
         return {false, result_code::retries_exhausted, 0};
     }
     return {true, result_code::ok, delivered_};
@@ -166,7 +167,7 @@
     if (!terms_.idempotent && may_have_been_sent()) {
         return in_flight() > 0 ? result_code::outcome_unknown : last_.code;
     }
-    if (attempts() >= terms_.max_attempts) {
+    if (sent_attempts() >= terms_.max_attempts || attempts() >= terms_.max_attempts + max_unsent_attempts) {
         return result_code::retries_exhausted;
     }
     if (terms_.deadline != base::time_point::max() && now + terms_.least_time >= terms_.deadline) {
@@ -187,6 +188,15 @@
     return is_first || (is_retryable(last_.code) && !stuck) ? result_code::ok : last_.code;
 }
 
+std::uint32_t attempt_ledger::sent_attempts() const {
+    const auto sent = [](const attempt& a) { return a.in_flight || a.outcome.sent; };
+    return static_cast<std::uint32_t>(std::ranges::count_if(attempts_, sent));
+}
+
+bool attempt_ledger::last_was_unsent() const {
+    return !attempts_.empty() && !attempts_.back().in_flight && !attempts_.back().outcome.sent;
+}
+
 bool attempt_ledger::may_have_been_sent() const {
     return std::ranges::any_of(attempts_, [](const attempt& a) { return a.in_flight || a.outcome.sent; });
 }
--- a/packages/retry/tests/attempt_ledger_test.cpp
+++ b/packages/retry/tests/attempt_ledger_test.cpp
@@ -157,5 +157,18 @@
     EXPECT_EQ(l.next(b, start + 2s).reason, result_code::retries_exhausted);
 }
 
+// Guards against refusing requests for lack of budget when several servers crash together: a refused connection
+// costs no server anything, so that only the number of such attempts is bounded.
+TEST(attempt_ledger, unsent_attempts_need_no_budget_but_are_bounded) {
+    budget b{{.ratio = 0, .overload_ratio = 0, .minimum = 0}};
+    attempt_ledger l{{.max_attempts = 1}};
+    for (std::uint32_t n = 0; n <= attempt_ledger::max_unsent_attempts; n++) {
+        EXPECT_TRUE(l.next(b, start).allowed) << n;
+        l.finished(l.start(start), {result_code::connect_failed, false});
+    }
+    EXPECT_EQ(l.next(b, start).reason, result_code::retries_exhausted);
+    EXPECT_EQ(l.run_state(), run_state::not_run);
+}
+
 }  // namespace
 }  // namespace chicorygap::retry
