--- a/packages/gateway/src/request_executor.cpp
+++ b/packages/gateway/src/request_executor.cpp
@@ -20,11 +20,12 @@
     return d.find_route(c.method, c.path).match;
 }
 
-std::string backend_target(const document::route* r, const std::string& target) {
-    if (r == nullptr || r->backend_path.empty() || target.rfind(r->path_prefix, 0) != 0) {
-        return target;
+std::string backend_target(const document::route* r, const front::call& c) {
+    if (r == nullptr) {
+        return c.target;
     }
-    return r->backend_path + target.substr(r->path_prefix.size());
+    const auto query = c.target.find('?');
+    return document::forwarded_path(*r, c.path) + (query == std::string::npos ? "" : c.target.substr(query));
 }
 
 }  // namespace
@@ -156,7 +157,7 @@
         r.kind = call_.chat->stream ? backend::call_kind::chat_stream : backend::call_kind::chat;
     }
     r.method = call_.method;
-    r.target = backend_target(route_, call_.target);
+    r.target = backend_target(route_, call_);
     r.fields = call_.fields;
     r.body = call_.body;
     r.priority = class_->tier;
