--- /dev/null
+++ b/apps/daemon/tests/deployment.h
@@ -0,0 +1,236 @@
+/// @file
+/// Daemons, backend servers and platform of one test, all in this process and on loopback.
+#pragma once
+
+#include "base/time.h"
+#include "daemon.h"
+#include "settings/daemon_settings.h"
+#include "standin_backend/server.h"
+#include "standin_platform/server.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace chicorygap::daemon_app {
+
+inline const std::string north_key = "demo-key-north";
+inline const std::string south_key = "demo-key-south";
+/// SHA-256 of the keys.
+inline const std::string north_digest = "88cf6ac6696b6e69892fc2174d894f44831251564176b17242f79c32e0692685";
+inline const std::string south_digest = "ee295a8e36e0fb764948b0b8560838138be20af28f65aef4cb1af1a878918a21";
+
+/// @return the document of the model service; only `north` may use /reports.
+/// @param south_keys `key` lines of the workspace south.
+inline std::string assistant_document(const std::string& south_keys = "key = " + south_digest + "\n") {
+    return "[service]\nname = assistant\nkind = model\n"
+           "[retry]\nshare = 0.5\noverload_share = 0.5\n"
+           "[timeouts]\nconnect = 250ms\nfirst_byte = 5s\ntoken_gap = 2s\nidle = 30s\n"
+           "[model standin]\ncontext_tokens = 65536\nmax_output_tokens = 8192\n"
+           "[class question]\ntier = 1\nfirst_token_target = 430ms\ninter_token_target = 63ms\n"
+           "attainment_target = 0.95\ndeadline = 5s\nqueue_length = 500\nfloor = 0.05\nfloor_wait = 2s\n"
+           "[route default]\npath = /v1/chat/completions\nmethods = POST\nclass = question\n"
+           "workspaces = all\n"
+           "[route reports]\npath = /reports/v1/chat/completions\nbackend_path = /v1/chat/completions\n"
+           "methods = POST\nclass = question\nworkspaces = north\n"
+           "[workspace north]\nweight = 1\nkey = " +
+           north_digest +
+           "\nrequests_per_second = 1000\ntokens_per_second = 1000000\nconcurrency = 100\n"
+           "[workspace south]\nweight = 1\n" +
+           south_keys +
+           "requests_per_second = 1000\ntokens_per_second = 1000000\nconcurrency = 100\n"
+           "[server_kind standard]\nprice = 1\nslots = 8\nzone = a 1 4\n";
+}
+
+/// @return the document of the plain service, whose orders are not idempotent.
+inline std::string dispatch_document() {
+    return "[service]\nname = dispatch\nkind = plain\n"
+           "[retry]\nshare = 0.5\noverload_share = 0.5\n"
+           "[timeouts]\nconnect = 250ms\nfirst_byte = 5s\nidle = 30s\n"
+           "[class order]\ntier = 0\nresponse_target = 200ms\nattainment_target = 0.995\ndeadline = 3s\n"
+           "queue_length = 200\nfloor = 0.1\nfloor_wait = 500ms\n"
+           "[route orders]\npath = /dispatch/orders\nmethods = POST\nclass = order\nworkspaces = all\n"
+           "repeatable = no\nidempotency_key_required = yes\n"
+           "[workspace north]\nweight = 1\nkey = " +
+           north_digest +
+           "\nrequests_per_second = 1000\nconcurrency = 100\n"
+           "[server_kind standard]\nprice = 1\nslots = 8\nzone = a 1 4\n";
+}
+
+/// Polls until the condition holds. @return false if it did not hold within the limit.
+inline bool eventually(const std::function<bool()>& condition,
+                       base::duration limit = std::chrono::seconds{20}) {
+    const auto end = base::boot_clock::now() + limit;
+    while (!condition()) {
+        if (base::boot_clock::now() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    return true;
+}
+
+struct answer {
+    int status = 0;
+    std::string body;
+
+    /// @return a member of the problem details, as text; empty if there is none.
+    [[nodiscard]] std::string problem(const std::string& member) const {
+        try {
+            Poco::JSON::Parser parser;
+            const auto o = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+            return o->has(member) ? o->get(member).toString() : std::string{};
+        } catch (const std::exception&) {
+            return {};
+        }
+    }
+};
+
+/// Sends one request on a new connection. A failed connection has status 0.
+inline answer ask(std::uint16_t port, const std::string& method, const std::string& path,
+                  const std::string& key = "", const std::string& body = "",
+                  const std::vector<std::pair<std::string, std::string>>& fields = {}) {
+    answer a;
+    try {
+        Poco::Net::HTTPClientSession session{"127.0.0.1", port};
+        session.setTimeout(Poco::Timespan{20, 0});
+        Poco::Net::HTTPRequest request{method, path, Poco::Net::HTTPMessage::HTTP_1_1};
+        if (!key.empty()) {
+            request.set("Authorization", "Bearer " + key);
+        }
+        for (const auto& [name, value] : fields) {
+            request.set(name, value);
+        }
+        request.setContentType("application/json");
+        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        session.sendRequest(request) << body << std::flush;
+        Poco::Net::HTTPResponse response;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), a.body);
+        a.status = response.getStatus();
+    } catch (const Poco::Exception& e) {
+        a.body = e.displayText();
+    }
+    return a;
+}
+
+class deployment : public ::testing::Test {
+protected:
+    /// Starts the platform, `servers` backend servers of each service and `daemons` daemons, and waits until
+    /// they are ready.
+    void start(int daemons, int servers, const standin_backend::options& o = {}) {
+        platform = std::make_unique<standin_platform::server>(standin_platform::options{});
+        store("assistant", assistant_document());
+        store("dispatch", dispatch_document());
+        for (int n = 0; n < servers; n++) {
+            add_server("assistant", o, assistants);
+            add_server("dispatch", o, dispatchers);
+        }
+        std::vector<std::uint16_t> peers;
+        for (int n = 0; n < daemons; n++) {
+            peers.push_back(free_port());
+        }
+        for (const auto port : peers) {
+            fleet.push_back(std::make_unique<daemon>(make_settings(port, peers)));
+            fleet.back()->start();
+        }
+        for (const auto& d : fleet) {
+            ASSERT_TRUE(eventually([&] { return ask(d->operator_port(), "GET", "/readyz").status == 200; }));
+            ASSERT_TRUE(eventually([&] { return status(*d).find(last_server) != std::string::npos; }));
+        }
+    }
+
+    void TearDown() override {
+        for (const auto& d : fleet) {
+            if (d) {
+                d->drain();
+            }
+        }
+    }
+
+    static std::string status(const daemon& d) { return ask(d.operator_port(), "GET", "/status").body; }
+
+    /// Stores a new version of a document.
+    void store(const std::string& service, const std::string& text) const {
+        const auto key = "document/" + service;
+        const auto current = platform->objects().get(key);
+        ASSERT_TRUE(platform->objects().put(key, text, current ? current->version : 0).applied);
+    }
+
+    void list(const std::string& service, std::size_t number, std::uint16_t port, platform::vm_state s) const {
+        platform::backend_server b;
+        b.id = base::backend_server_id{service + "-" + std::to_string(number)};
+        b.zone = base::zone_id{"a"};
+        b.service = base::service_id{service};
+        b.kind = "standard";
+        b.address = "127.0.0.1:" + std::to_string(port);
+        b.slots = 8;
+        b.state = s;
+        platform->fleet().set(b);
+    }
+
+    /// @return number of the requests of callers that the server received.
+    static std::size_t calls(const standin_backend::server& s) {
+        std::size_t n = 0;
+        for (const auto& r : s.received()) {
+            n += r.method == "POST" && !r.target.starts_with("/cancel") ? 1U : 0U;
+        }
+        return n;
+    }
+
+    std::unique_ptr<standin_platform::server> platform;
+    std::vector<std::unique_ptr<standin_backend::server>> assistants;
+    std::vector<std::unique_ptr<standin_backend::server>> dispatchers;
+    std::vector<std::unique_ptr<daemon>> fleet;
+
+private:
+    void add_server(const std::string& service, const standin_backend::options& o,
+                    std::vector<std::unique_ptr<standin_backend::server>>& out) {
+        out.push_back(std::make_unique<standin_backend::server>(o));
+        list(service, out.size(), out.back()->port(), platform::vm_state::live);
+        last_server = service + "-" + std::to_string(out.size());
+    }
+
+    /// The peer address is announced to other daemons, so that it needs a known port.
+    static std::uint16_t free_port() {
+        const Poco::Net::ServerSocket s{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+        return s.address().port();
+    }
+
+    [[nodiscard]] settings::daemon_settings make_settings(std::uint16_t port,
+                                                          const std::vector<std::uint16_t>& peers) const {
+        std::string seeds;
+        for (const auto p : peers) {
+            seeds += (seeds.empty() ? "" : ", ") + ("127.0.0.1:" + std::to_string(p));
+        }
+        const auto text = "[daemon]\nvm = vm-" + std::to_string(fleet.size() + 1) +
+                          "\nzone = a\n[listen]\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\n"
+                          "peers = 127.0.0.1:" +
+                          std::to_string(port) + "\n[peers]\nseeds = " + seeds +
+                          "\n[platform]\naddress = 127.0.0.1:" + std::to_string(platform->port()) +
+                          "\n[limits]\nconnections = 64\n[drain]\ndelay = 100ms\nlimit = 20s\n";
+        const auto r = settings::parse(text, "test.ini");
+        if (!r.settings) {
+            throw std::runtime_error{document::to_string(r.faults)};
+        }
+        return *r.settings;
+    }
+
+    std::string last_server;
+};
+
+}  // namespace chicorygap::daemon_app
--- a/testing/load_client/src/ledger.cpp
+++ b/testing/load_client/src/ledger.cpp
@@ -75,6 +75,24 @@
     }
 }
 
+order_counts ledger::count_orders(const std::vector<std::string>& backends) const {
+    const std::lock_guard lock{mutex_};
+    std::map<std::string, int> runs;
+    for (const auto& address : backends) {
+        add_runs(fetch(address, "/debug/runs"), runs);
+    }
+    order_counts c;
+    c.orders = static_cast<int>(orders_.size());
+    for (const auto& [key, n] : runs) {
+        c.runs += n;
+        c.double_runs += !key.empty() && n > 1 ? 1 : 0;
+    }
+    for (const auto& [key, o] : orders_) {
+        c.false_not_run += o.run_state == "not_run" && runs.count(key) != 0 ? 1 : 0;
+    }
+    return c;
+}
+
 std::vector<std::string> ledger::broken_promises(const std::vector<std::string>& backends) const {
     const std::lock_guard lock{mutex_};
     auto out = faults_;
--- a/testing/load_client/src/ledger.h
+++ b/testing/load_client/src/ledger.h
@@ -12,6 +12,16 @@
 
 namespace chicorygap::load_client {
 
+/// Orders and their runs as counted by the stand-ins.
+struct order_counts {
+    int orders = 0;
+    int runs = 0;
+    /// Orders that ran more than once.
+    int double_runs = 0;
+    /// Orders that ran although their caller was told "not run".
+    int false_not_run = 0;
+};
+
 /// Collects outcomes by row and by order. Safe for use by several threads.
 class ledger {
 public:
@@ -20,6 +30,10 @@
     /// Prints the outcomes by row.
     void print() const;
 
+    /// Counts orders and their runs.
+    /// @param backends addresses of the stand-ins; each must answer.
+    [[nodiscard]] order_counts count_orders(const std::vector<std::string>& backends) const;
+
     /// Compares the outcomes with what the backend stand-ins recorded.
     /// @param backends addresses of the stand-ins.
     /// @return one line per broken promise.
--- a/testing/load_client/src/main.cpp
+++ b/testing/load_client/src/main.cpp
@@ -14,9 +14,11 @@
 using namespace chicorygap::load_client;
 
 void run_caller(const options& o, int number, std::atomic<int>& left, ledger& results) {
-    mix requests{o.deployments, o.seed, number};
+    mix requests{o.deployments, o.seed, number, o.orders_only};
     caller c{o.daemons, static_cast<std::size_t>(number)};
-    while (left-- > 0) {
+    const auto end = chicorygap::base::boot_clock::now() + o.length;
+    const bool timed = o.length > chicorygap::base::duration::zero();
+    while (timed ? chicorygap::base::boot_clock::now() < end : left-- > 0) {
         const auto r = requests.next();
         results.record(r, c.send(r));
         std::this_thread::sleep_for(o.pause);
@@ -34,6 +36,11 @@
         t.join();
     }
     results.print();
+    if (o.orders_only) {
+        const auto c = results.count_orders(o.backends);
+        std::cout << "orders " << c.orders << ", runs " << c.runs << ", double runs " << c.double_runs
+                  << ", false not run " << c.false_not_run << '\n';
+    }
     const auto broken = results.broken_promises(o.backends);
     for (const auto& line : broken) {
         std::cout << "BROKEN " << line << '\n';
--- a/testing/load_client/src/mix.cpp
+++ b/testing/load_client/src/mix.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::array workspaces{"north",  "south", "east",   "west",   "harbor",
                                 "valley", "ridge", "meadow", "quarry", "orchard"};
+/// Number of the draw, out of 10, from which a request is an order.
+constexpr int order_share = 8;
 constexpr int question_tokens = 24;
 constexpr int report_tokens = 120;
 constexpr int report_prompt_words = 1200;
@@ -29,22 +31,23 @@
 
 }  // namespace
 
-mix::mix(std::vector<std::string> deployments, std::uint64_t seed, int caller)
+mix::mix(std::vector<std::string> deployments, std::uint64_t seed, int caller, bool orders_only)
     : deployments_{std::move(deployments)},
       random_{seed * 1000 + static_cast<std::uint64_t>(caller)},
-      caller_{caller} {}
+      caller_{caller},
+      orders_only_{orders_only} {}
 
 planned_request mix::next() {
     serial_++;
     const auto& deployment =
         deployments_[static_cast<std::size_t>(pick(static_cast<int>(deployments_.size())))];
-    const int share = pick(10);
+    const int share = orders_only_ ? order_share : pick(10);
     planned_request r;
     if (share < 4) {
         r = assistant(deployment, false);
     } else if (share < 6) {
         r = assistant(deployment, true);
-    } else if (share < 8) {
+    } else if (share < order_share) {
         r = status(deployment);
     } else {
         r = order(deployment);
--- a/testing/load_client/src/mix.h
+++ b/testing/load_client/src/mix.h
@@ -29,7 +29,8 @@
 /// Generates the requests of one caller. The same seed gives the same requests.
 class mix {
 public:
-    mix(std::vector<std::string> deployments, std::uint64_t seed, int caller);
+    /// @param orders_only generates no other requests than orders.
+    mix(std::vector<std::string> deployments, std::uint64_t seed, int caller, bool orders_only = false);
 
     planned_request next();
 
@@ -42,6 +43,7 @@
     std::vector<std::string> deployments_;
     std::mt19937_64 random_;
     int caller_;
+    bool orders_only_;
     int serial_ = 0;
 };
 
--- a/testing/load_client/src/options.cpp
+++ b/testing/load_client/src/options.cpp
@@ -4,6 +4,7 @@
 #include <getopt.h>
 #include <iostream>
 #include <sstream>
+#include <string_view>
 
 namespace chicorygap::load_client {
 
@@ -21,19 +22,22 @@
 constexpr const char* usage =
     "Usage: load_client --daemons A,B --backends A,B [--deployments booking,dispatch]\n"
     "  [--requests N] [--callers N] [--pause-ms N] [--seed N]\n"
+    "  [--mix all|orders] [--seconds N (replaces --requests)]\n"
     "Sends a mix of requests, prints outcomes by class and checks the users' promises.\n"
     "Exit code 1 if a promise was broken.\n";
 
 }  // namespace
 
 std::optional<options> parse_options(int argc, char** argv) {
-    const std::array<option, 8> known{{{"daemons", required_argument, nullptr, 'd'},
+    const std::array<option, 10> known{{{"daemons", required_argument, nullptr, 'd'},
                                        {"backends", required_argument, nullptr, 'b'},
                                        {"deployments", required_argument, nullptr, 'p'},
                                        {"requests", required_argument, nullptr, 'n'},
                                        {"callers", required_argument, nullptr, 'c'},
                                        {"pause-ms", required_argument, nullptr, 'w'},
                                        {"seed", required_argument, nullptr, 's'},
+                                        {"mix", required_argument, nullptr, 'm'},
+                                        {"seconds", required_argument, nullptr, 't'},
                                        {nullptr, 0, nullptr, 0}}};
     options o;
     o.deployments = {"booking", "dispatch"};
@@ -61,6 +65,16 @@
             case 's':
                 o.seed = std::stoull(optarg);
                 break;
+            case 'm':
+                if (std::string_view{optarg} != "all" && std::string_view{optarg} != "orders") {
+                    std::cerr << usage;
+                    return std::nullopt;
+                }
+                o.orders_only = std::string_view{optarg} == "orders";
+                break;
+            case 't':
+                o.length = std::chrono::seconds{std::stoi(optarg)};
+                break;
             default:
                 std::cerr << usage;
                 return std::nullopt;
