--- a/apps/daemon/src/configuration_agent.cpp
+++ b/apps/daemon/src/configuration_agent.cpp
@@ -35,6 +35,7 @@
     o.vm = s.vm;
     o.zone = s.zone;
     o.has_platform = s.platform.has_value();
+    o.watch_wait = s.timeouts.platform_watch;
     return o;
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,11 +8,10 @@
 
 source scripts/lib/fleet.sh
 
-port=19200
 for zone in a b; do
     for service in booking-assistant dispatch-assistant booking dispatch; do
         for n in 1 2; do
-            backend "$service-$zone$n" "$zone" "$service" $((port++))
+            backend "$service-$zone$n" "$zone" "$service"
         done
     done
 done
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -1,6 +1,11 @@
+# shellcheck shell=bash
 # Functions that start stand-ins and daemons on loopback. Source it from the root of the repository after the
 # release build; it sets `work`, `pid`, `caller`, `servers` and `backends`, and stops all processes at exit.
 
+# Lowest port; a run uses ports up to 1300 above it. Runs at the same time need different values.
+base_port=${BASE_PORT:-18000}
+platform_address=127.0.0.1:$((base_port + 1100))
+next_backend_port=$((base_port + 1200))
 bin=$PWD/build/release
 work=$(mktemp -d)
 declare -A pid
@@ -35,10 +40,10 @@
     return 1
 }
 
-# backend ID ZONE SERVICE PORT [OPTIONS...]: starts a backend stand-in and lists it.
+# backend ID ZONE SERVICE [OPTIONS...]: starts a backend stand-in and lists it.
 backend() {
-    local id=$1 zone=$2 service=$3 port=$4
-    shift 4
+    local id=$1 zone=$2 service=$3 port=$((next_backend_port++))
+    shift 3
     start "$id" "$bin/testing/standin_backend/standin_backend" --port "$port" --slots 8 "$@"
     servers+=(--server "$id,$zone,$service,standard,127.0.0.1:$port,8")
     backends+=("127.0.0.1:$port")
@@ -46,13 +51,13 @@
 
 # platform: starts the platform stand-in with all backend stand-ins started before.
 platform() {
-    start platform "$bin/testing/standin_platform/standin_platform" --port 19100 "${servers[@]}"
-    await http://127.0.0.1:19100/vms
+    start platform "$bin/testing/standin_platform/standin_platform" --port "${platform_address##*:}" "${servers[@]}"
+    await "http://$platform_address/vms"
 }
 
 # apply FILE: stores a service document.
 apply() {
-    "$bin/apps/tool/chicorygap" --platform 127.0.0.1:19100 apply "$1"
+    "$bin/apps/tool/chicorygap" --platform "$platform_address" apply "$1"
 }
 
 # daemon NAME ZONE PORT: writes the settings of a daemon and starts it.
@@ -67,9 +72,9 @@
 operators = 127.0.0.1:$((port + 1))
 peers = 127.0.0.1:$((port + 2))
 [peers]
-seeds = 127.0.0.1:18002, 127.0.0.1:18022
+seeds = 127.0.0.1:$((base_port + 2)), 127.0.0.1:$((base_port + 22))
 [platform]
-address = 127.0.0.1:19100
+address = $platform_address
 [drain]
 delay = 500ms
 limit = 1min
@@ -85,13 +90,13 @@
 
 # four_daemons: starts two daemons in each of two availability zones and waits until they are ready.
 four_daemons() {
-    daemon vm-a1 a 18000
-    daemon vm-a2 a 18010
-    daemon vm-b1 b 18020
-    daemon vm-b2 b 18030
-    local port
-    for port in 18001 18011 18021 18031; do
-        await "http://127.0.0.1:$port/readyz"
+    daemon vm-a1 a "$base_port"
+    daemon vm-a2 a $((base_port + 10))
+    daemon vm-b1 b $((base_port + 20))
+    daemon vm-b2 b $((base_port + 30))
+    local offset
+    for offset in 1 11 21 31; do
+        await "http://127.0.0.1:$((base_port + offset))/readyz"
     done
     echo "four daemons are ready"
 }
--- a/scripts/order-test.sh
+++ b/scripts/order-test.sh
@@ -7,13 +7,14 @@
 seconds=${1:-60}
 seed=${2:-7}
 scripts/build.sh release
+# Other ports than those of demo.sh, so that both can run at the same time.
+BASE_PORT=${BASE_PORT:-20000}
 source scripts/lib/fleet.sh
 
-port=19200
 for zone in a b; do
     for service in booking dispatch; do
         for n in 1 2; do
-            backend "$service-$zone$n" "$zone" "$service" $((port++)) --plain-ms 20
+            backend "$service-$zone$n" "$zone" "$service" --plain-ms 20
         done
     done
 done
--- a/testing/load_client/src/options.cpp
+++ b/testing/load_client/src/options.cpp
@@ -30,15 +30,15 @@
 
 std::optional<options> parse_options(int argc, char** argv) {
     const std::array<option, 10> known{{{"daemons", required_argument, nullptr, 'd'},
-                                       {"backends", required_argument, nullptr, 'b'},
-                                       {"deployments", required_argument, nullptr, 'p'},
-                                       {"requests", required_argument, nullptr, 'n'},
-                                       {"callers", required_argument, nullptr, 'c'},
-                                       {"pause-ms", required_argument, nullptr, 'w'},
-                                       {"seed", required_argument, nullptr, 's'},
+                                        {"backends", required_argument, nullptr, 'b'},
+                                        {"deployments", required_argument, nullptr, 'p'},
+                                        {"requests", required_argument, nullptr, 'n'},
+                                        {"callers", required_argument, nullptr, 'c'},
+                                        {"pause-ms", required_argument, nullptr, 'w'},
+                                        {"seed", required_argument, nullptr, 's'},
                                         {"mix", required_argument, nullptr, 'm'},
                                         {"seconds", required_argument, nullptr, 't'},
-                                       {nullptr, 0, nullptr, 0}}};
+                                        {nullptr, 0, nullptr, 0}}};
     options o;
     o.deployments = {"booking", "dispatch"};
     int c = 0;
--- a/testing/load_client/src/options.h
+++ b/testing/load_client/src/options.h
@@ -19,8 +19,8 @@
     std::vector<std::string> backends;
     /// Deployments whose mix is sent: "booking", "dispatch" or both.
     std::vector<std::string> deployments;
-    /// Sends only orders instead of the whole mix, and prints the counts of orders, runs, double runs and false
-    /// "not run" outcomes.
+    /// Sends only orders instead of the whole mix, and prints the counts of orders, runs, double runs and
+    /// false "not run" outcomes.
     bool orders_only = false;
     int requests = 400;
     int callers = 16;
