--- a/benchmarks/control/distribution_series.cpp
+++ b/benchmarks/control/distribution_series.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <utility>
 
 namespace chicorygap::control_benchmark {
 namespace {
@@ -53,7 +54,8 @@
     base::time_point pending_until{};
 };
 
-/// Daemons of one zone; messages arrive within the step of 100 ms in which they are sent.
+/// Daemons of one zone; a message arrives in the step of 100 ms after the one in which it is sent, so that
+/// the time until a change is in force shows the number of hops.
 class network {
 public:
     explicit network(int count) {
@@ -71,11 +73,13 @@
 
     void publish(const std::string& text) { store_ = {"document/booking", ++version_, false, text, {}}; }
 
-    void run(base::duration d) {
-        for (const auto end = now_ + d; now_ < end;) {
+    void run(base::duration d) { run_until(now_ + d); }
+    void run_until(base::time_point end) {
+        while (now_ < end) {
             step();
         }
     }
+    [[nodiscard]] base::time_point now() const { return now_; }
 
     /// @return simulated seconds until all daemons have activated the latest version, at most `limit`.
     double run_until_active(base::duration limit) {
@@ -118,6 +122,7 @@
 
     void step() {
         ++steps_;
+        deliver();
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             answer_watch(nodes_[i]);
             if (steps_ % 5 == 0) {
@@ -127,7 +132,6 @@
                 gossip(i);
             }
         }
-        deliver();
         now_ += 100ms;
     }
 
@@ -149,9 +153,7 @@
     }
 
     void deliver() {
-        while (!packets_.empty()) {
-            const auto p = std::move(packets_.back());
-            packets_.pop_back();
+        for (const auto& p : std::exchange(packets_, {})) {
             const auto to = std::ranges::find(nodes_, p.to, [](const auto& n) { return n.id.vm; });
             handle(*to, received{nodes_[p.from].id, p.content});
         }
@@ -212,10 +214,11 @@
 std::vector<double> publish_changes(network& n) {
     std::vector<double> seconds;
     for (int i = 1; i <= changes; ++i) {
+        const auto start = n.now();
         n.publish(document_text(i));
         const double s = n.run_until_active(std::chrono::seconds{seconds_per_change});
         seconds.push_back(s);
-        n.run(std::chrono::milliseconds{seconds_per_change * 1000 - static_cast<int>(s * 1000 + 0.5)});
+        n.run_until(start + std::chrono::seconds{seconds_per_change});
     }
     return seconds;
 }
@@ -240,8 +243,8 @@
             {"messages sent per change", "1/daemon/change", (busy.messages - idle.messages) / changes},
             {"bytes sent per change", "B/daemon/change", (busy.bytes - idle.bytes) / changes},
             {"processor time per change", "us/daemon/change", (busy.time - idle.time) * 1e6 / changes},
-            {"mean time until in force", "s", sum / changes},
-            {"longest time until in force", "s", *std::ranges::max_element(seconds)},
+            {"mean time until in force, 0.1 s a hop", "s", sum / changes},
+            {"longest time until in force, 0.1 s a hop", "s", *std::ranges::max_element(seconds)},
             {"document size", "B", static_cast<double>(document_text(0).size())},
             {"memory", "B/daemon", memory / count}};
 }
--- a/benchmarks/control/measure.cpp
+++ b/benchmarks/control/measure.cpp
@@ -66,11 +66,15 @@
 
 double resident_bytes() {
     malloc_trim(0);
-    std::ifstream in{"/proc/self/statm"};
-    double total = 0;
-    double resident = 0;
-    in >> total >> resident;
-    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+    std::ifstream in{"/proc/self/status"};
+    const std::string field = "RssAnon:";
+    std::string line;
+    while (std::getline(in, line)) {
+        if (line.starts_with(field)) {
+            return std::stod(line.substr(field.size())) * 1024;
+        }
+    }
+    throw std::runtime_error{"/proc/self/status has no RssAnon"};
 }
 
 figures run_isolated(const std::function<figures()>& measure) {
--- a/benchmarks/control/measure.h
+++ b/benchmarks/control/measure.h
@@ -19,7 +19,8 @@
 /// @return processor time of this process in seconds.
 double processor_seconds();
 
-/// @return resident set in bytes, after free heap pages were returned to the system.
+/// @return anonymous part of the resident set in bytes, after free heap pages were returned to the system.
+/// Code pages are left out: they are read in on first use and would count as growth.
 double resident_bytes();
 
 /// Runs `measure` in a child process, so that memory left by an earlier measurement is not reused.
--- a/benchmarks/control/series.cpp
+++ b/benchmarks/control/series.cpp
@@ -58,16 +58,30 @@
     return out;
 }
 
+constexpr int name_width = 60;
+constexpr int value_width = 11;
+
+void write_title(std::ostream& out, const row& r) {
+    out << '\n' << r.series << '\n' << std::left << std::setw(name_width) << ("  size: " + r.size_name);
+    out << std::right;
+    for (const double size : r.sizes) {
+        out << std::setw(value_width) << size;
+    }
+    out << " |" << std::setw(value_width) << "slope" << std::setw(value_width) << "intercept"
+        << std::setw(value_width) << "std. error" << '\n';
+}
+
 void write_row(std::ostream& out, const row& r) {
-    out << "  " << r.figure << " [" << r.unit << "]:";
-    for (std::size_t i = 0; i < r.sizes.size(); ++i) {
-        out << ' ' << r.sizes[i] << '=' << r.values[i];
+    out << std::left << std::setw(name_width) << ("  " + r.figure + " [" + r.unit + "]") << std::right;
+    for (const double value : r.values) {
+        out << std::setw(value_width) << value;
     }
-    out << "; slope " << r.fit.slope << ", intercept " << r.fit.intercept << ", slope standard error ";
+    out << " |" << std::setw(value_width) << r.fit.slope << std::setw(value_width) << r.fit.intercept
+        << std::setw(value_width);
     if (r.fit.slope_error) {
         out << *r.fit.slope_error << '\n';
     } else {
-        out << "-\n";
+        out << "-" << '\n';
     }
 }
 
@@ -104,10 +118,9 @@
     out << std::setprecision(4);
     std::string title;
     for (const auto& r : rows) {
-        const auto t = r.series + ", size = " + r.size_name;
-        if (t != title) {
-            out << t << '\n';
-            title = t;
+        if (r.series != title) {
+            write_title(out, r);
+            title = r.series;
         }
         write_row(out, r);
     }
