Fix faults found by fuzzing and add their tests

- Text between daemons ended at its first null byte, because KJ converts std::string by c_str().
- Durations of lease records, segments, load reports and document digests overflowed the clock's nanoseconds; values outside of 0 to 100 years are now refused, or count as no evidence in a digest.
- An expiry after the year 2262 overflowed; it is now read without nanoseconds.
- Problem details with invalid UTF-8 were not valid JSON.

--- a/fuzz/chat_answer_fuzz.cpp
+++ b/fuzz/chat_answer_fuzz.cpp
@@ -2,6 +2,8 @@
 #include "chat_chunk.h"
 #include "input.h"
 
+#include <Poco/JSON/Parser.h>
+
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     using namespace chicorygap;
     const auto text = fuzz::to_text(data, size);
@@ -15,6 +17,11 @@
                         repeated->finish_reason == first->finish_reason && repeated->usage == first->usage,
                     "an earlier chunk does not change the next one");
     }
+    if (first && !first->delta_json.empty()) {
+        // The router sends the delta to its caller as part of one event.
+        fuzz::check(first->delta_json.find_first_of("\r\n") == std::string::npos, "a delta fits one line");
+        Poco::JSON::Parser{}.parse(first->delta_json);
+    }
     backend::parse_chat_answer(text);
     backend::parse_number(text);
     backend::header_value_valid(text);
--- a/packages/backend/src/load_reader.cpp
+++ b/packages/backend/src/load_reader.cpp
@@ -28,7 +28,11 @@
     load_report r;
     r.running = j->getValue<int>("running");
     r.queued = j->getValue<int>("queued");
-    r.age = std::chrono::milliseconds{j->optValue<Poco::Int64>("age_ms", 0)};
+    const auto age = base::stored_duration(j->optValue<Poco::Int64>("age_ms", 0));
+    if (!age) {
+        throw Poco::DataFormatException{"age_ms"};
+    }
+    r.age = *age;
     return r;
 }
 
--- a/packages/base/include/base/time.h
+++ b/packages/base/include/base/time.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace chicorygap::base {
 
@@ -33,4 +35,18 @@
 /// Source of wall time.
 using wall_now_function = std::function<wall_time()>;
 
+/// Longest duration accepted from messages and stored records. It can be added to any `time_point` of a VM
+/// without overflow.
+inline constexpr duration longest_stored_duration = std::chrono::hours{24 * 365 * 100};
+
+/// @param ms milliseconds as received.
+/// @return the duration, or nothing when it is negative or longer than `longest_stored_duration`.
+constexpr std::optional<duration> stored_duration(std::int64_t ms) {
+    using std::chrono::milliseconds;
+    if (ms < 0 || ms > std::chrono::duration_cast<milliseconds>(longest_stored_duration).count()) {
+        return std::nullopt;
+    }
+    return milliseconds{ms};
+}
+
 }  // namespace chicorygap::base
--- a/packages/document/src/values.cpp
+++ b/packages/document/src/values.cpp
@@ -85,15 +85,15 @@
     if (end == nullptr || *end != '\0') {
         return std::nullopt;
     }
-    const auto t = std::chrono::system_clock::from_time_t(timegm(&tm));
-    const auto result = std::chrono::time_point_cast<std::chrono::milliseconds>(t);
+    // The nanoseconds of system_clock would overflow after the year 2262.
+    const base::wall_time result{std::chrono::seconds{timegm(&tm)}};
     // timegm moves 31 February to March; such a date does not read back as written.
     return format_wall_time(result) == text ? std::optional{result} : std::nullopt;
 }
 
 std::string format_wall_time(base::wall_time t) {
     const auto seconds = std::chrono::floor<std::chrono::seconds>(t);
-    const std::time_t time = std::chrono::system_clock::to_time_t(seconds);
+    const std::time_t time = seconds.time_since_epoch().count();
     std::tm tm{};
     gmtime_r(&time, &tm);
     std::array<char, 32> buf{};
--- a/packages/document/tests/parser_test.cpp
+++ b/packages/document/tests/parser_test.cpp
@@ -1,6 +1,7 @@
 #include "document/parser.h"
 
 #include "base/error.h"
+#include "document/section_reader.h"
 #include "sample.h"
 
 #include <gtest/gtest.h>
@@ -89,6 +90,14 @@
     EXPECT_NE(faults.find("text after the digest is malformed"), std::string::npos) << faults;
 }
 
+// Guards against an expiry after the year 2262 that overflows and reads as a past or malformed time.
+TEST(parser, expiry_far_in_the_future_keeps_its_value) {
+    const auto t = parse_wall_time("9999-12-31T23:59:59Z");
+    ASSERT_TRUE(t);
+    EXPECT_EQ(t->time_since_epoch(), std::chrono::seconds{253402300799});
+    EXPECT_EQ(format_wall_time(*t), "9999-12-31T23:59:59Z");
+}
+
 TEST(parser, overlong_line_is_a_fault_with_its_line) {
     // Guards against inih truncating or splitting a line without a sign.
     const auto faults =
--- a/packages/front/src/refusal.cpp
+++ b/packages/front/src/refusal.cpp
@@ -1,6 +1,8 @@
 #include "front/refusal.h"
 
 #include <Poco/JSONString.h>
+#include <Poco/TextConverter.h>
+#include <Poco/UTF8Encoding.h>
 
 #include <sstream>
 
@@ -8,8 +10,12 @@
 
 namespace {
 
+/// A detail may repeat single bytes of a malformed body; JSON admits only valid UTF-8.
 std::string quoted(std::string_view text) {
-    return Poco::toJSON(std::string{text}, Poco::JSON_WRAP_STRINGS);
+    const Poco::UTF8Encoding utf8;
+    std::string valid;
+    Poco::TextConverter{utf8, utf8}.convert(std::string{text}, valid);
+    return Poco::toJSON(valid, Poco::JSON_WRAP_STRINGS);
 }
 
 }  // namespace
--- a/packages/front/tests/server_test.cpp
+++ b/packages/front/tests/server_test.cpp
@@ -1,6 +1,9 @@
+#include "front/refusal.h"
 #include "front_fixture.h"
 #include "stream_text.h"
 
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
 #include <gtest/gtest.h>
 
 namespace chicorygap::front {
@@ -187,5 +190,14 @@
     EXPECT_TRUE(c.read_all().ends_with("<reset>"));
 }
 
+// Guards against problem details that no JSON reader accepts, when a malformed body is quoted in them.
+TEST(refusal, detail_with_invalid_utf8_is_sent_as_valid_json) {
+    const auto json =
+        problem_json({result_code::body_malformed, base::run_state::not_run, "byte '\xff'", {}});
+    Poco::JSON::Parser parser;
+    const auto problem = parser.parse(json).extract<Poco::JSON::Object::Ptr>();
+    EXPECT_EQ(problem->getValue<std::string>("detail"), "byte '?'");
+}
+
 }  // namespace
 }  // namespace chicorygap::front
--- a/packages/idempotency/src/segment.cpp
+++ b/packages/idempotency/src/segment.cpp
@@ -60,8 +60,11 @@
     }
     for (const auto& v : *o.getArray("ages")) {
         const auto& a = v.extract<array_ptr>();
-        s.ages.push_back(
-            {a->getElement<Poco::UInt64>(0), std::chrono::milliseconds{a->getElement<Poco::Int64>(1)}});
+        const auto age = base::stored_duration(a->getElement<Poco::Int64>(1));
+        if (!age) {
+            throw Poco::DataFormatException{"age"};
+        }
+        s.ages.push_back({a->getElement<Poco::UInt64>(0), *age});
     }
     for (const auto& v : *o.getArray("entries")) {
         s.entries.push_back(to_entry(*v.extract<array_ptr>()));
--- a/packages/idempotency/tests/shard_owner_test.cpp
+++ b/packages/idempotency/tests/shard_owner_test.cpp
@@ -1,6 +1,7 @@
 #include "idempotency/shard_owner.h"
 
 #include "fakes/message_store.h"
+#include "idempotency/segment.h"
 
 #include <gtest/gtest.h>
 
@@ -251,5 +252,13 @@
     EXPECT_EQ(small.machine.records(), 10U);
 }
 
+// Guards against an age that overflows the clock, so that records are dropped before their retention.
+TEST(segment, age_outside_the_clock_is_refused) {
+    for (const std::string age : {"9223372036854775807", "-1"}) {
+        EXPECT_FALSE(
+            decode_segment(R"({"sequence":1,"token":"t","ages":[[0,)" + age + R"(]],"entries":[]})"));
+    }
+}
+
 }  // namespace
 }  // namespace chicorygap::idempotency
--- a/packages/lease/src/lease_record.cpp
+++ b/packages/lease/src/lease_record.cpp
@@ -30,7 +30,11 @@
         r.holder = o->getValue<std::string>("holder");
         r.incarnation = o->getValue<Poco::UInt64>("incarnation");
         r.term = o->getValue<Poco::UInt64>("term");
-        r.length = std::chrono::milliseconds{o->getValue<Poco::Int64>("length_ms")};
+        const auto length = base::stored_duration(o->getValue<Poco::Int64>("length_ms"));
+        if (!length) {
+            return std::nullopt;
+        }
+        r.length = *length;
         r.free = o->getValue<bool>("free");
         r.token = o->getValue<std::string>("token");
         return r;
--- a/packages/lease/tests/role_lease_test.cpp
+++ b/packages/lease/tests/role_lease_test.cpp
@@ -1,6 +1,7 @@
 #include "lease/role_lease.h"
 
 #include "fakes/message_store.h"
+#include "lease/lease_record.h"
 
 #include <gtest/gtest.h>
 
@@ -261,5 +262,13 @@
     EXPECT_TRUE(b.machine.may_act(now));
 }
 
+// Guards against a record whose length overflows the clock, so that the lease seems to have lapsed.
+TEST(lease_record, length_outside_the_clock_is_refused) {
+    for (const std::string length : {"9223372036854775807", "-1"}) {
+        EXPECT_FALSE(decode_lease(R"({"holder":"a","incarnation":1,"term":1,"length_ms":)" + length +
+                                  R"(,"free":false,"token":"t"})"));
+    }
+}
+
 }  // namespace
 }  // namespace chicorygap::lease
--- a/packages/peer/src/distribution_encoding.cpp
+++ b/packages/peer/src/distribution_encoding.cpp
@@ -1,6 +1,7 @@
 #include "distribution_encoding.h"
 
 #include "base/error.h"
+#include "text_field.h"
 
 #include <chrono>
 #include <string>
@@ -9,31 +10,27 @@
 
 namespace {
 
-std::string text(capnp::Text::Reader in) {
-    return {in.cStr(), in.size()};
-}
-
 std::int64_t age_ms(const std::optional<base::duration>& age) {
     return age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1;
 }
 
 std::optional<base::duration> age_of(std::int64_t ms) {
-    return ms < 0 ? std::nullopt : std::optional<base::duration>{std::chrono::milliseconds{ms}};
+    return base::stored_duration(ms);
 }
 
 void encode(const distribution::item& i, wire::DocumentItem::Builder out) {
-    out.setKey(i.key);
+    out.setKey(to_field(i.key));
     out.setVersion(i.version);
     out.setDeleted(i.deleted);
     if (!i.delta) {
-        out.setText(i.text);
+        out.setText(to_field(i.text));
         return;
     }
     auto d = out.initDelta();
     d.setBaseVersion(i.delta->base_version);
     d.setPrefix(i.delta->prefix);
     d.setSuffix(i.delta->suffix);
-    d.setMiddle(i.delta->middle);
+    d.setMiddle(to_field(i.delta->middle));
     d.setChecksum(i.delta->checksum);
 }
 
@@ -49,7 +46,7 @@
 }
 
 void encode(const distribution::push& m, wire::DocumentPush::Builder out) {
-    out.setRoot(m.root.str());
+    out.setRoot(to_field(m.root.str()));
     auto list = out.initItems(static_cast<unsigned>(m.items.size()));
     for (unsigned i = 0; i < list.size(); i++) {
         encode(m.items[i], list[i]);
@@ -106,8 +103,8 @@
 
 void encode(const distribution::member& from, const distribution::message& m,
             wire::Distribution::Builder out) {
-    out.setSenderVm(from.vm.str());
-    out.setSenderZone(from.zone.str());
+    out.setSenderVm(to_field(from.vm.str()));
+    out.setSenderZone(to_field(from.zone.str()));
     if (const auto* p = std::get_if<distribution::push>(&m)) {
         encode(*p, out.initPush());
     } else if (const auto* f = std::get_if<distribution::fetch>(&m)) {
--- a/packages/peer/src/encoding.cpp
+++ b/packages/peer/src/encoding.cpp
@@ -1,6 +1,7 @@
 #include "encoding.h"
 
 #include "base/error.h"
+#include "text_field.h"
 
 #include <algorithm>
 #include <chrono>
@@ -11,10 +12,6 @@
 
 namespace {
 
-std::string text(capnp::Text::Reader t) {
-    return {t.cStr(), t.size()};
-}
-
 template <typename Enum>
 Enum checked(std::uint8_t value, Enum last) {
     if (value > static_cast<std::uint8_t>(last)) {
@@ -30,9 +27,9 @@
 }
 
 void encode(const membership::member& m, wire::Member::Builder out) {
-    out.setId(m.id.str());
-    out.setAddress(m.address);
-    out.setZone(m.zone.str());
+    out.setId(to_field(m.id.str()));
+    out.setAddress(to_field(m.address));
+    out.setZone(to_field(m.zone.str()));
     out.setIncarnation(m.incarnation);
     out.setSequence(m.sequence);
     out.setState(static_cast<std::uint8_t>(m.state));
@@ -50,7 +47,7 @@
 void encode_services(const membership::message& m, wire::Gossip::Builder out) {
     auto list = out.initServices(static_cast<unsigned>(m.services.size()));
     for (unsigned i = 0; i < list.size(); i++) {
-        list[i].setService(m.services[i].service.str());
+        list[i].setService(to_field(m.services[i].service.str()));
         list[i].setVersion(m.services[i].version);
         list[i].setPressure(m.services[i].pressure);
         list[i].setPressureAgeMs(to_ms(m.services[i].pressure_age));
@@ -60,7 +57,7 @@
 void encode_zones(const membership::message& m, wire::Gossip::Builder out) {
     auto list = out.initZones(static_cast<unsigned>(m.zones.size()));
     for (unsigned i = 0; i < list.size(); i++) {
-        list[i].setZone(m.zones[i].zone.str());
+        list[i].setZone(to_field(m.zones[i].zone.str()));
         list[i].setMembers(m.zones[i].members);
         list[i].setAgeMs(to_ms(m.zones[i].age));
     }
@@ -84,7 +81,7 @@
     encode(m.sender, out.initSender());
     out.setListHash(m.list_hash);
     if (!m.target.empty()) {
-        out.setTarget(m.target);
+        out.setTarget(to_field(m.target));
     }
     auto updates = out.initUpdates(static_cast<unsigned>(m.updates.size()));
     for (unsigned i = 0; i < updates.size(); i++) {
@@ -123,9 +120,9 @@
 }
 
 void encode(const document& d, wire::Document::Builder out) {
-    out.setService(d.service.str());
+    out.setService(to_field(d.service.str()));
     out.setVersion(d.version);
-    out.setText(d.text);
+    out.setText(to_field(d.text));
 }
 
 document decode(wire::Document::Reader in) {
@@ -133,15 +130,15 @@
 }
 
 void encode(const usage_report& r, wire::UsageReport::Builder out) {
-    out.setDaemon(r.daemon.str());
+    out.setDaemon(to_field(r.daemon.str()));
     out.setIncarnation(r.incarnation);
     out.setSequence(r.sequence);
     auto list = out.initCounters(static_cast<unsigned>(r.counters.size()));
     for (unsigned i = 0; i < list.size(); i++) {
         const auto& c = r.counters[i];
-        list[i].setService(c.service.str());
-        list[i].setWorkspace(c.workspace.str());
-        list[i].setClass(c.request_class.str());
+        list[i].setService(to_field(c.service.str()));
+        list[i].setWorkspace(to_field(c.workspace.str()));
+        list[i].setClass(to_field(c.request_class.str()));
         list[i].setRequests(c.requests);
         list[i].setPromptTokens(c.prompt_tokens);
         list[i].setOutputTokens(c.output_tokens);
@@ -159,8 +156,8 @@
 }
 
 void encode(const claim_request& r, wire::Claim::Builder out) {
-    out.setRecord(r.record);
-    out.setDigest(r.digest);
+    out.setRecord(to_field(r.record));
+    out.setDigest(to_field(r.digest));
 }
 
 claim_request decode(wire::Claim::Reader in) {
@@ -168,9 +165,9 @@
 }
 
 void encode(const outcome_report& r, wire::Outcome::Builder out) {
-    out.setRecord(r.record);
+    out.setRecord(to_field(r.record));
     out.setStatus(r.status);
-    out.setBody(r.body);
+    out.setBody(to_field(r.body));
     out.setWhole(r.whole);
 }
 
@@ -182,7 +179,7 @@
     out.setVerdict(static_cast<std::uint8_t>(r.result));
     out.setRunState(static_cast<std::uint8_t>(r.state));
     out.setStatus(r.status);
-    out.setBody(r.body);
+    out.setBody(to_field(r.body));
 }
 
 claim_reply decode(wire::ClaimReply::Reader in) {
--- a/packages/peer/src/node.cpp
+++ b/packages/peer/src/node.cpp
@@ -7,6 +7,7 @@
 #include "event_loop.h"
 #include "server.h"
 #include "service.h"
+#include "text_field.h"
 
 #include <capnp/message.h>
 
@@ -209,7 +210,7 @@
     impl_->call<result>(address, impl_->options().document_timeout, 0, 0, std::move(done),
                         [service, newer_than](wire::Peer::Client& peer) {
                             auto request = peer.fetchRequest();
-                            request.setService(service.str());
+                            request.setService(to_field(service.str()));
                             request.setNewerThan(newer_than);
                             return request.send().then([](auto&& r) {
                                 return r.getFound() ? result{decode(r.getDocument())} : std::nullopt;
--- a/packages/peer/src/service.cpp
+++ b/packages/peer/src/service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "distribution_encoding.h"
+#include "text_field.h"
 
 #include <utility>
 
@@ -111,7 +112,7 @@
 
 kj::Promise<void> service::status(StatusContext c) {
     require(handlers_.status);
-    c.getResults().setJson(handlers_.status());
+    c.getResults().setJson(to_field(handlers_.status()));
     return kj::READY_NOW;
 }
 
--- a/packages/peer/tests/node_test.cpp
+++ b/packages/peer/tests/node_test.cpp
@@ -120,6 +120,21 @@
     EXPECT_GT(server.statistics().messages_received, 6U);
 }
 
+// Guards against a recorded body that a peer receives only up to its first null byte.
+TEST(node, text_with_null_bytes_arrives_whole) {
+    const document doc{base::service_id{"s"}, 8, std::string{"a\0b", 3}};
+    document pushed;
+    outcome_report recorded;
+    node server{{},
+                {.push = [&](const document& d) { pushed = d; },
+                 .record_outcome = [&](const outcome_report& r) { recorded = r; }}};
+    node client{{}, {}};
+    await<done>([&](auto d) { client.push(address_of(server), doc, d); });
+    EXPECT_EQ(pushed, doc);
+    await<done>([&](auto d) { client.record_outcome(address_of(server), {"r", 200, doc.text, true}, d); });
+    EXPECT_EQ(recorded.body, doc.text);
+}
+
 // Guards against a permit that cannot be given once the platform write has returned on another thread, and
 // against a late reply that reaches a node which is gone.
 TEST(node, claim_is_answered_later_from_another_thread) {
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,6 +9,7 @@
 export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 cmake --preset fuzz > /dev/null
 cmake --build build/fuzz --target fuzz_targets -- --quiet
+rm -rf build/fuzz/failures
 mkdir -p build/fuzz/failures
 
 run() {
@@ -31,8 +32,8 @@
 
 targets=$(ls fuzz/*_fuzz.cpp | sed 's|fuzz/\(.*\)_fuzz.cpp|\1|')
 # Three at a time: the machine is shared, and 15 targets of 15 seconds then take at most 75 seconds.
-results=$(printf '%s\n' $targets | xargs -P 3 -I{} bash -c 'run {}' | tee /dev/stderr)
-passed=$(grep -c '^ok ' <<< "$results" || true)
+printf '%s\n' $targets | xargs -P 3 -I{} bash -c 'run {}' | tee build/fuzz/results
+passed=$(grep -c '^ok ' build/fuzz/results || true)
 failed=$(($(wc -w <<< "$targets") - passed))
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
