--- a/fuzz/chat_body_fuzz.cpp
+++ b/fuzz/chat_body_fuzz.cpp
@@ -3,6 +3,8 @@
 
 #include <Poco/JSON/Parser.h>
 
+#include <algorithm>
+
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     using namespace chicorygap;
     constexpr std::size_t depth = 32;
@@ -13,6 +15,7 @@
         Poco::JSON::Parser{}.parse(front::problem_json(*r));
     } else {
         const auto& call = std::get<front::chat_call>(result);
+        fuzz::check(std::find(data, data + size, 0xff) == data + size, "nothing follows an accepted body");
         fuzz::check(!call.model.empty(), "an accepted body names a model");
         fuzz::check(call.max_tokens != 0U, "an accepted token limit is positive");
     }
--- a/packages/front/src/chat_body.cpp
+++ b/packages/front/src/chat_body.cpp
@@ -138,6 +138,11 @@
 
 std::variant<chat_call, refusal> parse_chat_body(const std::string& json, std::size_t depth) {
     try {
+        // The parser takes this byte, which UTF-8 never contains, for the end of the text and would accept
+        // anything behind it.
+        if (json.find('\xff') != std::string::npos) {
+            malformed("the body is not valid UTF-8");
+        }
         Poco::SharedPtr<body_handler> handler{new body_handler{depth}};
         Poco::JSON::Parser parser{handler};
         parser.parse(json);
--- a/packages/front/tests/server_test.cpp
+++ b/packages/front/tests/server_test.cpp
@@ -190,6 +190,17 @@
     EXPECT_TRUE(c.read_all().ends_with("<reset>"));
 }
 
+// Guards against text behind the checked body that the backend server would receive unchecked.
+TEST_F(server_test, refuses_text_behind_the_body_of_a_chat) {
+    start();
+    for (const std::string tail : {"{}", "\xff{}", "\xfe"}) {
+        const auto body = R"({"model":"small","messages":[{"role":"user","content":"a"}]})" + tail;
+        expect_refusal(ask(request_text("POST /v1/chat/completions", good_key, body)),
+                       result_code::body_malformed);
+    }
+    EXPECT_TRUE(engine.received().empty());
+}
+
 // Guards against problem details that no JSON reader accepts, when a malformed body is quoted in them.
 TEST(refusal, detail_with_invalid_utf8_is_sent_as_valid_json) {
     const auto json =
