--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -18,7 +18,7 @@
     # New inputs go to an empty folder, so that equal runs start equally.
     rm -rf "$corpus"
     mkdir -p "$corpus"
-    # Slow targets stop after 15 seconds; the last line tells how many runs were made.
+    # Slow targets stop after 15 seconds; the line of the target tells how many runs were made.
     if UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 "build/fuzz/fuzz/fuzz_$name" -runs="$runs" \
         -max_total_time=15 -max_len=4096 -timeout=10 -seed=1 -artifact_prefix="build/fuzz/failures/$name-" \
         "$corpus" "fuzz/seeds/$name" > "$log" 2>&1; then
