Check the lease between connecting and writing

Cause: zone_role checked its lease before order_service and billing_service connected; a holder paused while connecting could write an order or a report after its lease had ended. Change: submit_guarded and report_guarded, which ask right before writing; a refused guard counts as not sent. Conclusion: the remaining window is a pause inside the write itself.

--- a/packages/control/src/zone_role.cpp
+++ b/packages/control/src/zone_role.cpp
@@ -178,8 +178,8 @@
     return hooks_.send_to_engine(o, [this, term = o.term] { return may_act(term); });
 }
 
-// `order_service` connects and writes in one call. The call lasts at most `order_timeout`, which is below the
-// lease's order margin, so an order that was checked here is written before the lease ends.
+// The lease is checked again between connecting and writing, so that a pause while connecting sends nothing.
+// After that the call lasts at most `order_timeout`, which is below the lease's order margin.
 orders::send_result zone_role::send_to_platform(const orders::send_order& o) {
     platform::order p;
     p.id = o.order_id;
@@ -192,11 +192,13 @@
     p.server = base::backend_server_id{o.content.server};
     p.fencing_token = o.term;
     try {
-        const auto r = order_service_.submit(p, options_.order_timeout);
+        const auto guard = [this, term = o.term] { return may_act(term); };
+        const auto r = order_service_.submit_guarded(p, guard, options_.order_timeout);
         return r.accepted ? orders::send_result::accepted : orders::send_result::stale_token;
     } catch (const base::error& e) {
         switch (e.code()) {
             case base::result_code::platform_unavailable:
+            case base::result_code::lease_not_held:
                 return orders::send_result::not_sent;
             case base::result_code::order_refused:
                 return orders::send_result::refused;
@@ -220,10 +222,12 @@
         return usage::bill_result::not_sent;
     }
     try {
-        return billing_.report(r, options_.order_timeout).accepted ? usage::bill_result::accepted
-                                                                   : usage::bill_result::refused;
+        const auto guard = [this, term = b.term] { return may_act(term); };
+        const auto reply = billing_.report_guarded(r, guard, options_.order_timeout);
+        return reply.accepted ? usage::bill_result::accepted : usage::bill_result::refused;
     } catch (const base::error& e) {
-        const bool without_effect = e.code() == base::result_code::platform_unavailable;
+        const bool without_effect = e.code() == base::result_code::platform_unavailable ||
+                                    e.code() == base::result_code::lease_not_held;
         return without_effect ? usage::bill_result::not_sent : usage::bill_result::lost;
     }
 }
--- a/packages/control/tests/controller_test.cpp
+++ b/packages/control/tests/controller_test.cpp
@@ -93,6 +93,25 @@
     EXPECT_TRUE(orders.received.empty());
 }
 
+// Guards against an order and a report that a holder writes after its lease has ended, because it was paused
+// between connecting and writing (P6, P7).
+TEST_F(controller_test, holder_paused_while_connecting_writes_nothing) {
+    usage::counter_table counts{{"d1", 1}};
+    const usage::row_key key{base::service_id{"s"}, base::workspace_id{"w"}, base::class_id{"c"}};
+    run(1s, {&a, &b});
+    orders.connected = [&] { now += 10s; };
+    a.zone->handle(orders::order_event{grow()});
+    EXPECT_TRUE(orders.received.empty());
+    orders.connected = nullptr;
+    run(20s, {&a});
+    counts.add(key, {2, 20, 40}, a.zone->windows().window_of(wall()));
+    a.zone->handle(usage::keeper_event{counts.make_report(a.zone->windows().window_of(wall()))});
+    const auto written = billing.windows.size();
+    billing.connected = [&] { now += 10s; };
+    run(70s, {&a});
+    EXPECT_EQ(billing.windows.size(), written);
+}
+
 // Guards against orders by a holder that is cut off from the platform, and against a zone without a holder.
 TEST_F(controller_test, partitioned_holder_stops_and_another_one_holds_the_role) {
     run(1s, {&a, &b});
--- a/packages/control/tests/memory_platform.h
+++ b/packages/control/tests/memory_platform.h
@@ -81,6 +81,19 @@
 public:
     std::map<std::string, int> received;
     int lose_replies = 0;
+    /// Called between connecting and writing, for example to let time pass.
+    std::function<void()> connected;
+
+    platform::order_reply submit_guarded(const platform::order& o, const platform::send_guard& may_send,
+                                         base::duration timeout) override {
+        if (connected) {
+            connected();
+        }
+        if (!may_send()) {
+            throw base::error{base::result_code::lease_not_held, "guard refused"};
+        }
+        return submit(o, timeout);
+    }
 
     platform::order_reply submit(const platform::order& o, base::duration /*timeout*/) override {
         ++received[o.id];
@@ -98,6 +111,20 @@
     std::map<base::wall_time, std::vector<platform::usage_line>> windows;
     int different = 0;
     int lose_replies = 0;
+    /// Called between connecting and writing, for example to let time pass.
+    std::function<void()> connected;
+
+    platform::usage_reply report_guarded(const platform::usage_report& r,
+                                         const platform::send_guard& may_send,
+                                         base::duration timeout) override {
+        if (connected) {
+            connected();
+        }
+        if (!may_send()) {
+            throw base::error{base::result_code::lease_not_held, "guard refused"};
+        }
+        return report(r, timeout);
+    }
 
     platform::usage_reply report(const platform::usage_report& r, base::duration /*timeout*/) override {
         const auto [it, first] = windows.try_emplace(r.window_start, r.lines);
