--- a/apps/daemon/src/daemon.cpp
+++ b/apps/daemon/src/daemon.cpp
@@ -16,6 +16,7 @@
 #include "platform/http_platform.h"
 #include "roles_agent.h"
 #include "server_sync.h"
+#include "shared_random.h"
 #include "status_json.h"
 #include "usage_agent.h"
 
@@ -25,7 +26,6 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
-#include <random>
 #include <utility>
 
 namespace chicorygap::daemon_app {
@@ -43,10 +43,6 @@
 constexpr base::duration configuration_tick_interval = std::chrono::milliseconds{250};
 constexpr base::duration drain_poll_interval = std::chrono::milliseconds{20};
 
-base::wall_time wall_now() {
-    return std::chrono::time_point_cast<base::wall_time::duration>(std::chrono::system_clock::now());
-}
-
 /// Time at which this daemon started; tells it from an earlier one at the same address.
 std::uint64_t start_microseconds() {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -54,19 +50,6 @@
         std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
-/// Random numbers for decisions that are not security relevant; one generator for all threads.
-class shared_random {
-public:
-    std::uint64_t operator()() {
-        const std::lock_guard lock{mutex_};
-        return engine_();
-    }
-
-private:
-    std::mutex mutex_;
-    std::mt19937_64 engine_{std::random_device{}()};
-};
-
 }  // namespace
 
 class daemon::impl {
@@ -129,9 +112,9 @@
       roles_{platform_ ? std::make_unique<roles_agent>(
                              settings_, *platform_, [this] { return random_(); }, incarnation_)
                        : nullptr},
-      usage_{platform_
-                 ? std::make_unique<usage_agent>(settings_, platform_->objects(), incarnation_, wall_now)
-                 : nullptr},
+      usage_{platform_ ? std::make_unique<usage_agent>(settings_, platform_->objects(), incarnation_,
+                                                       base::wall_clock_now)
+                       : nullptr},
       fleet_{settings_,
              registry_,
              documents_,
@@ -149,7 +132,7 @@
     gateway::runtime_options o;
     o.vm = settings_.vm;
     o.zone = settings_.zone;
-    o.wall_now = wall_now;
+    o.wall_now = base::wall_clock_now;
     o.random = [this] { return random_(); };
     o.client = &client_;
     o.permits = &claims_;
@@ -195,8 +178,8 @@
     front::operator_hooks h;
     h.ready = [this] { return ready(); };
     h.metrics_text = [this] { return prometheus::TextSerializer{}.Serialize(metrics_.Collect()); };
-    h.burn_json = [this] { return burn_.json(live_daemons(), wall_now()); };
-    h.burn_html = [this] { return burn_.html(live_daemons(), wall_now()); };
+    h.burn_json = [this] { return burn_.json(live_daemons(), base::wall_clock_now()); };
+    h.burn_html = [this] { return burn_.html(live_daemons(), base::wall_clock_now()); };
     h.status_json = [this] { return status_json(settings_, registry_, documents_, ready(), draining_); };
     return h;
 }
--- a/apps/daemon/src/fleet_agent.cpp
+++ b/apps/daemon/src/fleet_agent.cpp
@@ -59,8 +59,9 @@
       configuration_{c},
       vms_{vms},
       random_{random},
-      fleet_{make_options(s, incarnation), std::move(random), base::boot_clock::now()} {
-    extra.probe = [this](const membership::message& m) { return answer(m); };
+      gossip_{make_options(s, incarnation), std::move(random), base::boot_clock::now,
+              [this](const membership::action& a) { changed(a); }} {
+    extra.probe = [this](const membership::message& m) { return gossip_.receive(m); };
     extra.probe_indirect = extra.probe;
     extra.distribute = [this](const distribution::member& from, const distribution::message& m) {
         configuration_.post(distribution::received{from, m});
@@ -69,11 +70,12 @@
     o.listen = settings::to_string(s.peers);
     o.call_timeout = s.timeouts.peer;
     node_ = std::make_unique<peer::node>(o, std::move(extra));
+    gossip_.attach(*node_);
     configuration_.set_sender(
         [this](const base::vm_id& to, const distribution::message& m, std::function<void()> failed) {
             send_document(to, m, std::move(failed));
         });
-    apply(membership::seeds_changed{static_seeds(s)});
+    gossip_.handle(membership::seeds_changed{static_seeds(s)});
 }
 
 fleet_agent::~fleet_agent() {
@@ -82,9 +84,9 @@
 
 void fleet_agent::tick() {
     if (ticks_++ % ticks_per_local_state == 0) {
-        apply(make_local_state());
+        gossip_.handle(make_local_state());
     }
-    apply(membership::tick{});
+    gossip_.handle(membership::tick{});
     if (ticks_ % ticks_per_digest == 0) {
         send_digest();
     }
@@ -99,99 +101,65 @@
             }
         }
     }
-    apply(membership::seeds_changed{std::move(seeds)});
+    gossip_.handle(membership::seeds_changed{std::move(seeds)});
 }
 
 void fleet_agent::leave() {
-    apply(membership::leave{});
+    gossip_.handle(membership::leave{});
 }
 
 std::string fleet_agent::address_of(const base::vm_id& vm) const {
-    const std::lock_guard lock{mutex_};
-    for (const auto& list : {fleet_.live_members(), fleet_.contacts()}) {
-        for (const auto& m : list) {
-            if (m.id == vm) {
-                return m.address;
-            }
+    for (const auto& m : others()) {
+        if (m.id == vm) {
+            return m.address;
         }
     }
-    return {};
+    return vm == settings_.vm ? settings::to_string(settings_.peers) : std::string{};
 }
 
 std::vector<membership::member> fleet_agent::members() const {
-    const std::lock_guard lock{mutex_};
-    return fleet_.live_members();
+    std::vector<membership::member> out;
+    gossip_.read([&out](const membership::fleet& f) { out = f.live_members(); });
+    return out;
 }
 
 std::vector<membership::member> fleet_agent::contacts() const {
-    const std::lock_guard lock{mutex_};
-    return fleet_.contacts();
+    std::vector<membership::member> out;
+    gossip_.read([&out](const membership::fleet& f) { out = f.contacts(); });
+    return out;
 }
 
-fleet_agent::replies fleet_agent::answer(const membership::message& m) {
-    std::vector<membership::action> actions;
-    {
-        const std::lock_guard lock{mutex_};
-        actions = fleet_.handle(membership::received{m}, base::boot_clock::now());
-    }
-    return run(actions, m.sender.address);
+std::vector<membership::member> fleet_agent::others() const {
+    auto out = members();
+    const auto far = contacts();
+    out.insert(out.end(), far.begin(), far.end());
+    std::erase_if(out, [this](const membership::member& m) { return m.id == settings_.vm; });
+    return out;
 }
 
-void fleet_agent::apply(const membership::event& e) {
-    std::vector<membership::action> actions;
-    {
-        const std::lock_guard lock{mutex_};
-        actions = fleet_.handle(e, base::boot_clock::now());
+void fleet_agent::changed(const membership::action& a) {
+    if (const auto* m = std::get_if<membership::member_changed>(&a)) {
+        run(*m);
+    } else if (const auto* z = std::get_if<membership::zone_changed>(&a)) {
+        run(*z);
+    } else if (const auto* l = std::get_if<membership::loads_heard>(&a)) {
+        run(*l);
+    } else if (const auto* p = std::get_if<membership::pressure_changed>(&a)) {
+        run(*p);
     }
-    run(actions, {});
 }
 
-fleet_agent::replies fleet_agent::run(const std::vector<membership::action>& actions,
-                                      const std::string& asker) {
-    replies reply;
-    bool members_changed = false;
-    for (const auto& a : actions) {
-        if (const auto* s = std::get_if<membership::send>(&a)) {
-            const bool answers =
-                s->content.kind == membership::message_kind::ack && s->address == asker && !reply;
-            if (answers) {
-                reply = s->content;
-            } else {
-                send(*s);
-            }
-        } else if (const auto* m = std::get_if<membership::member_changed>(&a)) {
-            members_changed = true;
-            base::log_line{base::log_level::info, part, "Member changed."}
-                .field("vm", m->subject.id.str())
-                .field("state", state_name(m->subject.state));
-        } else if (const auto* z = std::get_if<membership::zone_changed>(&a)) {
-            members_changed = true;
-            base::log_line{base::log_level::info, part,
-                           z->reachable ? "Zone is reachable." : "Zone is unreachable."}
-                .field("zone", z->zone.str());
-        } else if (const auto* l = std::get_if<membership::loads_heard>(&a)) {
-            run(*l);
-        } else if (const auto* p = std::get_if<membership::pressure_changed>(&a)) {
-            run(*p);
-        }
-    }
-    if (members_changed) {
-        publish_members();
-    }
-    return reply;
+void fleet_agent::run(const membership::member_changed& a) {
+    base::log_line{base::log_level::info, part, "Member changed."}
+        .field("vm", a.subject.id.str())
+        .field("state", state_name(a.subject.state));
+    publish_members();
 }
 
-void fleet_agent::send(const membership::send& a) {
-    const auto on_reply = [this](peer::outcome<replies> o) {
-        if (o.value && *o.value) {
-            apply(membership::received{**o.value});
-        }
-    };
-    if (a.content.kind == membership::message_kind::probe_indirect) {
-        node_->probe_indirect(a.address, a.content, on_reply);
-    } else {
-        node_->probe(a.address, a.content, on_reply);
-    }
+void fleet_agent::run(const membership::zone_changed& a) {
+    base::log_line{base::log_level::info, part, a.reachable ? "Zone is reachable." : "Zone is unreachable."}
+        .field("zone", a.zone.str());
+    publish_members();
 }
 
 void fleet_agent::send_document(const base::vm_id& to, const distribution::message& m,
@@ -218,15 +186,6 @@
     send_document(to.id, configuration_.digest(digest_entries), [] {});
 }
 
-std::vector<membership::member> fleet_agent::others() const {
-    const std::lock_guard lock{mutex_};
-    auto out = fleet_.live_members();
-    const auto contacts = fleet_.contacts();
-    out.insert(out.end(), contacts.begin(), contacts.end());
-    std::erase_if(out, [this](const membership::member& m) { return m.id == settings_.vm; });
-    return out;
-}
-
 void fleet_agent::run(const membership::loads_heard& a) {
     std::unordered_map<std::uint64_t, int> in_flight;
     for (const auto& l : a.loads) {
--- a/apps/daemon/src/fleet_agent.h
+++ b/apps/daemon/src/fleet_agent.h
@@ -6,14 +6,13 @@
 #include "configuration_agent.h"
 #include "gateway/registry.h"
 #include "membership/fleet.h"
+#include "peer/gossip.h"
 #include "peer/node.h"
 #include "platform/vm_list.h"
 #include "settings/daemon_settings.h"
 
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <mutex>
 #include <string>
 #include <vector>
 
@@ -52,14 +51,11 @@
     [[nodiscard]] peer::node& node() { return *node_; }
 
 private:
-    using replies = std::optional<membership::message>;
-
-    replies answer(const membership::message& m);
-    void apply(const membership::event& e);
-    replies run(const std::vector<membership::action>& actions, const std::string& asker);
-    void send(const membership::send& a);
+    void changed(const membership::action& a);
     void send_document(const base::vm_id& to, const distribution::message& m, std::function<void()> failed);
     void send_digest();
+    void run(const membership::member_changed& a);
+    void run(const membership::zone_changed& a);
     void run(const membership::loads_heard& a);
     void run(const membership::pressure_changed& a);
     void publish_members();
@@ -72,8 +68,7 @@
     platform::vm_list* vms_;
     base::random_function random_;
     std::uint64_t ticks_ = 0;  // only used by `tick`
-    mutable std::mutex mutex_;
-    membership::fleet fleet_;
+    peer::gossip gossip_;
     std::unique_ptr<peer::node> node_;
 };
 
--- a/apps/daemon/src/roles_agent.cpp
+++ b/apps/daemon/src/roles_agent.cpp
@@ -16,10 +16,6 @@
 constexpr std::size_t candidates_per_role = 2;
 constexpr base::duration store_timeout = std::chrono::milliseconds{500};
 
-base::wall_time wall_now() {
-    return std::chrono::time_point_cast<base::wall_time::duration>(std::chrono::system_clock::now());
-}
-
 peer::claim_reply make_reply(const idempotency::decision& d) {
     using verdict = peer::claim_reply::verdict;
     switch (d.result) {
@@ -63,7 +59,7 @@
     zone.incarnation = incarnation;
     control::zone_role_hooks hooks;
     hooks.now = base::boot_clock::now;
-    hooks.wall_now = wall_now;
+    hooks.wall_now = base::wall_clock_now;
     hooks.random = std::move(random);
     hooks.report_taken = [this](const usage::report_taken& r) { taken(r); };
     hooks.bill_rejected = [](usage::window_number w) {
--- a/packages/base/include/base/time.h
+++ b/packages/base/include/base/time.h
@@ -29,6 +29,9 @@
 /// Wall time, used only for the borders of usage windows and for display.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+/// @return the wall time of this VM.
+wall_time wall_clock_now() noexcept;
+
 /// Source of monotonic time; adapters use `boot_clock::now`, tests a manual clock.
 using now_function = std::function<time_point()>;
 
--- a/packages/front/include/front/server_options.h
+++ b/packages/front/include/front/server_options.h
@@ -37,9 +37,7 @@
     std::size_t json_depth = 32;
     base::now_function now = base::boot_clock::now;
     /// For the `created` field of chat answers.
-    base::wall_now_function wall_now = [] {
-        return std::chrono::time_point_cast<base::wall_time::duration>(std::chrono::system_clock::now());
-    };
+    base::wall_now_function wall_now = base::wall_clock_now;
 };
 
 }  // namespace chicorygap::front
