Read leases and the known daemons in one place each

Cause: claim_agent and usage_agent both read and decoded lease objects; four places joined zone members and contacts, each under two locks; fleet_agent left its sender registered when it was destroyed. Change: lease_lookup; fleet_agent::known; the sender is removed first.

--- a/apps/daemon/src/claim_agent.cpp
+++ b/apps/daemon/src/claim_agent.cpp
@@ -2,7 +2,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
-#include "lease/lease_record.h"
+#include "lease_lookup.h"
 
 #include <utility>
 
@@ -13,7 +13,6 @@
 using idempotency::verdict;
 
 constexpr const char* part = "claims";
-constexpr base::duration lookup_timeout = std::chrono::milliseconds{500};
 // An owner that has just been refused is not looked up again within this time.
 constexpr base::duration lookup_pause = std::chrono::milliseconds{200};
 
@@ -102,16 +101,13 @@
     }
     std::string address;
     try {
-        const auto object = store_->get("lease/once-" + std::to_string(shard), lookup_timeout);
-        const auto record = object ? lease::decode_lease(object->value) : std::nullopt;
-        address = record && !record->free ? record->holder : std::string{};
+        address = holder_address(read_lease(*store_, "once-" + std::to_string(shard)));
     } catch (const base::error& e) {
         base::log_line{base::log_level::warning, part, "Owner of a shard is not known."}
             .field("shard", shard)
             .field("reason", e.what())
             .code(e.code());
-        return;  // the last known owner is still the best guess; it answers safely if it is no longer the
-                 // owner
+        return;  // the last known owner is still the best guess; it refuses if it is no longer the owner
     }
     {
         const std::lock_guard lock{mutex_};
--- a/apps/daemon/src/daemon.cpp
+++ b/apps/daemon/src/daemon.cpp
@@ -24,8 +24,6 @@
 #include <prometheus/text_serializer.h>
 
 #include <atomic>
-#include <condition_variable>
-#include <mutex>
 #include <utility>
 
 namespace chicorygap::daemon_app {
@@ -156,10 +154,7 @@
 }
 
 void daemon::impl::update_roles() {
-    auto members = fleet_.members();
-    const auto contacts = fleet_.contacts();
-    members.insert(members.end(), contacts.begin(), contacts.end());
-    roles_->update_candidates(members);
+    roles_->update_candidates(fleet_.known());
 }
 
 front::hooks daemon::impl::make_front_hooks() {
@@ -229,10 +224,8 @@
 
 std::vector<base::vm_id> daemon::impl::live_daemons() const {
     std::vector<base::vm_id> out;
-    for (const auto& list : {fleet_.members(), fleet_.contacts()}) {
-        for (const auto& m : list) {
-            out.push_back(m.id);
-        }
+    for (const auto& m : fleet_.known()) {
+        out.push_back(m.id);
     }
     return out;
 }
--- a/apps/daemon/src/fleet_agent.cpp
+++ b/apps/daemon/src/fleet_agent.cpp
@@ -79,6 +79,7 @@
 }
 
 fleet_agent::~fleet_agent() {
+    configuration_.set_sender({});
     node_.reset();
 }
 
@@ -117,22 +118,18 @@
     return vm == settings_.vm ? settings::to_string(settings_.peers) : std::string{};
 }
 
-std::vector<membership::member> fleet_agent::members() const {
+std::vector<membership::member> fleet_agent::known() const {
     std::vector<membership::member> out;
-    gossip_.read([&out](const membership::fleet& f) { out = f.live_members(); });
-    return out;
-}
-
-std::vector<membership::member> fleet_agent::contacts() const {
-    std::vector<membership::member> out;
-    gossip_.read([&out](const membership::fleet& f) { out = f.contacts(); });
+    gossip_.read([&out](const membership::fleet& f) {
+        out = f.live_members();
+        const auto contacts = f.contacts();
+        out.insert(out.end(), contacts.begin(), contacts.end());
+    });
     return out;
 }
 
 std::vector<membership::member> fleet_agent::others() const {
-    auto out = members();
-    const auto far = contacts();
-    out.insert(out.end(), far.begin(), far.end());
+    auto out = known();
     std::erase_if(out, [this](const membership::member& m) { return m.id == settings_.vm; });
     return out;
 }
@@ -212,12 +209,10 @@
 void fleet_agent::publish_members() {
     distribution::members_changed members;
     routing::peers_changed peers;
-    for (const auto& list : {this->members(), contacts()}) {
-        for (const auto& m : list) {
-            peers.peers.push_back({m.id, m.zone});
-            if (m.id != settings_.vm) {
-                members.members.push_back({m.id, m.zone});
-            }
+    for (const auto& m : known()) {
+        peers.peers.push_back({m.id, m.zone});
+        if (m.id != settings_.vm) {
+            members.members.push_back({m.id, m.zone});
         }
     }
     for (const auto& service : registry_.all()) {
--- a/apps/daemon/src/fleet_agent.h
+++ b/apps/daemon/src/fleet_agent.h
@@ -45,8 +45,8 @@
 
     /// @return address of a live member or contact, or an empty string.
     [[nodiscard]] std::string address_of(const base::vm_id& vm) const;
-    [[nodiscard]] std::vector<membership::member> members() const;
-    [[nodiscard]] std::vector<membership::member> contacts() const;
+    /// @return live members of the own zone, including this daemon, and the contacts in other zones.
+    [[nodiscard]] std::vector<membership::member> known() const;
     [[nodiscard]] peer::traffic statistics() const { return node_->statistics(); }
     [[nodiscard]] peer::node& node() { return *node_; }
 
--- /dev/null
+++ b/apps/daemon/src/lease_lookup.h
@@ -0,0 +1,22 @@
+/// @file
+/// Finds the holder of a role.
+#pragma once
+
+#include "lease/lease_record.h"
+#include "platform/object_store.h"
+
+#include <optional>
+#include <string>
+
+namespace chicorygap::daemon_app {
+
+/// Reads the lease object of a role.
+/// @param role name of the role, for example "once-7".
+/// @return the record, or nothing if there is none.
+/// @throws base::error with `platform_unavailable`.
+std::optional<lease::lease_record> read_lease(platform::object_store& store, const std::string& role);
+
+/// @return peer address of the holder, empty if the role is free or has no record.
+std::string holder_address(const std::optional<lease::lease_record>& r);
+
+}  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/usage_agent.cpp
+++ b/apps/daemon/src/usage_agent.cpp
@@ -1,17 +1,11 @@
 #include "usage_agent.h"
 
-#include "lease/lease_record.h"
+#include "lease_lookup.h"
 
 #include <utility>
 
 namespace chicorygap::daemon_app {
 
-namespace {
-
-constexpr base::duration lookup_timeout = std::chrono::milliseconds{500};
-
-}  // namespace
-
 usage_agent::usage_agent(const settings::daemon_settings& s, platform::object_store& store,
                          std::uint64_t incarnation, base::wall_now_function wall_now)
     : settings_{s},
@@ -58,11 +52,10 @@
             return;
         }
     }
-    const auto object = store_.get("lease/zone-control-" + settings_.zone.str(), lookup_timeout);
-    const auto record = object ? lease::decode_lease(object->value) : std::nullopt;
+    const auto record = read_lease(store_, "zone-control-" + settings_.zone.str());
     const std::lock_guard lock{mutex_};
     looked_up_ = now;
-    holder_ = record && !record->free ? record->holder : std::string{};
+    holder_ = holder_address(record);
     if (record && record->term != term_) {
         term_ = record->term;
         counters_.set_holder(term_);
