Rename the package platform to ports

The package holds the product's own interfaces to an object store, an order service and a billing service.

--- a/apps/daemon/src/claim_agent.h
+++ b/apps/daemon/src/claim_agent.h
@@ -5,7 +5,7 @@
 #include "fleet_agent.h"
 #include "gateway/permit_source.h"
 #include "idempotency/claim_client.h"
-#include "platform/object_store.h"
+#include "ports/object_store.h"
 
 #include <array>
 #include <cstdint>
@@ -28,7 +28,7 @@
     static constexpr base::duration owner_lifetime = std::chrono::seconds{10};
 
     /// @param store platform's objects; null if there is no platform, then every claim is refused.
-    explicit claim_agent(platform::object_store* store) : store_{store} {}
+    explicit claim_agent(ports::object_store* store) : store_{store} {}
 
     /// Sets the node that carries the calls; before that every claim is refused.
     void attach(peer::node& n);
@@ -58,7 +58,7 @@
     void run(const idempotency::send_outcome& a);
     void resolve(std::uint64_t number, idempotency::decision d);
 
-    platform::object_store* store_;
+    ports::object_store* store_;
     std::mutex mutex_;
     peer::node* node_ = nullptr;
     idempotency::claim_client client_;
--- a/apps/daemon/src/configuration_agent.cpp
+++ b/apps/daemon/src/configuration_agent.cpp
@@ -39,7 +39,7 @@
     return o;
 }
 
-distribution::platform_replied make_reply(std::uint64_t after, const std::vector<platform::object>& objects) {
+distribution::platform_replied make_reply(std::uint64_t after, const std::vector<ports::object>& objects) {
     distribution::platform_replied out{after, {}};
     for (const auto& o : objects) {
         out.objects.push_back({o.key, o.version, o.deleted, o.value, std::nullopt});
@@ -50,7 +50,7 @@
 }  // namespace
 
 configuration_agent::configuration_agent(gateway::registry& r, const settings::daemon_settings& s,
-                                         platform::object_store* store)
+                                         ports::object_store* store)
     : registry_{r},
       settings_{s},
       store_{store},
--- a/apps/daemon/src/configuration_agent.h
+++ b/apps/daemon/src/configuration_agent.h
@@ -5,7 +5,7 @@
 #include "base/time.h"
 #include "distribution/distributor.h"
 #include "gateway/registry.h"
-#include "platform/object_store.h"
+#include "ports/object_store.h"
 #include "settings/daemon_settings.h"
 
 #include <condition_variable>
@@ -38,8 +38,7 @@
     };
 
     /// @param store platform's objects; null if documents come from files.
-    configuration_agent(gateway::registry& r, const settings::daemon_settings& s,
-                        platform::object_store* store);
+    configuration_agent(gateway::registry& r, const settings::daemon_settings& s, ports::object_store* store);
 
     /// Reads the documents of the settings.
     /// @throws base::error with `document_invalid` or `settings_invalid`.
@@ -79,7 +78,7 @@
 
     gateway::registry& registry_;
     const settings::daemon_settings& settings_;
-    platform::object_store* store_;
+    ports::object_store* store_;
     mutable std::mutex mutex_;
     std::condition_variable watch_wanted_;
     distribution::distributor distributor_;
--- a/apps/daemon/src/daemon.cpp
+++ b/apps/daemon/src/daemon.cpp
@@ -13,7 +13,7 @@
 #include "gateway/request_metrics.h"
 #include "load_poller.h"
 #include "periodic.h"
-#include "platform/http_platform.h"
+#include "ports/http_platform.h"
 #include "roles_agent.h"
 #include "server_sync.h"
 #include "shared_random.h"
@@ -78,7 +78,7 @@
     prometheus::Registry metrics_;
     gateway::request_metrics request_metrics_{metrics_};
     backend::http_backend_client client_;
-    std::unique_ptr<platform::http_platform> platform_;
+    std::unique_ptr<ports::http_platform> platform_;
     claim_agent claims_;
     gateway::registry registry_;
     burn_agent burn_{settings_.vm, registry_};
@@ -98,10 +98,9 @@
 
 daemon::impl::impl(settings::daemon_settings s)
     : settings_{std::move(s)},
-      platform_{settings_.platform
-                    ? std::make_unique<platform::http_platform>(
-                          platform::http_platform_options{settings_.platform->host, settings_.platform->port})
-                    : nullptr},
+      platform_{settings_.platform ? std::make_unique<ports::http_platform>(ports::http_platform_options{
+                                         settings_.platform->host, settings_.platform->port})
+                                   : nullptr},
       claims_{platform_ ? &platform_->objects() : nullptr},
       registry_{make_runtime_options()},
       documents_{registry_, settings_, platform_ ? &platform_->objects() : nullptr},
--- a/apps/daemon/src/fleet_agent.cpp
+++ b/apps/daemon/src/fleet_agent.cpp
@@ -52,7 +52,7 @@
 }  // namespace
 
 fleet_agent::fleet_agent(const settings::daemon_settings& s, gateway::registry& r, configuration_agent& c,
-                         platform::vm_list* vms, base::random_function random, std::uint64_t incarnation,
+                         ports::vm_list* vms, base::random_function random, std::uint64_t incarnation,
                          peer::handlers extra)
     : settings_{s},
       registry_{r},
@@ -97,7 +97,7 @@
     auto seeds = static_seeds(settings_);
     if (vms_ != nullptr) {
         for (const auto& v : vms_->vms(settings_.timeouts.platform)) {
-            if (v.state == platform::vm_state::live && v.id != settings_.vm) {
+            if (v.state == ports::vm_state::live && v.id != settings_.vm) {
                 seeds.push_back({v.peer_address, v.zone});
             }
         }
--- a/apps/daemon/src/fleet_agent.h
+++ b/apps/daemon/src/fleet_agent.h
@@ -8,7 +8,7 @@
 #include "membership/fleet.h"
 #include "peer/gossip.h"
 #include "peer/node.h"
-#include "platform/vm_list.h"
+#include "ports/vm_list.h"
 #include "settings/daemon_settings.h"
 
 #include <cstdint>
@@ -30,7 +30,7 @@
     /// @param vms platform list that gives further seeds; may be null.
     /// @param extra handlers of the calls that are not gossip.
     fleet_agent(const settings::daemon_settings& s, gateway::registry& r, configuration_agent& c,
-                platform::vm_list* vms, base::random_function random, std::uint64_t incarnation,
+                ports::vm_list* vms, base::random_function random, std::uint64_t incarnation,
                 peer::handlers extra);
     ~fleet_agent();
     fleet_agent(const fleet_agent&) = delete;
@@ -65,7 +65,7 @@
     const settings::daemon_settings& settings_;
     gateway::registry& registry_;
     configuration_agent& configuration_;
-    platform::vm_list* vms_;
+    ports::vm_list* vms_;
     base::random_function random_;
     std::uint64_t ticks_ = 0;  // only used by `tick`
     peer::gossip gossip_;
--- a/apps/daemon/src/lease_lookup.cpp
+++ b/apps/daemon/src/lease_lookup.cpp
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-std::optional<lease::lease_record> read_lease(platform::object_store& store, const std::string& role) {
+std::optional<lease::lease_record> read_lease(ports::object_store& store, const std::string& role) {
     const auto object = store.get("lease/" + role, lookup_timeout);
     return object ? lease::decode_lease(object->value) : std::nullopt;
 }
--- a/apps/daemon/src/lease_lookup.h
+++ b/apps/daemon/src/lease_lookup.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "lease/lease_record.h"
-#include "platform/object_store.h"
+#include "ports/object_store.h"
 
 #include <optional>
 #include <string>
@@ -14,7 +14,7 @@
 /// @param role name of the role, for example "once-7".
 /// @return the record, or nothing if there is none.
 /// @throws base::error with `platform_unavailable`.
-std::optional<lease::lease_record> read_lease(platform::object_store& store, const std::string& role);
+std::optional<lease::lease_record> read_lease(ports::object_store& store, const std::string& role);
 
 /// @return peer address of the holder, empty if the role is free or has no record.
 std::string holder_address(const std::optional<lease::lease_record>& r);
--- a/apps/daemon/src/roles_agent.cpp
+++ b/apps/daemon/src/roles_agent.cpp
@@ -49,7 +49,7 @@
 
 }  // namespace
 
-roles_agent::roles_agent(const settings::daemon_settings& s, platform::http_platform& p,
+roles_agent::roles_agent(const settings::daemon_settings& s, ports::http_platform& p,
                          base::random_function random, std::uint64_t incarnation)
     : settings_{s}, controller_{base::boot_clock::now} {
     const auto self = settings::to_string(s.peers);
--- a/apps/daemon/src/roles_agent.h
+++ b/apps/daemon/src/roles_agent.h
@@ -8,7 +8,7 @@
 #include "control/zone_role.h"
 #include "membership/message.h"
 #include "peer/types.h"
-#include "platform/http_platform.h"
+#include "ports/http_platform.h"
 #include "settings/daemon_settings.h"
 
 #include <array>
@@ -32,7 +32,7 @@
 
     /// @param p platform; outlives this object.
     /// @param incarnation start time of the daemon in microseconds.
-    roles_agent(const settings::daemon_settings& s, platform::http_platform& p, base::random_function random,
+    roles_agent(const settings::daemon_settings& s, ports::http_platform& p, base::random_function random,
                 std::uint64_t incarnation);
 
     void start();
--- a/apps/daemon/src/server_sync.cpp
+++ b/apps/daemon/src/server_sync.cpp
@@ -28,13 +28,13 @@
     return out;
 }
 
-gateway::server_entry make_entry(const platform::backend_server& s, const settings::address& a) {
+gateway::server_entry make_entry(const ports::backend_server& s, const settings::address& a) {
     gateway::server_entry e;
     e.info.id = s.id;
     e.info.zone = s.zone;
     e.info.slots = static_cast<int>(s.slots);
     e.info.reclaimable = s.reclaimable;
-    e.info.leaving = s.state == platform::vm_state::leaving;
+    e.info.leaving = s.state == ports::vm_state::leaving;
     e.address = {a.host, a.port};
     return e;
 }
@@ -51,11 +51,11 @@
 
 }  // namespace
 
-server_sync::server_sync(gateway::registry& r, const settings::daemon_settings& s, platform::vm_list* vms)
+server_sync::server_sync(gateway::registry& r, const settings::daemon_settings& s, ports::vm_list* vms)
     : registry_{r}, settings_{s}, vms_{vms}, ready_{vms == nullptr} {}
 
 void server_sync::refresh() {
-    std::vector<platform::backend_server> listed;
+    std::vector<ports::backend_server> listed;
     if (vms_ != nullptr) {
         listed = vms_->servers({}, settings_.timeouts.platform);
     }
@@ -63,7 +63,7 @@
     ready_ = true;
 }
 
-void server_sync::distribute(const std::vector<platform::backend_server>& listed) {
+void server_sync::distribute(const std::vector<ports::backend_server>& listed) {
     entries by_service;
     std::map<base::backend_server_id, std::string> kinds;
     for (const auto& s : listed) {
--- a/apps/daemon/src/server_sync.h
+++ b/apps/daemon/src/server_sync.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "gateway/registry.h"
-#include "platform/vm_list.h"
+#include "ports/vm_list.h"
 #include "settings/daemon_settings.h"
 
 #include <atomic>
@@ -17,7 +17,7 @@
 class server_sync {
 public:
     /// @param vms platform list; null if the settings name no platform.
-    server_sync(gateway::registry& r, const settings::daemon_settings& s, platform::vm_list* vms);
+    server_sync(gateway::registry& r, const settings::daemon_settings& s, ports::vm_list* vms);
 
     /// Reads the list and passes it to the services. An unreachable platform leaves the last list in force.
     /// @throws base::error with `platform_unavailable`.
@@ -27,11 +27,11 @@
     [[nodiscard]] bool ready() const { return ready_; }
 
 private:
-    void distribute(const std::vector<platform::backend_server>& listed);
+    void distribute(const std::vector<ports::backend_server>& listed);
 
     gateway::registry& registry_;
     const settings::daemon_settings& settings_;
-    platform::vm_list* vms_;
+    ports::vm_list* vms_;
     std::atomic<bool> ready_{false};
 };
 
--- a/apps/daemon/src/usage_agent.cpp
+++ b/apps/daemon/src/usage_agent.cpp
@@ -6,7 +6,7 @@
 
 namespace chicorygap::daemon_app {
 
-usage_agent::usage_agent(const settings::daemon_settings& s, platform::object_store& store,
+usage_agent::usage_agent(const settings::daemon_settings& s, ports::object_store& store,
                          std::uint64_t incarnation, base::wall_now_function wall_now)
     : settings_{s},
       store_{store},
--- a/apps/daemon/src/usage_agent.h
+++ b/apps/daemon/src/usage_agent.h
@@ -5,7 +5,7 @@
 #include "base/time.h"
 #include "fleet_agent.h"
 #include "gateway/request_record.h"
-#include "platform/object_store.h"
+#include "ports/object_store.h"
 #include "settings/daemon_settings.h"
 #include "usage/counter_table.h"
 
@@ -25,7 +25,7 @@
     static constexpr std::chrono::milliseconds window_length = std::chrono::minutes{1};
 
     /// @param store platform's objects; outlives this object.
-    usage_agent(const settings::daemon_settings& s, platform::object_store& store, std::uint64_t incarnation,
+    usage_agent(const settings::daemon_settings& s, ports::object_store& store, std::uint64_t incarnation,
                 base::wall_now_function wall_now);
 
     void record(const gateway::request_record& r);
@@ -40,7 +40,7 @@
     void replied(std::uint64_t sequence, const peer::outcome<peer::usage_reply>& o);
 
     const settings::daemon_settings& settings_;
-    platform::object_store& store_;
+    ports::object_store& store_;
     base::wall_now_function wall_now_;
     std::mutex mutex_;
     usage::counter_table counters_;
--- a/apps/daemon/tests/daemon_test.cpp
+++ b/apps/daemon/tests/daemon_test.cpp
@@ -115,7 +115,7 @@
     const auto port = fleet[0]->caller_port();
     const auto chat = [&] { return ask(port, "POST", chat_path, north_key, chat_body(1, false)).status; };
     ASSERT_TRUE(eventually([&] { return chat() == 200 && calls(*assistants[0]) > 0; }));
-    list("assistant", 1, assistants[0]->port(), platform::vm_state::leaving);
+    list("assistant", 1, assistants[0]->port(), ports::vm_state::leaving);
     const auto end = base::boot_clock::now() + 2s;
     while (base::boot_clock::now() < end) {
         EXPECT_EQ(chat(), 200);
--- a/apps/daemon/tests/deployment.h
+++ b/apps/daemon/tests/deployment.h
@@ -177,9 +177,8 @@
         ASSERT_TRUE(platform->objects().put(key, text, current ? current->version : 0).applied);
     }
 
-    void list(const std::string& service, std::size_t number, std::uint16_t port,
-              platform::vm_state s) const {
-        platform::backend_server b;
+    void list(const std::string& service, std::size_t number, std::uint16_t port, ports::vm_state s) const {
+        ports::backend_server b;
         b.id = base::backend_server_id{service + "-" + std::to_string(number)};
         b.zone = base::zone_id{"a"};
         b.service = base::service_id{service};
@@ -208,7 +207,7 @@
     void add_server(const std::string& service, const standin_backend::options& o,
                     std::vector<std::unique_ptr<standin_backend::server>>& out) {
         out.push_back(std::make_unique<standin_backend::server>(o));
-        list(service, out.size(), out.back()->port(), platform::vm_state::live);
+        list(service, out.size(), out.back()->port(), ports::vm_state::live);
         last_server_ = service + "-" + std::to_string(out.size());
     }
 
--- a/apps/tool/src/platform_commands.cpp
+++ b/apps/tool/src/platform_commands.cpp
@@ -1,6 +1,6 @@
 #include "base/error.h"
 #include "commands.h"
-#include "platform/http_platform.h"
+#include "ports/http_platform.h"
 
 #include <Poco/JSON/Array.h>
 
@@ -16,7 +16,7 @@
 using base::result_code;
 using document::change;
 using document::service_document;
-using platform::object;
+using ports::object;
 
 constexpr std::string_view base_header = "; version ";
 
@@ -53,8 +53,8 @@
     return std::string{document::object_prefix} + service;
 }
 
-platform::http_platform connect(const command_line& c) {
-    return platform::http_platform{{c.platform.host, c.platform.port, 1}};
+ports::http_platform connect(const command_line& c) {
+    return ports::http_platform{{c.platform.host, c.platform.port, 1}};
 }
 
 /// Differences between two texts; a text that is no valid document counts as a single change.
@@ -71,7 +71,7 @@
 }
 
 /// Faults that the new document would cause together with the other stored ones.
-std::vector<document::fault> joint_faults(platform::http_platform& p, const command_line& c,
+std::vector<document::fault> joint_faults(ports::http_platform& p, const command_line& c,
                                           const std::string& file, const service_document& d) {
     const auto objects = p.objects().list(std::string{document::object_prefix}, c.timeout);
     std::vector<document::parse_result> others;
@@ -218,7 +218,7 @@
     const streams& s_;
     std::string file_;
     std::string text_;
-    platform::http_platform platform_;
+    ports::http_platform platform_;
     std::string key_;
     std::optional<base_copy> base_;
 };
--- a/fuzz/platform_json_fuzz.cpp
+++ b/fuzz/platform_json_fuzz.cpp
@@ -1,11 +1,11 @@
 #include "input.h"
-#include "platform/json.h"
+#include "ports/json.h"
 
 #include <Poco/Exception.h>
 
 namespace {
 
-using namespace chicorygap::platform;
+using namespace chicorygap::ports;
 
 /// Reads the object as one type; `Poco::Exception` is the only documented error.
 template <typename Read>
--- a/packages/control/include/control/shard_role.h
+++ b/packages/control/include/control/shard_role.h
@@ -6,7 +6,7 @@
 #include "control/role_runner.h"
 #include "control/store_executor.h"
 #include "idempotency/shard_owner.h"
-#include "platform/object_store.h"
+#include "ports/object_store.h"
 
 #include <functional>
 #include <string>
@@ -23,8 +23,8 @@
     /// @param o names and limits of the shard.
     /// @param call_timeout longest duration of one call to the store.
     /// @param decided receives exactly one decision per claim.
-    shard_role(const idempotency::shard_options& o, base::duration call_timeout,
-               platform::object_store& store, base::now_function now, decision_sink decided);
+    shard_role(const idempotency::shard_options& o, base::duration call_timeout, ports::object_store& store,
+               base::now_function now, decision_sink decided);
 
     void tick_lease() override;
     void tick_work() override;
--- a/packages/control/include/control/store_executor.h
+++ b/packages/control/include/control/store_executor.h
@@ -4,7 +4,7 @@
 
 #include "base/store_message.h"
 #include "base/time.h"
-#include "platform/object_store.h"
+#include "ports/object_store.h"
 
 namespace chicorygap::control {
 
@@ -15,8 +15,7 @@
 public:
     /// @param store has to outlive the executor.
     /// @param timeout longest duration of one call.
-    store_executor(platform::object_store& store, base::duration timeout)
-        : store_{store}, timeout_{timeout} {}
+    store_executor(ports::object_store& store, base::duration timeout) : store_{store}, timeout_{timeout} {}
 
     /// @return the reply; `refused` if the call had no effect, `lost` if that is not known.
     base::store_reply run(const base::store_put& a);
@@ -24,7 +23,7 @@
     base::store_reply run(const base::store_list& a);
 
 private:
-    platform::object_store& store_;
+    ports::object_store& store_;
     base::duration timeout_;
 };
 
--- a/packages/control/include/control/zone_role.h
+++ b/packages/control/include/control/zone_role.h
@@ -7,9 +7,9 @@
 #include "control/role_runner.h"
 #include "control/store_executor.h"
 #include "orders/order_book.h"
-#include "platform/billing_service.h"
-#include "platform/object_store.h"
-#include "platform/order_service.h"
+#include "ports/billing_service.h"
+#include "ports/object_store.h"
+#include "ports/order_service.h"
 #include "usage/window_keeper.h"
 
 #include <deque>
@@ -50,8 +50,8 @@
 /// Usage: one thread calls all functions; `control::controller` does so.
 class zone_role : public role_runner {
 public:
-    zone_role(zone_role_options o, platform::object_store& store, platform::order_service& orders,
-              platform::billing_service& billing, zone_role_hooks hooks);
+    zone_role(zone_role_options o, ports::object_store& store, ports::order_service& orders,
+              ports::billing_service& billing, zone_role_hooks hooks);
 
     void tick_lease() override;
     void tick_work() override;
@@ -79,8 +79,8 @@
 
     zone_role_options options_;
     store_executor executor_;
-    platform::order_service& order_service_;
-    platform::billing_service& billing_;
+    ports::order_service& order_service_;
+    ports::billing_service& billing_;
     zone_role_hooks hooks_;
     lease::role_lease lease_;
     orders::order_book orders_;
--- a/packages/control/src/shard_role.cpp
+++ b/packages/control/src/shard_role.cpp
@@ -18,7 +18,7 @@
 }  // namespace
 
 shard_role::shard_role(const idempotency::shard_options& o, base::duration call_timeout,
-                       platform::object_store& store, base::now_function now, decision_sink decided)
+                       ports::object_store& store, base::now_function now, decision_sink decided)
     : executor_{store, call_timeout},
       now_{std::move(now)},
       decided_{std::move(decided)},
--- a/packages/control/src/store_executor.cpp
+++ b/packages/control/src/store_executor.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-base::stored_object to_stored(platform::object o) {
+base::stored_object to_stored(ports::object o) {
     return {std::move(o.key), std::move(o.value), o.version};
 }
 
--- a/packages/control/src/zone_role.cpp
+++ b/packages/control/src/zone_role.cpp
@@ -55,8 +55,8 @@
 
 }  // namespace
 
-zone_role::zone_role(zone_role_options o, platform::object_store& store, platform::order_service& orders,
-                     platform::billing_service& billing, zone_role_hooks hooks)
+zone_role::zone_role(zone_role_options o, ports::object_store& store, ports::order_service& orders,
+                     ports::billing_service& billing, zone_role_hooks hooks)
     : options_{std::move(o)},
       executor_{store, options_.call_timeout},
       order_service_{orders},
@@ -181,12 +181,12 @@
 // The lease is checked again between connecting and writing, so that a pause while connecting sends nothing.
 // After that the call lasts at most `order_timeout`, which is below the lease's order margin.
 orders::send_result zone_role::send_to_platform(const orders::send_order& o) {
-    platform::order p;
+    ports::order p;
     p.id = o.order_id;
     p.zone = base::zone_id{options_.zone};
     p.service = base::service_id{o.content.service};
-    p.action = o.content.kind == orders::order_kind::request_servers ? platform::order_action::request
-                                                                     : platform::order_action::release;
+    p.action = o.content.kind == orders::order_kind::request_servers ? ports::order_action::request
+                                                                     : ports::order_action::release;
     p.server_kind = o.content.argument;
     p.count = o.content.count;
     p.server = base::backend_server_id{o.content.server};
@@ -209,7 +209,7 @@
 }
 
 usage::bill_result zone_role::send(const usage::send_bill& b) {
-    platform::usage_report r;
+    ports::usage_report r;
     r.zone = base::zone_id{options_.zone};
     r.window_start = base::wall_time{
         std::chrono::duration_cast<base::wall_time::duration>(options_.window_length) * b.window};
--- a/packages/control/tests/memory_platform.h
+++ b/packages/control/tests/memory_platform.h
@@ -4,9 +4,9 @@
 
 #include "base/error.h"
 #include "fakes/message_store.h"
-#include "platform/billing_service.h"
-#include "platform/object_store.h"
-#include "platform/order_service.h"
+#include "ports/billing_service.h"
+#include "ports/object_store.h"
+#include "ports/order_service.h"
 
 #include <functional>
 #include <map>
@@ -16,44 +16,44 @@
 
 /// Object store over `fakes::message_store`; `before_call` may move the clock to stand for a slow store or a
 /// pause.
-class memory_store : public platform::object_store {
+class memory_store : public ports::object_store {
 public:
     explicit memory_store(fakes::message_store& store) : store_{store} {}
 
     std::function<void()> before_call;
     bool reachable = true;
 
-    std::optional<platform::object> get(const std::string& key, base::duration /*timeout*/) override {
+    std::optional<ports::object> get(const std::string& key, base::duration /*timeout*/) override {
         const auto r = call(base::store_get{1, key});
         return r.current ? std::optional{to_object(*r.current)} : std::nullopt;
     }
-    platform::put_result put(const std::string& key, const std::string& value, std::uint64_t expected,
-                             base::duration /*timeout*/) override {
+    ports::put_result put(const std::string& key, const std::string& value, std::uint64_t expected,
+                          base::duration /*timeout*/) override {
         const auto r = call(base::store_put{1, key, value, expected});
-        platform::put_result out{r.result == base::store_result::applied, r.version, std::nullopt};
+        ports::put_result out{r.result == base::store_result::applied, r.version, std::nullopt};
         if (r.current) {
             out.current = to_object(*r.current);
         }
         return out;
     }
-    platform::put_result remove(const std::string& /*key*/, std::uint64_t /*expected*/,
-                                base::duration /*timeout*/) override {
+    ports::put_result remove(const std::string& /*key*/, std::uint64_t /*expected*/,
+                             base::duration /*timeout*/) override {
         throw base::error{base::result_code::internal, "not used"};
     }
-    std::vector<platform::object> list(const std::string& prefix, base::duration /*timeout*/) override {
-        std::vector<platform::object> out;
+    std::vector<ports::object> list(const std::string& prefix, base::duration /*timeout*/) override {
+        std::vector<ports::object> out;
         for (const auto& o : call(base::store_list{1, prefix}).objects) {
             out.push_back(to_object(o));
         }
         return out;
     }
-    std::vector<platform::object> watch(const std::string& /*prefix*/, std::uint64_t /*after*/,
-                                        base::duration /*timeout*/) override {
+    std::vector<ports::object> watch(const std::string& /*prefix*/, std::uint64_t /*after*/,
+                                     base::duration /*timeout*/) override {
         return {};
     }
 
 private:
-    static platform::object to_object(const base::stored_object& o) { return {o.key, o.value, o.version}; }
+    static ports::object to_object(const base::stored_object& o) { return {o.key, o.value, o.version}; }
 
     template <typename Call>
     base::store_reply call(const Call& c) {
@@ -77,15 +77,15 @@
 };
 
 /// Orders by id; loses the replies of the next `lose_replies` calls.
-class memory_orders : public platform::order_service {
+class memory_orders : public ports::order_service {
 public:
     std::map<std::string, int> received;
     int lose_replies = 0;
     /// Called between connecting and writing, for example to let time pass.
     std::function<void()> connected;
 
-    platform::order_reply submit_guarded(const platform::order& o, const platform::send_guard& may_send,
-                                         base::duration timeout) override {
+    ports::order_reply submit_guarded(const ports::order& o, const ports::send_guard& may_send,
+                                      base::duration timeout) override {
         if (connected) {
             connected();
         }
@@ -95,7 +95,7 @@
         return submit(o, timeout);
     }
 
-    platform::order_reply submit(const platform::order& o, base::duration /*timeout*/) override {
+    ports::order_reply submit(const ports::order& o, base::duration /*timeout*/) override {
         ++received[o.id];
         if (lose_replies > 0) {
             --lose_replies;
@@ -106,17 +106,16 @@
 };
 
 /// Bills the first report of each window.
-class memory_billing : public platform::billing_service {
+class memory_billing : public ports::billing_service {
 public:
-    std::map<base::wall_time, std::vector<platform::usage_line>> windows;
+    std::map<base::wall_time, std::vector<ports::usage_line>> windows;
     int different = 0;
     int lose_replies = 0;
     /// Called between connecting and writing, for example to let time pass.
     std::function<void()> connected;
 
-    platform::usage_reply report_guarded(const platform::usage_report& r,
-                                         const platform::send_guard& may_send,
-                                         base::duration timeout) override {
+    ports::usage_reply report_guarded(const ports::usage_report& r, const ports::send_guard& may_send,
+                                      base::duration timeout) override {
         if (connected) {
             connected();
         }
@@ -126,7 +125,7 @@
         return report(r, timeout);
     }
 
-    platform::usage_reply report(const platform::usage_report& r, base::duration /*timeout*/) override {
+    ports::usage_reply report(const ports::usage_report& r, base::duration /*timeout*/) override {
         const auto [it, first] = windows.try_emplace(r.window_start, r.lines);
         const bool same = it->second == r.lines;
         different += same ? 0 : 1;
--- a/packages/platform/include/platform/billing_service.h
+++ b/packages/ports/include/ports/billing_service.h
@@ -4,12 +4,12 @@
 
 #include "base/id.h"
 #include "base/time.h"
-#include "platform/order_service.h"
+#include "ports/order_service.h"
 
 #include <cstdint>
 #include <vector>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 /// Figures of one service, workspace and class.
 struct usage_line {
@@ -51,4 +51,4 @@
                                        base::duration timeout);
 };
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/include/platform/call_counter.h
+++ b/packages/ports/include/ports/call_counter.h
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 /// Kinds of calls; `count` is their number.
 enum class call_kind : std::size_t { read, write, watch, list, vm_list, server_list, order, usage, count };
@@ -30,4 +30,4 @@
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(call_kind::count)> calls_{};
 };
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/include/platform/http_platform.h
+++ b/packages/ports/include/ports/http_platform.h
@@ -2,18 +2,18 @@
 /// HTTP adapters of the platform interfaces.
 #pragma once
 
-#include "platform/billing_service.h"
-#include "platform/call_counter.h"
-#include "platform/object_store.h"
-#include "platform/order_service.h"
-#include "platform/vm_list.h"
+#include "ports/billing_service.h"
+#include "ports/call_counter.h"
+#include "ports/object_store.h"
+#include "ports/order_service.h"
+#include "ports/vm_list.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 /// Where the platform listens.
 struct http_platform_options {
@@ -45,4 +45,4 @@
     std::unique_ptr<implementation> implementation_;
 };
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/include/platform/json.h
+++ b/packages/ports/include/ports/json.h
@@ -2,14 +2,14 @@
 /// JSON form of the platform's types, as exchanged over HTTP.
 #pragma once
 
-#include "platform/billing_service.h"
-#include "platform/object_store.h"
-#include "platform/order_service.h"
-#include "platform/vm_list.h"
+#include "ports/billing_service.h"
+#include "ports/object_store.h"
+#include "ports/order_service.h"
+#include "ports/vm_list.h"
 
 #include <Poco/JSON/Object.h>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 using json_object = Poco::JSON::Object::Ptr;
 
@@ -36,4 +36,4 @@
 /// @throws Poco::Exception when the text is not one JSON object.
 json_object parse_object(const std::string& text);
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/include/platform/object_store.h
+++ b/packages/ports/include/ports/object_store.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 /// One version of an object. Versions of the whole store increase with every change.
 struct object {
@@ -53,4 +53,4 @@
                                       base::duration timeout) = 0;
 };
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/include/platform/order_service.h
+++ b/packages/ports/include/ports/order_service.h
@@ -9,7 +9,7 @@
 #include <functional>
 #include <string>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 enum class order_action { request, release };
 
@@ -48,4 +48,4 @@
     virtual order_reply submit_guarded(const order& o, const send_guard& may_send, base::duration timeout);
 };
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/include/platform/vm_list.h
+++ b/packages/ports/include/ports/vm_list.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 enum class vm_state { live, leaving };
 
@@ -48,4 +48,4 @@
     virtual std::vector<backend_server> servers(const base::zone_id& zone, base::duration timeout) = 0;
 };
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/src/call_counter.cpp
+++ b/packages/ports/src/call_counter.cpp
@@ -1,6 +1,6 @@
-#include "platform/call_counter.h"
+#include "ports/call_counter.h"
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 std::string_view to_string(call_kind k) noexcept {
     switch (k) {
@@ -26,4 +26,4 @@
     return "undefined";
 }
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/src/guarded.cpp
+++ b/packages/ports/src/guarded.cpp
@@ -1,8 +1,8 @@
 #include "base/error.h"
-#include "platform/billing_service.h"
-#include "platform/order_service.h"
+#include "ports/billing_service.h"
+#include "ports/order_service.h"
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 namespace {
 
@@ -26,4 +26,4 @@
     return report(r, timeout);
 }
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/src/http_channel.cpp
+++ b/packages/ports/src/http_channel.cpp
@@ -16,7 +16,7 @@
 #include <ostream>
 #include <utility>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 namespace {
 
@@ -166,4 +166,4 @@
     return out;
 }
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/src/http_channel.h
+++ b/packages/ports/src/http_channel.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "base/time.h"
-#include "platform/call_counter.h"
-#include "platform/http_platform.h"
+#include "ports/call_counter.h"
+#include "ports/http_platform.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 /// One call to the platform.
 struct http_call {
@@ -66,4 +66,4 @@
 /// @return the text with all characters outside of the unreserved set and `/` percent-encoded.
 std::string encoded(const std::string& text);
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/src/http_platform.cpp
+++ b/packages/ports/src/http_platform.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_platform.h"
+#include "ports/http_platform.h"
 
 #include "base/error.h"
 #include "http_channel.h"
-#include "platform/json.h"
+#include "ports/json.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
@@ -11,7 +11,7 @@
 #include <type_traits>
 #include <utility>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 namespace {
 
@@ -219,4 +219,4 @@
     return implementation_->calls;
 }
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/src/json.cpp
+++ b/packages/ports/src/json.cpp
@@ -1,11 +1,11 @@
-#include "platform/json.h"
+#include "ports/json.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
 
 #include <sstream>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 
 namespace {
 
@@ -196,4 +196,4 @@
     return Poco::JSON::Parser{}.parse(text).extract<json_object>();
 }
 
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/packages/platform/tests/http_platform_test.cpp
+++ b/packages/ports/tests/http_platform_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_platform.h"
+#include "ports/http_platform.h"
 
 #include "base/error.h"
 #include "standin_platform/server.h"
@@ -7,7 +7,7 @@
 
 #include <future>
 
-namespace chicorygap::platform {
+namespace chicorygap::ports {
 namespace {
 
 using namespace std::chrono_literals;
@@ -165,4 +165,4 @@
 }
 
 }  // namespace
-}  // namespace chicorygap::platform
+}  // namespace chicorygap::ports
--- a/testing/standin_platform/include/standin_platform/billing_book.h
+++ b/testing/standin_platform/include/standin_platform/billing_book.h
@@ -2,7 +2,7 @@
 /// Received usage reports.
 #pragma once
 
-#include "platform/billing_service.h"
+#include "ports/billing_service.h"
 
 #include <map>
 #include <mutex>
@@ -14,14 +14,14 @@
 
 /// All reports of one zone and window, in order of arrival. The first one is billed.
 struct billed_window {
-    std::vector<platform::usage_report> reports;
+    std::vector<ports::usage_report> reports;
     bool differing = false;  ///< a later report has other figures than the billed one.
 };
 
 /// Bills each window once and keeps every report, so that tests can find differing ones.
 class billing_book {
 public:
-    platform::usage_reply report(const platform::usage_report& r);
+    ports::usage_reply report(const ports::usage_report& r);
 
     /// @return every window, by zone and start.
     [[nodiscard]] std::vector<billed_window> windows() const;
--- a/testing/standin_platform/include/standin_platform/fleet_table.h
+++ b/testing/standin_platform/include/standin_platform/fleet_table.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "base/time.h"
-#include "platform/order_service.h"
-#include "platform/vm_list.h"
+#include "ports/order_service.h"
+#include "ports/vm_list.h"
 
 #include <mutex>
 #include <string>
@@ -20,25 +20,25 @@
     fleet_table(base::duration lag, base::now_function now);
 
     /// Adds or replaces an entry.
-    void set(const platform::vm& v);
-    void set(const platform::backend_server& s);
+    void set(const ports::vm& v);
+    void set(const ports::backend_server& s);
     /// Removes the VM or backend server with this id.
     void remove(const std::string& id);
 
     /// Keeps a server unlisted until an order for its zone, service and kind asks for it.
-    void add_spare(const platform::backend_server& s);
+    void add_spare(const ports::backend_server& s);
     /// Carries out an accepted order: lists spare servers, or marks a server as leaving.
-    void apply(const platform::order& o);
+    void apply(const ports::order& o);
 
-    [[nodiscard]] std::vector<platform::vm> vms() const;
+    [[nodiscard]] std::vector<ports::vm> vms() const;
     /// @param zone zone to list; empty for all.
-    [[nodiscard]] std::vector<platform::backend_server> servers(const base::zone_id& zone) const;
+    [[nodiscard]] std::vector<ports::backend_server> servers(const base::zone_id& zone) const;
 
 private:
     struct state {
         base::time_point since;
-        std::vector<platform::vm> vms;
-        std::vector<platform::backend_server> servers;
+        std::vector<ports::vm> vms;
+        std::vector<ports::backend_server> servers;
     };
 
     [[nodiscard]] const state& visible() const;
@@ -48,7 +48,7 @@
     const base::now_function now_;
     mutable std::mutex mutex_;
     std::vector<state> history_;  // oldest first, never empty
-    std::vector<platform::backend_server> spares_;
+    std::vector<ports::backend_server> spares_;
 };
 
 }  // namespace chicorygap::standin_platform
--- a/testing/standin_platform/include/standin_platform/object_table.h
+++ b/testing/standin_platform/include/standin_platform/object_table.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/time.h"
-#include "platform/object_store.h"
+#include "ports/object_store.h"
 
 #include <condition_variable>
 #include <cstdint>
@@ -19,29 +19,28 @@
 /// version that it has seen. Deleted objects stay as marked entries, so that watchers learn of the deletion.
 class object_table {
 public:
-    [[nodiscard]] std::optional<platform::object> get(const std::string& key) const;
+    [[nodiscard]] std::optional<ports::object> get(const std::string& key) const;
 
     /// Writes or deletes when the stored version equals `expected`; 0 means that the object must not exist.
-    platform::put_result put(const std::string& key, const std::string& value, std::uint64_t expected);
-    platform::put_result remove(const std::string& key, std::uint64_t expected);
+    ports::put_result put(const std::string& key, const std::string& value, std::uint64_t expected);
+    ports::put_result remove(const std::string& key, std::uint64_t expected);
 
-    [[nodiscard]] std::vector<platform::object> list(const std::string& prefix) const;
+    [[nodiscard]] std::vector<ports::object> list(const std::string& prefix) const;
 
     /// Waits for changes after version `after`.
     /// @return changed objects by version; empty after `timeout` or `cancel_watches`.
-    std::vector<platform::object> watch(const std::string& prefix, std::uint64_t after,
-                                        base::duration timeout);
+    std::vector<ports::object> watch(const std::string& prefix, std::uint64_t after, base::duration timeout);
 
     /// Ends all pending watches without a result.
     void cancel_watches();
 
 private:
-    platform::put_result replace(const std::string& key, platform::object next, std::uint64_t expected);
-    [[nodiscard]] std::vector<platform::object> changes(const std::string& prefix, std::uint64_t after) const;
+    ports::put_result replace(const std::string& key, ports::object next, std::uint64_t expected);
+    [[nodiscard]] std::vector<ports::object> changes(const std::string& prefix, std::uint64_t after) const;
 
     mutable std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::string, platform::object> objects_;
+    std::map<std::string, ports::object> objects_;
     std::uint64_t version_ = 0;
     std::uint64_t cancellations_ = 0;
 };
--- a/testing/standin_platform/include/standin_platform/server.h
+++ b/testing/standin_platform/include/standin_platform/server.h
@@ -25,7 +25,7 @@
 
 /// Serves objects, lists, orders, usage and faults until destroyed. All members are safe for several threads.
 ///
-/// Usage: `server s{{}}; platform::http_platform p{{"127.0.0.1", s.port()}};`
+/// Usage: `server s{{}}; ports::http_platform p{{"127.0.0.1", s.port()}};`
 /// Faults can be added by `faults().add` or by `POST /fault`.
 class server {
 public:
--- a/testing/standin_platform/main.cpp
+++ b/testing/standin_platform/main.cpp
@@ -34,9 +34,9 @@
 
 struct configuration {
     standin_platform::options options;
-    std::vector<platform::vm> vms;
-    std::vector<platform::backend_server> servers;
-    std::vector<platform::backend_server> spares;
+    std::vector<ports::vm> vms;
+    std::vector<ports::backend_server> servers;
+    std::vector<ports::backend_server> spares;
     bool help = false;
 };
 
@@ -62,28 +62,23 @@
     return out;
 }
 
-platform::vm parse_vm(const std::string& text) {
+ports::vm parse_vm(const std::string& text) {
     const auto f = fields(text);
     if (f.size() != 3) {
         throw std::invalid_argument("--vm needs ID,ZONE,ADDRESS");
     }
-    return {base::vm_id{f[0]}, base::zone_id{f[1]}, f[2], platform::vm_state::live};
+    return {base::vm_id{f[0]}, base::zone_id{f[1]}, f[2], ports::vm_state::live};
 }
 
-platform::backend_server parse_server(const std::string& text) {
+ports::backend_server parse_server(const std::string& text) {
     const auto f = fields(text);
     const bool reclaimable = f.size() == 7 && f[6] == "reclaimable";
     if (f.size() != 6 && !reclaimable) {
         throw std::invalid_argument("--server needs ID,ZONE,SERVICE,KIND,ADDRESS,SLOTS[,reclaimable]");
     }
-    return {base::backend_server_id{f[0]},
-            base::zone_id{f[1]},
-            base::service_id{f[2]},
-            f[3],
-            f[4],
-            reclaimable,
-            number<std::uint32_t>(f[5]),
-            platform::vm_state::live};
+    return {
+        base::backend_server_id{f[0]}, base::zone_id{f[1]},  base::service_id{f[2]}, f[3], f[4], reclaimable,
+        number<std::uint32_t>(f[5]),   ports::vm_state::live};
 }
 
 configuration parse_arguments(int argc, char** argv) {
--- a/testing/standin_platform/src/answer.cpp
+++ b/testing/standin_platform/src/answer.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-using platform::json_object;
-using platform::parse_object;
-using platform::to_json;
-using platform::to_text;
+using ports::json_object;
+using ports::parse_object;
+using ports::to_json;
+using ports::to_text;
 
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
@@ -71,7 +71,7 @@
     return number(text);
 }
 
-reply put_reply(const platform::put_result& r) {
+reply put_reply(const ports::put_result& r) {
     auto j = make();
     if (r.applied) {
         j->set("version", Poco::UInt64{r.version});
@@ -107,7 +107,7 @@
 
 reply list_objects(platform_state& state, const request& r) {
     const auto prefix = query_value(r, "prefix");
-    const auto to_item = [](const platform::object& o) { return to_json(o); };
+    const auto to_item = [](const ports::object& o) { return to_json(o); };
     if (!r.query.contains("after")) {
         return item_list("objects", state.objects.list(prefix), to_item);
     }
@@ -123,20 +123,20 @@
 reply fleet_call(platform_state& state, const request& r) {
     const bool vms = r.path == "/vms";
     if (r.method == "GET" && vms) {
-        return item_list("vms", state.fleet.vms(), [](const platform::vm& v) { return to_json(v); });
+        return item_list("vms", state.fleet.vms(), [](const ports::vm& v) { return to_json(v); });
     }
     if (r.method == "GET") {
         const base::zone_id zone{query_value(r, "zone")};
         return item_list("servers", state.fleet.servers(zone),
-                         [](const platform::backend_server& s) { return to_json(s); });
+                         [](const ports::backend_server& s) { return to_json(s); });
     }
     const auto j = parse_object(r.body);
     if (removes(*j)) {
         state.fleet.remove(j->getValue<std::string>("id"));
     } else if (vms) {
-        state.fleet.set(platform::vm_from_json(*j));
+        state.fleet.set(ports::vm_from_json(*j));
     } else {
-        state.fleet.set(platform::server_from_json(*j));
+        state.fleet.set(ports::server_from_json(*j));
     }
     return success(make());
 }
@@ -165,14 +165,14 @@
     if (r.method == "GET") {
         return item_list("orders", state.orders.records(), record_to_json);
     }
-    return success(to_json(state.orders.submit(platform::order_from_json(*parse_object(r.body)))));
+    return success(to_json(state.orders.submit(ports::order_from_json(*parse_object(r.body)))));
 }
 
 reply usage_call(platform_state& state, const request& r) {
     if (r.method == "GET") {
         return item_list("windows", state.billing.windows(), window_to_json);
     }
-    return success(to_json(state.billing.report(platform::usage_report_from_json(*parse_object(r.body)))));
+    return success(to_json(state.billing.report(ports::usage_report_from_json(*parse_object(r.body)))));
 }
 
 reply call_counts(platform_state& state) {
--- a/testing/standin_platform/src/billing_book.cpp
+++ b/testing/standin_platform/src/billing_book.cpp
@@ -2,7 +2,7 @@
 
 namespace chicorygap::standin_platform {
 
-platform::usage_reply billing_book::report(const platform::usage_report& r) {
+ports::usage_reply billing_book::report(const ports::usage_report& r) {
     const std::lock_guard lock{mutex_};
     auto& window = windows_[{r.zone.str(), r.window_start}];
     window.reports.push_back(r);
--- a/testing/standin_platform/src/fleet_table.cpp
+++ b/testing/standin_platform/src/fleet_table.cpp
@@ -17,7 +17,7 @@
     }
 }
 
-bool fits(const platform::backend_server& spare, const platform::order& o) {
+bool fits(const ports::backend_server& spare, const ports::order& o) {
     return spare.zone == o.zone && spare.service == o.service && spare.kind == o.server_kind;
 }
 
@@ -47,12 +47,12 @@
     return it == history_.rend() ? history_.front() : *it;
 }
 
-void fleet_table::set(const platform::vm& v) {
+void fleet_table::set(const ports::vm& v) {
     const std::lock_guard lock{mutex_};
     upsert(next().vms, v);
 }
 
-void fleet_table::set(const platform::backend_server& s) {
+void fleet_table::set(const ports::backend_server& s) {
     const std::lock_guard lock{mutex_};
     upsert(next().servers, s);
 }
@@ -64,17 +64,17 @@
     std::erase_if(s.servers, [&](const auto& b) { return b.id.str() == id; });
 }
 
-void fleet_table::add_spare(const platform::backend_server& s) {
+void fleet_table::add_spare(const ports::backend_server& s) {
     const std::lock_guard lock{mutex_};
     spares_.push_back(s);
 }
 
-void fleet_table::apply(const platform::order& o) {
+void fleet_table::apply(const ports::order& o) {
     const std::lock_guard lock{mutex_};
     auto& s = next();
-    if (o.action == platform::order_action::release) {
+    if (o.action == ports::order_action::release) {
         for (auto& b : s.servers) {
-            b.state = b.id == o.server ? platform::vm_state::leaving : b.state;
+            b.state = b.id == o.server ? ports::vm_state::leaving : b.state;
         }
         return;
     }
@@ -89,12 +89,12 @@
     }
 }
 
-std::vector<platform::vm> fleet_table::vms() const {
+std::vector<ports::vm> fleet_table::vms() const {
     const std::lock_guard lock{mutex_};
     return visible().vms;
 }
 
-std::vector<platform::backend_server> fleet_table::servers(const base::zone_id& zone) const {
+std::vector<ports::backend_server> fleet_table::servers(const base::zone_id& zone) const {
     const std::lock_guard lock{mutex_};
     auto out = visible().servers;
     std::erase_if(out, [&](const auto& s) { return !zone.empty() && s.zone != zone; });
--- a/testing/standin_platform/src/object_table.cpp
+++ b/testing/standin_platform/src/object_table.cpp
@@ -6,8 +6,8 @@
 
 namespace chicorygap::standin_platform {
 
-using platform::object;
-using platform::put_result;
+using ports::object;
+using ports::put_result;
 
 std::optional<object> object_table::get(const std::string& key) const {
     const std::lock_guard lock{mutex_};
--- a/testing/standin_platform/src/order_book.cpp
+++ b/testing/standin_platform/src/order_book.cpp
@@ -5,10 +5,10 @@
 
 namespace chicorygap::standin_platform {
 
-order_book::order_book(bool ignore_tokens, std::function<void(const platform::order&)> apply)
+order_book::order_book(bool ignore_tokens, std::function<void(const ports::order&)> apply)
     : ignore_tokens_{ignore_tokens}, apply_{std::move(apply)} {}
 
-platform::order_reply order_book::submit(const platform::order& o) {
+ports::order_reply order_book::submit(const ports::order& o) {
     const std::lock_guard lock{mutex_};
     auto& newest = newest_tokens_[o.zone.str()];
     auto& record = records_.try_emplace(o.id, order_record{o, 0, 0, 0}).first->second;
--- a/testing/standin_platform/src/request_handler.cpp
+++ b/testing/standin_platform/src/request_handler.cpp
@@ -38,9 +38,9 @@
 }  // namespace
 
 platform_state::platform_state(const options& o)
-    : now{o.now},
-      fleet{o.list_lag, o.now},
-      orders{o.ignore_fencing_tokens, [this](const platform::order& it) { fleet.apply(it); }} {}
+    : now{o.now}, fleet{o.list_lag, o.now}, orders{o.ignore_fencing_tokens, [this](const ports::order& it) {
+                                                       fleet.apply(it);
+                                                   }} {}
 
 void platform_state::pause(base::duration d) {
     std::unique_lock lock{mutex};
--- a/testing/standin_platform/src/request_handler.h
+++ b/testing/standin_platform/src/request_handler.h
@@ -2,7 +2,7 @@
 /// Answers the HTTP requests of the stand-in platform.
 #pragma once
 
-#include "platform/json.h"
+#include "ports/json.h"
 #include "standin_platform/server.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
--- a/testing/standin_platform/tests/standin_platform_test.cpp
+++ b/testing/standin_platform/tests/standin_platform_test.cpp
@@ -24,17 +24,17 @@
     // Guards against tests that pass only because the stand-in's list is fresher than the platform's.
     base::time_point now{100s};
     fleet_table fleet{10s, [&] { return now; }};
-    platform::vm v{base::vm_id{"vm-1"}, base::zone_id{"a"}, "127.0.0.1:1", platform::vm_state::live};
+    ports::vm v{base::vm_id{"vm-1"}, base::zone_id{"a"}, "127.0.0.1:1", ports::vm_state::live};
     fleet.set(v);
     EXPECT_TRUE(fleet.vms().empty());
     now += 10s;
     EXPECT_EQ(fleet.vms().size(), 1U);
-    v.state = platform::vm_state::leaving;
+    v.state = ports::vm_state::leaving;
     fleet.set(v);
     now += 9s;
-    EXPECT_EQ(fleet.vms().at(0).state, platform::vm_state::live);
+    EXPECT_EQ(fleet.vms().at(0).state, ports::vm_state::live);
     now += 1s;
-    EXPECT_EQ(fleet.vms().at(0).state, platform::vm_state::leaving);
+    EXPECT_EQ(fleet.vms().at(0).state, ports::vm_state::leaving);
 }
 
 TEST(fleet_table, orders_list_spare_servers_and_mark_released_ones) {
@@ -43,22 +43,21 @@
     const base::zone_id zone{"a"};
     const base::service_id service{"s"};
     fleet.add_spare({base::backend_server_id{"e-1"}, zone, service, "k", "127.0.0.1:1", false, 8, {}});
-    platform::order o{"o", zone, service, platform::order_action::request, "other", 1, {}, 1};
+    ports::order o{"o", zone, service, ports::order_action::request, "other", 1, {}, 1};
     fleet.apply(o);
     EXPECT_TRUE(fleet.servers(zone).empty());
     o.server_kind = "k";
     fleet.apply(o);
     ASSERT_EQ(fleet.servers(zone).size(), 1U);
-    fleet.apply(
-        {"r", zone, service, platform::order_action::release, "", 1, base::backend_server_id{"e-1"}, 1});
-    EXPECT_EQ(fleet.servers(zone).at(0).state, platform::vm_state::leaving);
+    fleet.apply({"r", zone, service, ports::order_action::release, "", 1, base::backend_server_id{"e-1"}, 1});
+    EXPECT_EQ(fleet.servers(zone).at(0).state, ports::vm_state::leaving);
 }
 
 TEST(order_book, stale_token_is_recorded_even_when_ignored) {
     // Guards against a platform that ignores tokens hiding a second role holder from the tests.
     int applied = 0;
-    order_book book{true, [&](const platform::order&) { ++applied; }};
-    platform::order o{"o1", base::zone_id{"a"}, {}, platform::order_action::request, "k", 1, {}, 5};
+    order_book book{true, [&](const ports::order&) { ++applied; }};
+    ports::order o{"o1", base::zone_id{"a"}, {}, ports::order_action::request, "k", 1, {}, 5};
     book.submit(o);
     o.id = "o2";
     o.fencing_token = 4;
