--- /dev/null
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -0,0 +1,277 @@
+#include "edge_daemon.h"
+
+#include "base/log.h"
+#include "edge_metrics.h"
+#include "platform/documents.h"
+
+#include <atomic>
+#include <utility>
+
+namespace chicorygap::daemon_app {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+std::atomic<bool> stop_requested{false};
+std::atomic<bool> reload_requested{false};
+
+/// How often signals and times are checked.
+constexpr base::duration housekeeping_interval = 100ms;
+/// Time after an outage of the store in which live servers register again.
+constexpr base::duration return_time = 2200ms;
+/// The platform's balancer asks for readiness once a second and takes two refusals; new connections may come
+/// until then.
+constexpr base::duration balancer_time = 3s;
+/// The process ends this long before it would be killed.
+constexpr base::duration stop_margin = 700ms;
+/// Largest request on the operators' and readiness addresses.
+constexpr std::size_t internal_body_limit = 1024 * 1024;
+
+constexpr const char* configuration_kind = "config";
+constexpr const char* configuration_name = "main";
+constexpr const char* server_kind = "servers";
+
+long long to_ms(base::duration d) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+void log_request(const proxy::request_record& r) {
+    base::log_line line{base::log_level::info, "proxy", "Request ended."};
+    line.field("request", r.id.str())
+        .field("route", r.route)
+        .field("service", r.service.str())
+        .field("workspace", r.workspace.str())
+        .field("tier", r.tier.level)
+        .field("status", r.status)
+        .field("run_state", base::to_string(r.state))
+        .field("attempts", r.attempts)
+        .field("server", r.server.str())
+        .field("waited_ms", to_ms(r.waited))
+        .field("total_ms", to_ms(r.total))
+        .field("version", static_cast<long long>(r.catalog_version))
+        .field("servers_age_ms", to_ms(r.servers_age))
+        .code(r.code);
+    if (r.first_output) {
+        line.field("first_ms", to_ms(*r.first_output)).field("events", static_cast<long long>(r.events));
+    }
+    if (!r.cause.empty()) {
+        line.field("cause", r.cause);
+    }
+}
+
+proxy::router_options router_options(const settings::edge_settings& s) {
+    // Until peers are known this daemon takes as many as it was told of as seeds.
+    const auto daemons = static_cast<double>(s.seeds.size() + 1);
+    return {.self = s.vm,
+            .zone = s.zone,
+            .retries = {.ratio = s.retries.ratio,
+                        .allowance = static_cast<int>(s.retries.allowance / daemons),
+                        .window = s.retries.window}};
+}
+
+}  // namespace
+
+void edge_daemon::request_stop() noexcept {
+    stop_requested = true;
+}
+
+void edge_daemon::request_reload() noexcept {
+    reload_requested = true;
+}
+
+edge_daemon::edge_daemon(settings::edge_settings s)
+    : settings_{std::move(s)},
+      generator_{std::random_device{}()},
+      metrics_{std::make_unique<edge_metrics>()},
+      router_{loop_,
+              dialect_,
+              router_options(settings_),
+              random(),
+              {.run_started = nullptr,
+               .ended =
+                   [this](const proxy::request_record& r) {
+                       metrics_->record(r);
+                       log_request(r);
+                   }}},
+      store_{loop_, settings_.store},
+      configuration_watch_{loop_,
+                           store_,
+                           configuration_kind,
+                           random(),
+                           {.changed = [this] { on_configuration(); }, .reachable = nullptr}},
+      server_watch_{loop_,
+                    store_,
+                    server_kind,
+                    random(),
+                    {.changed = [this] { on_servers(); },
+                     .reachable =
+                         [this](bool value) {
+                             directory_.store_reachable(value, loop_.now());
+                             base::log_line{base::log_level::info, "platform",
+                                            value ? "Store regained." : "Store lost."}
+                                 .field("revision", static_cast<long long>(server_watch_.revision()));
+                         }}},
+      directory_{return_time},
+      caller_listener_{loop_, settings_.callers,
+                       [this](Poco::Net::StreamSocket x) { accept_caller(std::move(x)); }},
+      readiness_listener_{loop_, settings_.readiness,
+                          [this](Poco::Net::StreamSocket x) { accept_readiness(std::move(x)); }},
+      operator_listener_{loop_, settings_.operators,
+                         [this](Poco::Net::StreamSocket x) { accept_operator(std::move(x)); }} {}
+
+edge_daemon::~edge_daemon() = default;
+
+base::random_function edge_daemon::random() {
+    return [this] { return generator_(); };
+}
+
+void edge_daemon::run() {
+    base::log_line{base::log_level::info, "daemon", "Started."}
+        .field("vm", settings_.vm.str())
+        .field("zone", settings_.zone.str())
+        .field("callers", net::to_string(settings_.callers));
+    configuration_watch_.start();
+    server_watch_.start();
+    loop_.every(housekeeping_interval, [this] { housekeeping(); });
+    loop_.run();
+    base::log_line{base::log_level::info, "daemon", "Stopped."}.field(
+        "open_requests", static_cast<long long>(router_.open_requests()));
+}
+
+http::session_limits edge_daemon::caller_limits() const {
+    const auto l = catalog_ ? catalog_->limits : catalog::caller_limits{};
+    return {.head_bytes = l.head_bytes,
+            .body_bytes = l.body_bytes,
+            .head_time = l.head_time,
+            .idle_time = l.idle_time};
+}
+
+http::session_hooks edge_daemon::service_hooks(
+    session_set& sessions, std::function<void(http::server_session&, http::request&&)> received) {
+    return {.received = std::move(received),
+            .caller_gone = nullptr,
+            .drained = nullptr,
+            .closed = [&sessions](http::server_session& s) { sessions.erase(s.shared_from_this()); }};
+}
+
+void edge_daemon::accept_caller(Poco::Net::StreamSocket socket) {
+    auto hooks = service_hooks(callers_, [this](http::server_session& s, http::request&& r) {
+        if (stopping_) {
+            s.close_after_answer();
+        }
+        router_.handle(s, std::move(r));
+    });
+    hooks.caller_gone = [this](http::server_session& s) { router_.caller_gone(s); };
+    hooks.drained = [this](http::server_session& s) { router_.drained(s); };
+    callers_.insert(http::server_session::start(loop_, std::move(socket), caller_limits(), std::move(hooks)));
+}
+
+void edge_daemon::accept_readiness(Poco::Net::StreamSocket socket) {
+    auto hooks = service_hooks(operators_, [this](http::server_session& s, http::request&&) {
+        s.respond({.status = ready() ? 200 : 503}, {});
+    });
+    operators_.insert(http::server_session::start(loop_, std::move(socket),
+                                                  {.body_bytes = internal_body_limit}, std::move(hooks)));
+}
+
+void edge_daemon::accept_operator(Poco::Net::StreamSocket socket) {
+    auto hooks = service_hooks(operators_,
+                               [this](http::server_session& s, http::request&& r) { answer_operator(s, r); });
+    operators_.insert(http::server_session::start(loop_, std::move(socket),
+                                                  {.body_bytes = internal_body_limit}, std::move(hooks)));
+}
+
+void edge_daemon::answer_operator(http::server_session& s, const http::request& r) {
+    if (r.head.target != "/metrics") {
+        s.respond({.status = 404}, {});
+        return;
+    }
+    metrics_->set("open_requests", static_cast<double>(router_.open_requests()));
+    metrics_->set("connections_opened", static_cast<double>(router_.connections_opened()));
+    metrics_->set("store_calls", static_cast<double>(store_.calls()));
+    metrics_->set("configuration_version", catalog_ ? static_cast<double>(catalog_->version) : 0);
+    http::response_head head{.status = 200};
+    head.headers.add("Content-Type", "text/plain; version=0.0.4");
+    s.respond(std::move(head), metrics_->text());
+}
+
+bool edge_daemon::ready() const {
+    return catalog_ && servers_known_ && !stopping_;
+}
+
+void edge_daemon::on_configuration() {
+    const auto it = configuration_watch_.items().find(configuration_name);
+    if (it == configuration_watch_.items().end()) {
+        return;
+    }
+    put_in_force(platform::decode_configuration(it->second.spec), "store");
+}
+
+void edge_daemon::put_in_force(std::shared_ptr<const catalog::snapshot> s, const char* source) {
+    if (!s || (catalog_ && s->version <= catalog_->version)) {
+        return;
+    }
+    catalog_ = std::move(s);
+    router_.set_catalog(catalog_);
+    base::log_line{base::log_level::info, "daemon", "Configuration in force."}
+        .field("version", static_cast<long long>(catalog_->version))
+        .field("routes", static_cast<long long>(catalog_->route_count()))
+        .field("source", source);
+}
+
+void edge_daemon::on_servers() {
+    std::vector<catalog::backend_server> listed;
+    for (const auto& [name, item] : server_watch_.items()) {
+        if (auto s = platform::decode_server(name, item.spec)) {
+            listed.push_back(*std::move(s));
+        }
+    }
+    directory_.observe(listed, loop_.now());
+    servers_known_ = true;
+    apply_servers();
+}
+
+void edge_daemon::apply_servers() {
+    const auto servers = directory_.servers();
+    router_.set_servers(servers);
+    base::log_line{base::log_level::info, "daemon", "Servers known."}
+        .field("count", static_cast<long long>(servers.size()))
+        .field("revision", static_cast<long long>(server_watch_.revision()));
+}
+
+void edge_daemon::housekeeping() {
+    if (directory_.expire(loop_.now())) {
+        apply_servers();
+    }
+    if (reload_requested.exchange(false)) {
+        base::log_line{base::log_level::info, "daemon", "Reload requested."};
+    }
+    if (stop_requested && !stopping_) {
+        begin_stop();
+    }
+    if (stopping_) {
+        finish_stop_if_idle();
+    }
+}
+
+void edge_daemon::begin_stop() {
+    stopping_ = true;
+    stop_began_ = loop_.now();
+    for (const auto& s : callers_) {
+        s->close_after_answer();
+    }
+    base::log_line{base::log_level::info, "daemon", "Stop requested."}.field(
+        "open_requests", static_cast<long long>(router_.open_requests()));
+}
+
+void edge_daemon::finish_stop_if_idle() {
+    const auto elapsed = loop_.now() - stop_began_;
+    const bool over = elapsed >= settings_.stop_time - stop_margin;
+    const bool idle = elapsed >= balancer_time && router_.open_requests() == 0 && callers_.empty();
+    if (idle || over) {
+        loop_.stop();
+    }
+}
+
+}  // namespace chicorygap::daemon_app
--- /dev/null
+++ b/apps/daemon/src/edge_daemon.h
@@ -0,0 +1,84 @@
+/// @file
+/// Daemon that serves callers on the users' platform.
+#pragma once
+
+#include "base/time.h"
+#include "catalog/server_directory.h"
+#include "catalog/snapshot.h"
+#include "http/server_session.h"
+#include "net/listener.h"
+#include "net/loop.h"
+#include "platform/header_dialect.h"
+#include "platform/kind_watch.h"
+#include "platform/store_client.h"
+#include "proxy/request_router.h"
+#include "settings/edge_settings.h"
+
+#include <memory>
+#include <random>
+#include <unordered_set>
+
+namespace chicorygap::daemon_app {
+
+class edge_metrics;
+
+/// Daemon that serves callers on the users' platform: one thread, one event loop.
+///
+/// Usage: `edge_daemon d{settings}; d.run();` returns after a stop signal, once open requests have ended.
+class edge_daemon {
+public:
+    /// @throws base::error with `settings_invalid` if an address cannot be used.
+    explicit edge_daemon(settings::edge_settings s);
+    ~edge_daemon();
+    edge_daemon(const edge_daemon&) = delete;
+    edge_daemon& operator=(const edge_daemon&) = delete;
+
+    void run();
+
+    /// Begins to stop; safe to call in a signal handler.
+    static void request_stop() noexcept;
+    /// The settings may have changed; safe to call in a signal handler.
+    static void request_reload() noexcept;
+
+private:
+    void accept_caller(Poco::Net::StreamSocket socket);
+    void accept_readiness(Poco::Net::StreamSocket socket);
+    void accept_operator(Poco::Net::StreamSocket socket);
+    void answer_operator(http::server_session& s, const http::request& r);
+    void on_configuration();
+    void on_servers();
+    void apply_servers();
+    void put_in_force(std::shared_ptr<const catalog::snapshot> s, const char* source);
+    void housekeeping();
+    void begin_stop();
+    void finish_stop_if_idle();
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] http::session_limits caller_limits() const;
+    [[nodiscard]] base::random_function random();
+
+    using session_set = std::unordered_set<std::shared_ptr<http::server_session>>;
+    http::session_hooks service_hooks(session_set& sessions,
+                                      std::function<void(http::server_session&, http::request&&)> received);
+
+    settings::edge_settings settings_;
+    std::mt19937_64 generator_;
+    net::loop loop_;
+    platform::header_dialect dialect_;
+    std::unique_ptr<edge_metrics> metrics_;
+    proxy::request_router router_;
+    platform::store_client store_;
+    platform::kind_watch configuration_watch_;
+    platform::kind_watch server_watch_;
+    catalog::server_directory directory_;
+    std::shared_ptr<const catalog::snapshot> catalog_;
+    session_set callers_;
+    session_set operators_;
+    net::listener caller_listener_;
+    net::listener readiness_listener_;
+    net::listener operator_listener_;
+    bool servers_known_ = false;
+    bool stopping_ = false;
+    base::time_point stop_began_;
+};
+
+}  // namespace chicorygap::daemon_app
--- /dev/null
+++ b/apps/daemon/src/edge_metrics.cpp
@@ -0,0 +1,68 @@
+#include "edge_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+
+namespace chicorygap::daemon_app {
+
+namespace {
+
+/// Borders in seconds, from an answer on the same VM to the longest stream.
+const prometheus::Histogram::BucketBoundaries latency_borders{0.01, 0.03, 0.06, 0.1, 0.15, 0.25, 0.4,
+                                                              0.6,  0.8,  1.2,  2.5, 5,    10,   20};
+
+double to_seconds(base::duration d) {
+    return std::chrono::duration<double>{d}.count();
+}
+
+}  // namespace
+
+edge_metrics::edge_metrics()
+    : requests_{prometheus::BuildCounter()
+                    .Name("chicorygap_requests_total")
+                    .Help("Requests of callers by service, status and result code")
+                    .Register(registry_)},
+      attempts_{prometheus::BuildCounter()
+                    .Name("chicorygap_attempts_total")
+                    .Help("Attempts at backend servers")
+                    .Register(registry_)},
+      first_output_{prometheus::BuildHistogram()
+                        .Name("chicorygap_first_output_seconds")
+                        .Help("Time from the request to the first event of its stream")
+                        .Register(registry_)},
+      total_{prometheus::BuildHistogram()
+                 .Name("chicorygap_request_seconds")
+                 .Help("Time from the request to the end of its answer")
+                 .Register(registry_)},
+      figures_{prometheus::BuildGauge()
+                   .Name("chicorygap_state")
+                   .Help("Figures of the daemon's state by name")
+                   .Register(registry_)} {}
+
+void edge_metrics::record(const proxy::request_record& r) {
+    const auto& service = r.service.str();
+    requests_
+        .Add({{"service", service},
+              {"status", std::to_string(r.status)},
+              {"code", std::to_string(static_cast<int>(r.code))}})
+        .Increment();
+    if (service.empty()) {
+        return;
+    }
+    attempts_.Add({{"service", service}}).Increment(r.attempts);
+    total_.Add({{"service", service}}, latency_borders).Observe(to_seconds(r.total));
+    if (r.first_output) {
+        first_output_.Add({{"service", service}}, latency_borders).Observe(to_seconds(*r.first_output));
+    }
+}
+
+void edge_metrics::set(const std::string& name, double value) {
+    figures_.Add({{"name", name}}).Set(value);
+}
+
+std::string edge_metrics::text() const {
+    return prometheus::TextSerializer{}.Serialize(registry_.Collect());
+}
+
+}  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/main.cpp
+++ b/apps/daemon/src/main.cpp
@@ -1,12 +1,16 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "daemon.h"
+#include "edge_daemon.h"
+#include "edge_options.h"
 #include "options.h"
 #include "settings/daemon_settings.h"
+#include "settings/edge_settings.h"
 
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <string_view>
 
 namespace {
 
@@ -38,8 +42,22 @@
     return exit_code::ok;
 }
 
-exit_code run(const daemon_app::options& o) {
+/// Runs `f` and reports its exceptions.
+template <typename F>
+exit_code guarded(F f) {
     try {
+        return f();
+    } catch (const base::error& e) {
+        std::cerr << e.what() << '\n';
+        return e.code() == base::result_code::settings_invalid ? exit_code::settings : exit_code::failure;
+    } catch (const std::exception& e) {
+        std::cerr << e.what() << '\n';
+        return exit_code::failure;
+    }
+}
+
+exit_code run(const daemon_app::options& o) {
+    return guarded([&o] {
         auto s = settings::load(o.config);
         base::configure_log(o.log_level ? base::parse_log_level(*o.log_level) : s.log_level);
         if (o.check) {
@@ -47,18 +65,46 @@
             return exit_code::ok;
         }
         return serve(std::move(s));
-    } catch (const base::error& e) {
-        std::cerr << e.what() << '\n';
-        return e.code() == base::result_code::settings_invalid ? exit_code::settings : exit_code::failure;
-    } catch (const std::exception& e) {
-        std::cerr << e.what() << '\n';
-        return exit_code::failure;
+    });
+}
+
+exit_code serve_edge(const daemon_app::edge_options& o) {
+    return guarded([&o] {
+        auto s = settings::load_edge(o.settings);
+        base::configure_log(s.log_level);
+        if (o.check) {
+            std::cout << o.settings << ": valid\n";
+            return exit_code::ok;
+        }
+        std::signal(SIGPIPE, SIG_IGN);
+        std::signal(SIGTERM, [](int) { daemon_app::edge_daemon::request_stop(); });
+        std::signal(SIGINT, [](int) { daemon_app::edge_daemon::request_stop(); });
+        std::signal(SIGHUP, [](int) { daemon_app::edge_daemon::request_reload(); });
+        daemon_app::edge_daemon d{std::move(s)};
+        d.run();
+        return exit_code::ok;
+    });
+}
+
+exit_code run_edge(int argc, char** argv) {
+    const auto o = daemon_app::parse_edge_options(argc, argv);
+    if (!o) {
+        std::cerr << daemon_app::edge_usage_text();
+        return exit_code::usage;
     }
+    if (o->help) {
+        std::cout << daemon_app::edge_usage_text();
+        return exit_code::ok;
+    }
+    return serve_edge(*o);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
+    if (argc > 1 && std::string_view{argv[1]} == "edge") {
+        return static_cast<int>(run_edge(argc - 1, argv + 1));
+    }
     const auto o = daemon_app::parse_options(argc, argv);
     if (!o) {
         std::cerr << daemon_app::usage_text();
--- /dev/null
+++ b/packages/http/include/http/client_connection.h
@@ -0,0 +1,104 @@
+/// @file
+/// One connection to a server.
+#pragma once
+
+#include "base/time.h"
+#include "http/message.h"
+#include "http/message_reader.h"
+#include "net/stream.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chicorygap::http {
+
+/// Why an exchange has no complete response.
+enum class exchange_failure {
+    connect_failed,  ///< no connection; no byte of the request was sent
+    reset,           ///< the connection was reset
+    closed,          ///< the server closed the connection before the response was complete
+    silent,          ///< written bytes were not taken, or the path is gone
+    malformed,       ///< the bytes received are no response
+};
+
+/// @return name for log lines.
+std::string_view to_string(exchange_failure f) noexcept;
+
+/// What one exchange reports. After `complete` or `failed` nothing else is reported.
+struct exchange_hooks {
+    std::function<void(response_head&&)> head;
+    std::function<void(std::string_view)> body;
+    std::function<void()> complete;
+    std::function<void(exchange_failure)> failed;
+};
+
+/// Decides whether a response answers the exchange in flight. One that does not is read to its end and
+/// dropped.
+using match_function = std::function<bool(const response_head&)>;
+
+/// One connection to a server, with one exchange at a time.
+///
+/// Concept: a byte that arrives while no exchange is in flight makes the connection unusable, so that a
+/// response is never taken for the answer to a later request.
+///
+/// Usage: `auto c = client_connection::connect(l, address, 300ms); c->start(bytes, no_body, match, hooks);`
+/// `abort` ends an exchange; the connection is closed with it.
+class client_connection : public std::enable_shared_from_this<client_connection> {
+public:
+    static std::shared_ptr<client_connection> connect(net::loop& l, const net::address& to,
+                                                      base::duration connect_timeout);
+    client_connection(const client_connection&) = delete;
+    client_connection& operator=(const client_connection&) = delete;
+    ~client_connection() = default;
+
+    /// Sends a request.
+    /// @param message head and body.
+    /// @param no_body the response has no body, as for HEAD.
+    /// @param match accepts every response if empty.
+    void start(std::string_view message, bool no_body, match_function match, exchange_hooks hooks);
+
+    /// Closes the connection. The exchange in flight reports nothing more.
+    void abort();
+
+    /// Stops or continues reading the response.
+    void pause_reading(bool paused) { stream_->pause_reading(paused); }
+
+    /// @return true if another exchange may start.
+    [[nodiscard]] bool reusable() const noexcept;
+    /// @return true if bytes of the current request may have reached the server.
+    [[nodiscard]] bool sent() const noexcept { return stream_->is_connected(); }
+    /// @return true if the connection was established for the current exchange.
+    [[nodiscard]] bool fresh() const noexcept { return exchanges_ <= 1; }
+    /// @return how long the server keeps the idle connection, if it said so.
+    [[nodiscard]] std::optional<base::duration> idle_time() const noexcept { return idle_time_; }
+    /// @return when the last exchange ended.
+    [[nodiscard]] base::time_point idle_since() const noexcept { return idle_since_; }
+
+private:
+    explicit client_connection(net::loop& l);
+
+    void received(std::string_view bytes);
+    void on_head(response_head&& h);
+    void finish();
+    void ended(net::stream_end how);
+    void fail(exchange_failure f);
+
+    net::loop& loop_;
+    std::shared_ptr<net::stream> stream_;
+    message_reader reader_;
+    std::shared_ptr<const exchange_hooks> hooks_;
+    match_function match_;
+    std::optional<base::duration> idle_time_;
+    base::time_point idle_since_;
+    int exchanges_ = 0;
+    int dropped_responses_ = 0;
+    bool in_flight_ = false;
+    bool dropping_ = false;
+    bool keep_alive_ = true;
+    bool broken_ = false;
+};
+
+}  // namespace chicorygap::http
--- /dev/null
+++ b/packages/http/include/http/connection_pool.h
@@ -0,0 +1,59 @@
+/// @file
+/// Idle connections to servers.
+#pragma once
+
+#include "base/time.h"
+#include "net/address.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chicorygap::net {
+class loop;
+}
+
+namespace chicorygap::http {
+
+class client_connection;
+
+/// Keeps idle connections to servers for later requests.
+///
+/// A connection is kept under a key that names one incarnation of a server, so that an address that another
+/// server took over is never reached by an old connection's key.
+///
+/// Usage: `auto c = p.take(key, address, longest_idle); c->start(...); ... p.give_back(key, c);`
+class connection_pool {
+public:
+    explicit connection_pool(net::loop& l) : loop_{l} {}
+
+    /// @param key names one incarnation of a server.
+    /// @param to address of the server.
+    /// @param longest_idle idle connections that are older are not used; zero asks for a new one.
+    /// @return an idle connection, or a new one that is being established.
+    std::shared_ptr<client_connection> take(const std::string& key, const net::address& to,
+                                            base::duration longest_idle);
+
+    /// Keeps the connection if it can be used again.
+    void give_back(const std::string& key, std::shared_ptr<client_connection> c);
+
+    /// Closes the idle connections to a server.
+    void drop(const std::string& key);
+
+    /// Closes connections that have been idle for too long. Expected about once a second.
+    void expire();
+
+    /// @return number of connections that were opened.
+    [[nodiscard]] std::size_t opened() const noexcept { return opened_; }
+
+private:
+    [[nodiscard]] bool usable(const client_connection& c, base::duration longest_idle) const;
+
+    net::loop& loop_;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> idle_;
+    std::size_t opened_ = 0;
+};
+
+}  // namespace chicorygap::http
--- /dev/null
+++ b/packages/http/include/http/server_session.h
@@ -0,0 +1,113 @@
+/// @file
+/// One caller's connection.
+#pragma once
+
+#include "base/time.h"
+#include "http/message.h"
+#include "http/message_reader.h"
+#include "net/loop.h"
+#include "net/stream.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace chicorygap::http {
+
+struct request {
+    request_head head;
+    std::string body;
+};
+
+/// Bounds on what a caller may send and how long it may take.
+struct session_limits {
+    std::size_t head_bytes = 16 * 1024;
+    std::size_t body_bytes = 4 * 1024 * 1024;
+    base::duration head_time = std::chrono::seconds{3};
+    base::duration idle_time = std::chrono::seconds{15};
+};
+
+class server_session;
+
+struct session_hooks {
+    /// A whole request was read. The owner answers it, now or later; the next one is read afterwards.
+    std::function<void(server_session&, request&&)> received;
+    /// The caller left while its request was not answered.
+    std::function<void(server_session&)> caller_gone;
+    /// All output was taken by the kernel.
+    std::function<void(server_session&)> drained;
+    /// The connection is closed. The owner drops the session.
+    std::function<void(server_session&)> closed;
+};
+
+/// One caller's connection: reads one request after the other and writes their answers.
+///
+/// Usage: `auto s = server_session::start(l, socket, limits, hooks);` then in `received` either `respond`, or
+/// `begin`, `send` and `finish`. `abort` ends an answer so that the caller sees it as incomplete.
+class server_session : public std::enable_shared_from_this<server_session> {
+public:
+    static std::shared_ptr<server_session> start(net::loop& l, Poco::Net::StreamSocket socket,
+                                                 session_limits limits, session_hooks hooks);
+    server_session(const server_session&) = delete;
+    server_session& operator=(const server_session&) = delete;
+    ~server_session();
+
+    /// Sends a whole answer.
+    /// @param head status and fields without framing.
+    void respond(response_head head, std::string_view body);
+
+    /// Begins an answer whose length is not known.
+    void begin(response_head head);
+    /// Sends a part of the body. Empty parts are ignored.
+    void send(std::string_view part);
+    /// Ends the body.
+    void finish();
+
+    /// Closes the connection at once; an answer that was begun stays visibly incomplete.
+    void abort();
+
+    /// Answers name `Connection: close` from now on.
+    void close_after_answer() noexcept { last_request_ = true; }
+
+    /// @return true while a request was read and its answer is not complete.
+    [[nodiscard]] bool busy() const noexcept { return busy_; }
+    /// @return bytes that the caller has not taken yet.
+    [[nodiscard]] std::size_t buffered() const { return stream_->buffered(); }
+    /// @return since when the caller has taken nothing of the buffered bytes.
+    [[nodiscard]] base::time_point last_progress() const { return stream_->last_progress(); }
+    [[nodiscard]] bool open() const { return stream_->open(); }
+
+private:
+    server_session(net::loop& l, session_limits limits, session_hooks hooks);
+
+    void received(std::string_view bytes);
+    void process_input();
+    void request_complete();
+    void refuse_input(int status);
+    void ended();
+    void set_timer(base::duration d);
+    void on_timer();
+    void write_head(response_head& head);
+    void answer_done();
+
+    net::loop& loop_;
+    session_limits limits_;
+    session_hooks hooks_;
+    message_reader reader_;
+    std::shared_ptr<net::stream> stream_;
+    net::timer_id timer_ = net::timer_id::none;
+    std::string input_;
+    request current_;
+    bool busy_ = false;
+    bool processing_ = false;
+    bool last_request_ = false;
+    bool close_after_current_ = false;
+    bool chunked_answer_ = false;
+    bool no_answer_body_ = false;
+    bool body_too_large_ = false;
+    bool body_time_added_ = false;
+};
+
+}  // namespace chicorygap::http
--- /dev/null
+++ b/packages/http/src/client_connection.cpp
@@ -0,0 +1,216 @@
+#include "http/client_connection.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace chicorygap::http {
+
+namespace {
+
+/// Longest head of a response; twice what callers may send.
+constexpr std::size_t head_limit = 32 * 1024;
+/// Responses to other requests that are dropped before the connection counts as broken.
+constexpr int dropped_response_limit = 3;
+
+std::optional<base::duration> keep_alive_time(const header_list& headers) {
+    const auto* value = headers.find("Keep-Alive");
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    constexpr std::string_view parameter = "timeout=";
+    const auto at = value->find(parameter);
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const char* first = value->data() + at + parameter.size();
+    const auto [end, ec] = std::from_chars(first, value->data() + value->size(), seconds);
+    return ec == std::errc{} && seconds >= 0 ? std::optional<base::duration>{std::chrono::seconds{seconds}}
+                                             : std::nullopt;
+}
+
+}  // namespace
+
+std::string_view to_string(exchange_failure f) noexcept {
+    switch (f) {
+        case exchange_failure::connect_failed:
+            return "connect_failed";
+        case exchange_failure::reset:
+            return "reset";
+        case exchange_failure::closed:
+            return "closed";
+        case exchange_failure::silent:
+            return "silent";
+        case exchange_failure::malformed:
+            return "malformed";
+    }
+    return "unknown";
+}
+
+client_connection::client_connection(net::loop& l)
+    : loop_{l},
+      reader_{message_reader::kind::response,
+              {.request = nullptr,
+               .response = [this](response_head&& h) { on_head(std::move(h)); },
+               .body =
+                   [this](std::string_view part) {
+                       const auto hooks = hooks_;
+                       if (in_flight_ && !dropping_ && hooks->body) {
+                           hooks->body(part);
+                       }
+                   }},
+              head_limit},
+      hooks_{std::make_shared<const exchange_hooks>()} {}
+
+std::shared_ptr<client_connection> client_connection::connect(net::loop& l, const net::address& to,
+                                                              base::duration connect_timeout) {
+    std::shared_ptr<client_connection> c{new client_connection{l}};
+    const std::weak_ptr<client_connection> weak = c;
+    c->stream_ = net::stream::connect(l, to, connect_timeout,
+                                      {.connected = nullptr,
+                                       .received =
+                                           [weak](std::string_view b) {
+                                               if (const auto self = weak.lock()) {
+                                                   self->received(b);
+                                               }
+                                           },
+                                       .drained = nullptr,
+                                       .ended =
+                                           [weak](net::stream_end how) {
+                                               if (const auto self = weak.lock()) {
+                                                   self->ended(how);
+                                               }
+                                           }});
+    return c;
+}
+
+void client_connection::start(std::string_view message, bool no_body, match_function match,
+                              exchange_hooks hooks) {
+    const auto self = shared_from_this();
+    hooks_ = std::make_shared<const exchange_hooks>(std::move(hooks));
+    match_ = std::move(match);
+    in_flight_ = true;
+    dropping_ = false;
+    keep_alive_ = true;
+    dropped_responses_ = 0;
+    ++exchanges_;
+    reader_.expect_no_body(no_body);
+    if (!stream_->open()) {
+        fail(exchange_failure::connect_failed);
+        return;
+    }
+    stream_->write(message);
+}
+
+void client_connection::abort() {
+    const auto self = shared_from_this();
+    in_flight_ = false;
+    broken_ = true;
+    hooks_ = std::make_shared<const exchange_hooks>();
+    stream_->close();
+}
+
+bool client_connection::reusable() const noexcept {
+    return !in_flight_ && !broken_ && keep_alive_ && stream_->open();
+}
+
+void client_connection::received(std::string_view bytes) {
+    const auto self = shared_from_this();
+    while (!bytes.empty()) {
+        if (!in_flight_) {
+            broken_ = true;  // bytes that answer nothing
+            stream_->close();
+            return;
+        }
+        const auto r = reader_.read(bytes);
+        if (!stream_->open()) {
+            return;  // a hook aborted the exchange
+        }
+        bytes.remove_prefix(r.consumed);
+        if (r.state == read_state::invalid) {
+            fail(exchange_failure::malformed);
+            return;
+        }
+        if (r.state == read_state::more) {
+            return;
+        }
+        if (std::exchange(dropping_, false)) {
+            continue;
+        }
+        // Bytes behind the response belong to no request.
+        broken_ = broken_ || !bytes.empty();
+        finish();
+        return;
+    }
+}
+
+void client_connection::on_head(response_head&& h) {
+    if (!in_flight_) {
+        return;
+    }
+    keep_alive_ = h.keep_alive;
+    if (match_ && !match_(h)) {
+        dropping_ = true;
+        if (!h.keep_alive || ++dropped_responses_ > dropped_response_limit) {
+            broken_ = true;
+        }
+        return;
+    }
+    idle_time_ = keep_alive_time(h.headers);
+    const auto hooks = hooks_;
+    if (hooks->head) {
+        hooks->head(std::move(h));
+    }
+}
+
+void client_connection::finish() {
+    in_flight_ = false;
+    idle_since_ = loop_.now();
+    const auto hooks = std::exchange(hooks_, std::make_shared<const exchange_hooks>());
+    if (broken_ || !keep_alive_) {
+        stream_->close();
+    }
+    if (hooks->complete) {
+        hooks->complete();
+    }
+}
+
+void client_connection::ended(net::stream_end how) {
+    const auto self = shared_from_this();
+    if (!in_flight_) {
+        broken_ = true;
+        return;
+    }
+    if (how == net::stream_end::orderly && !dropping_ && reader_.end_of_input() == read_state::complete) {
+        broken_ = true;
+        finish();
+        return;
+    }
+    switch (how) {
+        case net::stream_end::orderly:
+            fail(exchange_failure::closed);
+            return;
+        case net::stream_end::reset:
+            fail(exchange_failure::reset);
+            return;
+        case net::stream_end::connect_failed:
+            fail(exchange_failure::connect_failed);
+            return;
+        case net::stream_end::timeout:
+            fail(stream_->is_connected() ? exchange_failure::silent : exchange_failure::connect_failed);
+            return;
+    }
+}
+
+void client_connection::fail(exchange_failure f) {
+    in_flight_ = false;
+    broken_ = true;
+    stream_->close();
+    const auto hooks = std::exchange(hooks_, std::make_shared<const exchange_hooks>());
+    if (hooks->failed) {
+        hooks->failed(f);
+    }
+}
+
+}  // namespace chicorygap::http
--- /dev/null
+++ b/packages/http/src/connection_pool.cpp
@@ -0,0 +1,82 @@
+#include "http/connection_pool.h"
+
+#include "http/client_connection.h"
+#include "net/loop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorygap::http {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time to establish a connection. Within a region the answer takes a few milliseconds; a lost opening packet
+/// is sent again after a second, which is too late for most callers.
+constexpr base::duration connect_timeout = 600ms;
+/// Idle connections per server; more are needed only in a burst.
+constexpr std::size_t idle_limit = 64;
+/// Idle time when the server names none.
+constexpr base::duration default_idle_time = 4s;
+/// A connection is not used this long before the server would close it: the request could cross the close.
+constexpr base::duration idle_margin = 500ms;
+
+}  // namespace
+
+std::shared_ptr<client_connection> connection_pool::take(const std::string& key, const net::address& to,
+                                                         base::duration longest_idle) {
+    const auto it = idle_.find(key);
+    while (it != idle_.end() && !it->second.empty()) {
+        // The last one was used most recently and is the least likely to have been closed.
+        const auto c = std::move(it->second.back());
+        it->second.pop_back();
+        if (usable(*c, longest_idle)) {
+            return c;
+        }
+        c->abort();
+    }
+    ++opened_;
+    return client_connection::connect(loop_, to, connect_timeout);
+}
+
+void connection_pool::give_back(const std::string& key, std::shared_ptr<client_connection> c) {
+    auto& idle = idle_[key];
+    if (c->reusable() && idle.size() < idle_limit) {
+        idle.push_back(std::move(c));
+    } else if (c->reusable()) {
+        c->abort();
+    }
+}
+
+void connection_pool::drop(const std::string& key) {
+    const auto it = idle_.find(key);
+    if (it == idle_.end()) {
+        return;
+    }
+    for (const auto& c : it->second) {
+        c->abort();
+    }
+    idle_.erase(it);
+}
+
+void connection_pool::expire() {
+    for (auto& [key, idle] : idle_) {
+        std::erase_if(idle, [&](const auto& c) {
+            const bool old = !usable(*c, default_idle_time);
+            if (old) {
+                c->abort();
+            }
+            return old;
+        });
+    }
+    std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+bool connection_pool::usable(const client_connection& c, base::duration longest_idle) const {
+    const auto idle = loop_.now() - c.idle_since();
+    const auto allowed = c.idle_time().value_or(default_idle_time) - idle_margin;
+    return c.reusable() && idle < std::min(allowed, longest_idle);
+}
+
+}  // namespace chicorygap::http
--- /dev/null
+++ b/packages/http/src/server_session.cpp
@@ -0,0 +1,230 @@
+#include "http/server_session.h"
+
+#include <Poco/NumberFormatter.h>
+
+#include <utility>
+
+namespace chicorygap::http {
+
+namespace {
+
+/// Input of later requests that is kept while one is answered. More stays in the kernel.
+constexpr std::size_t early_input_limit = 64 * 1024;
+
+bool has_no_body(int status) {
+    return status / 100 == 1 || status == 204 || status == 304;
+}
+
+}  // namespace
+
+server_session::server_session(net::loop& l, session_limits limits, session_hooks hooks)
+    : loop_{l},
+      limits_{limits},
+      hooks_{std::move(hooks)},
+      reader_{message_reader::kind::request,
+              {.request = [this](request_head&& h) { current_.head = std::move(h); },
+               .response = nullptr,
+               .body =
+                   [this](std::string_view part) {
+                       if (current_.body.size() + part.size() > limits_.body_bytes) {
+                           body_too_large_ = true;
+                       } else {
+                           current_.body.append(part);
+                       }
+                   }},
+              limits.head_bytes} {}
+
+server_session::~server_session() {
+    loop_.cancel(timer_);
+}
+
+std::shared_ptr<server_session> server_session::start(net::loop& l, Poco::Net::StreamSocket socket,
+                                                      session_limits limits, session_hooks hooks) {
+    std::shared_ptr<server_session> s{new server_session{l, limits, std::move(hooks)}};
+    const std::weak_ptr<server_session> weak = s;
+    const auto with_self = [weak](auto&& f) {
+        if (const auto self = weak.lock()) {
+            f(*self);
+        }
+    };
+    s->stream_ = net::stream::adopt(
+        l, std::move(socket),
+        {.connected = nullptr,
+         .received = [with_self](std::string_view b) { with_self([b](auto& self) { self.received(b); }); },
+         .drained =
+             [with_self] {
+                 with_self([](auto& self) {
+                     if (self.hooks_.drained) {
+                         self.hooks_.drained(self);
+                     }
+                 });
+             },
+         .ended = [with_self](net::stream_end) { with_self([](auto& self) { self.ended(); }); }});
+    s->set_timer(limits.idle_time);
+    return s;
+}
+
+void server_session::received(std::string_view bytes) {
+    const auto self = shared_from_this();
+    input_.append(bytes);
+    process_input();
+    if (busy_ && input_.size() > early_input_limit) {
+        stream_->pause_reading(true);
+    }
+}
+
+void server_session::process_input() {
+    if (std::exchange(processing_, true)) {
+        return;  // called from an answer that was given inside the loop below
+    }
+    while (!busy_ && !input_.empty() && stream_->open()) {
+        const bool began = !reader_.in_message();
+        const auto r = reader_.read(input_);
+        input_.erase(0, r.consumed);
+        if (body_too_large_) {
+            refuse_input(413);
+        } else if (r.state == read_state::invalid) {
+            refuse_input(reader_.head_too_long() ? 431 : 400);
+        } else if (r.state == read_state::complete) {
+            request_complete();
+        } else if (began) {
+            set_timer(limits_.head_time);
+        }
+    }
+    processing_ = false;
+}
+
+void server_session::request_complete() {
+    loop_.cancel(timer_);
+    busy_ = true;
+    body_time_added_ = false;
+    close_after_current_ = !current_.head.keep_alive;
+    chunked_answer_ = current_.head.http_1_1;
+    no_answer_body_ = current_.head.method == "HEAD";
+    auto r = std::exchange(current_, {});
+    hooks_.received(*this, std::move(r));
+}
+
+void server_session::refuse_input(int status) {
+    busy_ = true;
+    close_after_current_ = true;
+    chunked_answer_ = true;
+    no_answer_body_ = false;
+    respond({.status = status}, {});
+}
+
+void server_session::ended() {
+    const auto self = shared_from_this();
+    loop_.cancel(timer_);
+    if (std::exchange(busy_, false) && hooks_.caller_gone) {
+        hooks_.caller_gone(*this);
+    }
+    if (hooks_.closed) {
+        hooks_.closed(*this);
+    }
+}
+
+void server_session::set_timer(base::duration d) {
+    loop_.cancel(timer_);
+    timer_ = loop_.after(d, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_timer();
+        }
+    });
+}
+
+void server_session::on_timer() {
+    timer_ = net::timer_id::none;
+    if (busy_) {
+        return;
+    }
+    if (!reader_.in_message()) {
+        abort();
+        return;
+    }
+    // The head is bounded by its own limit; a body gets the idle time on top.
+    if (reader_.in_body() && !std::exchange(body_time_added_, true)) {
+        set_timer(limits_.idle_time);
+        return;
+    }
+    refuse_input(408);
+}
+
+void server_session::respond(response_head head, std::string_view body) {
+    head.length = body.size();
+    write_head(head);
+    if (!no_answer_body_) {
+        stream_->write(body);
+    }
+    answer_done();
+}
+
+void server_session::begin(response_head head) {
+    write_head(head);
+}
+
+void server_session::write_head(response_head& head) {
+    close_after_current_ = close_after_current_ || last_request_;
+    if (head.length) {
+        if (!has_no_body(head.status)) {
+            head.headers.add("Content-Length", Poco::NumberFormatter::format(*head.length));
+        }
+        chunked_answer_ = false;
+    } else if (chunked_answer_) {
+        head.headers.add("Transfer-Encoding", "chunked");
+    } else {
+        close_after_current_ = true;
+    }
+    if (close_after_current_) {
+        head.headers.add("Connection", "close");
+    }
+    stream_->write(serialize(head));
+}
+
+void server_session::send(std::string_view part) {
+    if (part.empty() || no_answer_body_) {
+        return;
+    }
+    if (!chunked_answer_) {
+        stream_->write(part);
+        return;
+    }
+    std::string framed = Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(part.size()));
+    framed.append("\r\n").append(part).append("\r\n");
+    stream_->write(framed);
+}
+
+void server_session::finish() {
+    if (chunked_answer_ && !no_answer_body_) {
+        stream_->write("0\r\n\r\n");
+    }
+    answer_done();
+}
+
+void server_session::answer_done() {
+    const auto self = shared_from_this();
+    busy_ = false;
+    if (close_after_current_ || !stream_->open()) {
+        input_.clear();
+        stream_->pause_reading(false);
+        stream_->close_when_drained();  // reports its end to `ended`
+        return;
+    }
+    stream_->pause_reading(false);
+    set_timer(limits_.idle_time);
+    if (!input_.empty()) {
+        process_input();
+    }
+}
+
+void server_session::abort() {
+    const auto self = shared_from_this();
+    loop_.cancel(timer_);
+    busy_ = false;
+    stream_->close();
+    if (hooks_.closed) {
+        hooks_.closed(*this);
+    }
+}
+
+}  // namespace chicorygap::http
--- /dev/null
+++ b/packages/net/include/net/address.h
@@ -0,0 +1,27 @@
+/// @file
+/// Address of a TCP or UDP endpoint.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chicorygap::net {
+
+/// IP address and port. Host names are never resolved.
+struct address {
+    std::string host;
+    std::uint16_t port = 0;
+
+    bool operator==(const address&) const = default;
+    auto operator<=>(const address&) const = default;  // NOLINT(modernize-use-nullptr)
+};
+
+/// @return `host:port`.
+std::string to_string(const address& a);
+
+/// @return the address, or nothing for text that is not an IPv4 address and a port.
+std::optional<address> parse_address(std::string_view text);
+
+}  // namespace chicorygap::net
--- /dev/null
+++ b/packages/net/include/net/stream.h
@@ -0,0 +1,105 @@
+/// @file
+/// Non-blocking TCP connection.
+#pragma once
+
+#include "base/time.h"
+#include "net/address.h"
+#include "net/loop.h"
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace chicorygap::net {
+
+/// How a connection ended.
+enum class stream_end {
+    orderly,         ///< the other side closed it after its last byte
+    reset,           ///< reset, or no path to the other side
+    connect_failed,  ///< never established; nothing was sent
+    timeout,         ///< not established, or written data not taken, in time
+};
+
+/// What a stream reports.
+struct stream_hooks {
+    /// The connection is established.
+    std::function<void()> connected;
+    /// Bytes arrived; they are not kept.
+    std::function<void(std::string_view)> received;
+    /// All bytes given to `write` were handed to the kernel.
+    std::function<void()> drained;
+    /// The connection is closed; nothing else is reported afterwards. Not called after `close`.
+    std::function<void(stream_end)> ended;
+};
+
+/// Non-blocking TCP connection with an output buffer.
+///
+/// Usage: `auto s = stream::connect(l, address, 500ms, hooks); s->write("..."); s->close();`
+/// A stream is shared, because a callback may release its owner's last reference.
+class stream : public std::enable_shared_from_this<stream> {
+public:
+    /// Starts to connect. A failure is reported by `hooks.ended`, never by an exception.
+    /// @param timeout longest time until the connection is established.
+    static std::shared_ptr<stream> connect(loop& l, const address& to, base::duration timeout,
+                                           stream_hooks hooks);
+
+    /// Takes over a connection that was accepted.
+    static std::shared_ptr<stream> adopt(loop& l, Poco::Net::StreamSocket socket, stream_hooks hooks);
+
+    ~stream();
+    stream(const stream&) = delete;
+    stream& operator=(const stream&) = delete;
+
+    /// Sends bytes, or keeps them until the connection takes them. Ignored after the end.
+    void write(std::string_view bytes);
+
+    /// @return bytes given to `write` that the kernel has not taken.
+    [[nodiscard]] std::size_t buffered() const noexcept { return output_.size() - written_; }
+
+    /// @return when the kernel last took bytes, or the buffer was last empty.
+    [[nodiscard]] base::time_point last_progress() const noexcept { return last_progress_; }
+
+    /// Stops or continues reading, to slow the sender down.
+    void pause_reading(bool paused);
+
+    /// Ends the output after all of it was handed to the kernel, and closes once the other side has closed or
+    /// had its time to. `hooks.ended` is called then; input is dropped meanwhile.
+    void close_when_drained();
+
+    /// Closes at once; buffered output is lost and no hook is called any more.
+    void close();
+
+    [[nodiscard]] bool open() const noexcept { return !closed_; }
+    [[nodiscard]] bool is_connected() const noexcept { return connected_; }
+
+private:
+    stream(loop& l, Poco::Net::StreamSocket socket, stream_hooks hooks);
+
+    void start(bool connected);
+    void on_ready(readiness r);
+    void on_connected();
+    void read_available();
+    void flush();
+    void shut_down_output();
+    void end(stream_end how);
+    void update_interest();
+
+    loop& loop_;
+    Poco::Net::StreamSocket socket_;
+    std::shared_ptr<const stream_hooks> hooks_;
+    timer_id deadline_timer_ = timer_id::none;
+    std::string output_;
+    std::size_t written_ = 0;
+    base::time_point last_progress_;
+    bool connected_ = false;
+    bool closed_ = false;
+    bool closing_ = false;
+    bool read_paused_ = false;
+    bool wants_write_ = false;
+};
+
+}  // namespace chicorygap::net
--- /dev/null
+++ b/packages/net/src/stream.cpp
@@ -0,0 +1,267 @@
+#include "net/stream.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace chicorygap::net {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Bytes read from a socket at once; a page multiple that holds the usual request and answer.
+constexpr std::size_t read_size = 16 * 1024;
+/// Reads in one round before other sockets get their turn.
+constexpr int reads_per_round = 4;
+/// Output below this size is not moved to the front of the buffer, which would cost a copy for each write.
+constexpr std::size_t compact_size = 64 * 1024;
+
+/// How long the other side may take to close after all output was sent. Closing before it has read the output
+/// would reset the connection when bytes of it are still unread here.
+constexpr base::duration linger_time = 1s;
+/// A peer that takes no data for this long is gone: a connection whose path was lost reports nothing by
+/// itself.
+constexpr std::chrono::milliseconds user_timeout = 3s;
+/// Keep-alive probes find a silent connection that has nothing to send.
+constexpr int keep_alive_idle_s = 2;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+
+void set_options(Poco::Net::StreamSocket& s) {
+    s.setBlocking(false);
+    s.setNoDelay(true);
+    s.setKeepAlive(true);
+    s.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(user_timeout.count()));
+    s.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
+    s.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
+    s.setOption(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
+}  // namespace
+
+stream::stream(loop& l, Poco::Net::StreamSocket socket, stream_hooks hooks)
+    : loop_{l},
+      socket_{std::move(socket)},
+      hooks_{std::make_shared<const stream_hooks>(std::move(hooks))},
+      last_progress_{base::boot_clock::now()} {}
+
+stream::~stream() {
+    close();
+}
+
+std::shared_ptr<stream> stream::connect(loop& l, const address& to, base::duration timeout,
+                                        stream_hooks hooks) {
+    std::shared_ptr<stream> s{new stream{l, Poco::Net::StreamSocket{}, std::move(hooks)}};
+    const std::weak_ptr<stream> weak = s;
+    const auto fail = [weak](stream_end how) {
+        if (const auto self = weak.lock()) {
+            self->end(how);
+        }
+    };
+    try {
+        s->socket_.connectNB(Poco::Net::SocketAddress{to.host, to.port});
+        set_options(s->socket_);
+        s->start(false);
+        s->deadline_timer_ = l.after(timeout, [fail] { fail(stream_end::timeout); });
+    } catch (const Poco::Exception&) {
+        // Reported from the loop, so that the caller has its pointer before the hook is called.
+        s->deadline_timer_ = l.after({}, [fail] { fail(stream_end::connect_failed); });
+    }
+    return s;
+}
+
+std::shared_ptr<stream> stream::adopt(loop& l, Poco::Net::StreamSocket socket, stream_hooks hooks) {
+    std::shared_ptr<stream> s{new stream{l, std::move(socket), std::move(hooks)}};
+    set_options(s->socket_);
+    s->start(true);
+    return s;
+}
+
+void stream::start(bool connected) {
+    connected_ = connected;
+    wants_write_ = !connected;
+    const std::weak_ptr<stream> weak = weak_from_this();
+    loop_.watch(socket_, connected, wants_write_, [weak](readiness r) {
+        if (const auto self = weak.lock()) {
+            self->on_ready(r);
+        }
+    });
+}
+
+void stream::write(std::string_view bytes) {
+    if (closed_ || closing_) {
+        return;
+    }
+    if (buffered() == 0) {
+        last_progress_ = loop_.now();
+    }
+    output_.append(bytes);
+    if (connected_ && !wants_write_) {
+        flush();
+    }
+}
+
+void stream::pause_reading(bool paused) {
+    if (read_paused_ != paused) {
+        read_paused_ = paused;
+        update_interest();
+    }
+}
+
+void stream::close_when_drained() {
+    closing_ = true;
+    if (buffered() == 0) {
+        shut_down_output();
+    }
+}
+
+void stream::shut_down_output() {
+    try {
+        socket_.shutdownSend();
+    } catch (const Poco::Exception&) {
+        end(stream_end::reset);
+        return;
+    }
+    const std::weak_ptr<stream> weak = weak_from_this();
+    deadline_timer_ = loop_.after(linger_time, [weak] {
+        if (const auto self = weak.lock()) {
+            self->end(stream_end::orderly);
+        }
+    });
+}
+
+void stream::close() {
+    if (std::exchange(closed_, true)) {
+        return;
+    }
+    loop_.cancel(deadline_timer_);
+    loop_.unwatch(socket_);
+    socket_.close();
+    hooks_ = std::make_shared<const stream_hooks>();
+}
+
+void stream::end(stream_end how) {
+    if (closed_) {
+        return;
+    }
+    const auto hooks = hooks_;
+    close();
+    if (hooks->ended) {
+        hooks->ended(how);
+    }
+}
+
+void stream::on_ready(readiness r) {
+    if (!connected_) {
+        if (r.writable || r.failed) {
+            on_connected();
+        }
+        return;
+    }
+    if (r.writable && !closed_) {
+        flush();
+    }
+    if ((r.readable || r.failed) && !closed_) {
+        read_available();
+    }
+}
+
+void stream::on_connected() {
+    int ec = 0;
+    socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, ec);
+    if (ec != 0) {
+        end(stream_end::connect_failed);
+        return;
+    }
+    connected_ = true;
+    loop_.cancel(deadline_timer_);
+    wants_write_ = false;
+    update_interest();
+    const auto hooks = hooks_;
+    if (hooks->connected) {
+        hooks->connected();
+    }
+    if (!closed_ && buffered() > 0) {
+        flush();
+    }
+}
+
+void stream::read_available() {
+    std::array<char, read_size> buf;
+    for (int i = 0; i < reads_per_round && !closed_ && !read_paused_; ++i) {
+        int n = 0;
+        try {
+            n = socket_.receiveBytes(buf.data(), static_cast<int>(buf.size()));
+        } catch (const Poco::Exception&) {
+            end(stream_end::reset);
+            return;
+        }
+        if (n == 0) {
+            end(stream_end::orderly);
+            return;
+        }
+        if (n < 0) {
+            return;
+        }
+        const auto hooks = hooks_;
+        if (hooks->received && !closing_) {
+            hooks->received({buf.data(), static_cast<std::size_t>(n)});
+        }
+        if (static_cast<std::size_t>(n) < buf.size()) {
+            return;
+        }
+    }
+}
+
+void stream::flush() {
+    while (buffered() > 0) {
+        int n = 0;
+        try {
+            n = socket_.sendBytes(output_.data() + written_, static_cast<int>(buffered()));
+        } catch (const Poco::Exception&) {
+            end(stream_end::reset);
+            return;
+        }
+        if (n <= 0) {
+            break;
+        }
+        written_ += static_cast<std::size_t>(n);
+        last_progress_ = loop_.now();
+    }
+    if (written_ == output_.size()) {
+        output_.clear();
+        written_ = 0;
+    } else if (written_ > compact_size) {
+        output_.erase(0, written_);
+        written_ = 0;
+    }
+    const bool blocked = buffered() > 0;
+    if (blocked != wants_write_) {
+        wants_write_ = blocked;
+        update_interest();
+    }
+    if (blocked) {
+        return;
+    }
+    if (closing_) {
+        shut_down_output();
+        return;
+    }
+    const auto hooks = hooks_;
+    if (hooks->drained) {
+        hooks->drained();
+    }
+}
+
+void stream::update_interest() {
+    if (!closed_) {
+        loop_.update(socket_, connected_ && !read_paused_, wants_write_);
+    }
+}
+
+}  // namespace chicorygap::net
--- /dev/null
+++ b/packages/proxy/include/proxy/dialect.h
@@ -0,0 +1,71 @@
+/// @file
+/// Meaning of header fields towards callers and backend servers.
+#pragma once
+
+#include "base/id.h"
+#include "base/tier.h"
+#include "base/time.h"
+#include "http/message.h"
+#include "scheduling/work.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace chicorygap::proxy {
+
+/// What a caller's request head says.
+struct caller_request {
+    base::request_id id;
+    std::string host;
+    /// Time that the caller waits from now on.
+    std::optional<base::duration> deadline;
+    /// The caller's key; empty if there is none or if several differ.
+    std::string key;
+    /// Present if the head describes a generation.
+    std::optional<scheduling::generation> terms;
+    /// The caller has the events of an earlier stream up to this one.
+    std::optional<std::string> last_event;
+};
+
+/// What a request to a server says besides the caller's own fields.
+struct server_terms {
+    /// The server refuses the request if it is another one.
+    base::backend_server_id server;
+    /// Empty on anonymous routes.
+    base::workspace_id workspace;
+    base::duration remaining{};
+    base::tier tier;
+    /// The server continues behind this event.
+    std::optional<std::string> last_event;
+    std::size_t body_bytes = 0;
+};
+
+/// What a server's answer says.
+struct server_answer {
+    /// Request that it answers; empty if it does not say.
+    std::string request_id;
+    /// The server did not run the request and never will.
+    bool not_run = false;
+    /// The address belongs to another server now.
+    bool wrong_server = false;
+};
+
+/// Reads and writes heads in the header fields of one deployment.
+class dialect {
+public:
+    virtual ~dialect() = default;
+
+    [[nodiscard]] virtual caller_request decode(const http::request_head& head) const = 0;
+    /// @return head of the request to a server: the caller's fields, without those that only this system may
+    /// set, and those of `terms`.
+    [[nodiscard]] virtual http::request_head to_server(const http::request_head& head,
+                                                       const server_terms& terms) const = 0;
+    [[nodiscard]] virtual server_answer decode(const http::response_head& head) const = 0;
+    /// @return the head of a failure of our own.
+    /// @param retry_after present if the request has not run and may come back.
+    [[nodiscard]] virtual http::response_head failure(int status, const base::request_id& id,
+                                                      std::optional<base::duration> retry_after) const = 0;
+};
+
+}  // namespace chicorygap::proxy
--- /dev/null
+++ b/packages/proxy/include/proxy/request_record.h
@@ -0,0 +1,40 @@
+/// @file
+/// Outcome of one request, for logs and metrics.
+#pragma once
+
+#include "base/id.h"
+#include "base/result_code.h"
+#include "base/run_state.h"
+#include "base/tier.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace chicorygap::proxy {
+
+/// Outcome of one request, with what decided it.
+struct request_record {
+    base::request_id id;
+    std::string route;
+    base::service_id service;
+    base::workspace_id workspace;
+    base::tier tier;
+    /// Status that the caller received; 0 if it had left or its answer was broken off.
+    int status = 0;
+    base::result_code code = base::result_code::ok;
+    base::run_state state = base::run_state::not_run;
+    std::uint32_t attempts = 0;
+    base::backend_server_id server;
+    /// What the last failed attempt reported.
+    std::string cause;
+    base::duration waited{};
+    std::optional<base::duration> first_output;
+    base::duration total{};
+    std::uint64_t events = 0;
+    std::uint64_t catalog_version = 0;
+    base::duration servers_age{};
+};
+
+}  // namespace chicorygap::proxy
--- /dev/null
+++ b/packages/proxy/src/core.h
@@ -0,0 +1,79 @@
+/// @file
+/// State of the request router that its requests share.
+#pragma once
+
+#include "http/connection_pool.h"
+#include "proxy/dialect.h"
+#include "proxy/request_router.h"
+#include "retry/budget.h"
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace chicorygap::proxy {
+
+class flow;
+
+/// State of the request router that its requests share.
+class request_router::core {
+public:
+    /// Scheduler and retry budget of one service.
+    struct service_state {
+        std::unique_ptr<scheduling::scheduler> scheduler;
+        retry::budget budget;
+        bool ticking = false;
+    };
+
+    core(net::loop& l, const dialect& d, router_options o, base::random_function random, router_hooks hooks);
+    ~core();
+    core(const core&) = delete;
+    core& operator=(const core&) = delete;
+
+    void set_catalog(std::shared_ptr<const catalog::snapshot> s);
+    void set_servers(const std::vector<catalog::backend_server>& servers);
+    void set_peer_load(const base::vm_id& peer, const service_loads& loads);
+    void set_retry_share(const retry_share& s);
+    void handle(http::server_session& session, http::request&& r);
+    void caller_gone(http::server_session& session);
+    void drained(http::server_session& session);
+    [[nodiscard]] service_loads own_loads() const;
+    [[nodiscard]] std::unordered_map<base::service_id, scheduling::scheduler_status> status() const;
+
+    /// @return the service's state, created on first use.
+    service_state& service(const base::service_id& id);
+
+    /// Carries out decisions of a scheduler.
+    void carry_out(const base::service_id& id, const std::vector<scheduling::action>& actions);
+
+    void add(const std::shared_ptr<flow>& f, scheduling::ticket id);
+    void detach(http::server_session& session);
+    /// The flow has ended.
+    void remove(scheduling::ticket id, http::server_session* session);
+
+    scheduling::ticket next_ticket() { return scheduling::ticket{++last_ticket_}; }
+
+    net::loop& loop;
+    const dialect& words;
+    router_options options;
+    base::random_function random;
+    router_hooks hooks;
+    http::connection_pool pool;
+    std::shared_ptr<const catalog::snapshot> catalog;
+    base::time_point servers_changed;
+    std::unordered_map<scheduling::ticket, std::shared_ptr<flow>> flows;
+
+private:
+    void tick(const base::service_id& id);
+    void ensure_ticking(const base::service_id& id);
+    [[nodiscard]] retry::budget_options budget_options() const;
+
+    std::unordered_map<base::service_id, service_state> services_;
+    std::unordered_map<base::service_id, std::vector<catalog::backend_server>> servers_;
+    std::unordered_map<http::server_session*, scheduling::ticket> by_session_;
+    std::uint64_t last_ticket_ = 0;
+};
+
+}  // namespace chicorygap::proxy
--- /dev/null
+++ b/packages/proxy/src/flow.cpp
@@ -0,0 +1,490 @@
+#include "flow.h"
+
+#include "base/error.h"
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorygap::proxy {
+
+using base::result_code;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Idle time up to which a connection is used for a request that may not be repeated. A server may close an
+/// idle connection at any time; the request would then have an unknown outcome.
+constexpr base::duration longest_idle_unrepeatable = 800ms;
+constexpr base::duration longest_idle_repeatable = 4s;
+/// Answers up to this size are collected before the caller sees them.
+constexpr std::size_t collected_answer_limit = 1024 * 1024;
+/// Output that the caller has not taken, above which the server is not read.
+constexpr std::size_t output_limit = 256 * 1024;
+/// The server's own report of a timeout may arrive this much after it.
+constexpr base::duration timeout_margin = 60ms;
+/// A repeatable request tries another server after this many times its target without an answer.
+constexpr int silent_targets = 2;
+constexpr base::duration least_silence = 300ms;
+/// A resumable stream goes on elsewhere after this many times its longest pause without an event.
+constexpr int silent_gaps = 3;
+constexpr base::duration least_silent_gap = 600ms;
+/// The same for the first event, which waits behind the prompts of others.
+constexpr int silent_first_events = 5;
+constexpr base::duration least_silent_first = 1200ms;
+/// Retry-After while this daemon knows no configuration: it has one within a second of the store's return.
+constexpr base::duration not_ready_retry = 1s;
+
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+
+bool is_event_stream(const http::response_head& h) {
+    const auto* type = h.headers.find("Content-Type");
+    return h.status == 200 && type != nullptr && type->starts_with("text/event-stream");
+}
+
+}  // namespace
+
+flow::flow(request_router::core& c, http::server_session& session, http::request&& r)
+    : core_{c},
+      session_{session.shared_from_this()},
+      request_{std::move(r)},
+      terms_{c.words.decode(request_.head)},
+      catalog_{c.catalog},
+      ticket_{c.next_ticket()},
+      arrived_{base::boot_clock::now()} {
+    record_.id = terms_.id;
+}
+
+flow::~flow() {
+    core_.loop.cancel(request_timer_);
+    core_.loop.cancel(attempt_timer_);
+}
+
+void flow::begin() {
+    const auto self = shared_from_this();
+    if (!catalog_) {
+        retry_after_ = not_ready_retry;
+        end(status_unavailable, result_code::not_ready);
+        return;
+    }
+    record_.catalog_version = catalog_->version;
+    route_ = catalog_->find_route(terms_.host, request_.head.target);
+    if (route_ == nullptr) {
+        fail_early(404, result_code::route_unknown);
+        return;
+    }
+    record_.route = route_->name;
+    tier_ = route_->tier;
+    if (catalog_->keys_required && !route_->anonymous) {
+        const auto* w = catalog_->find_workspace(terms_.key);
+        if (w == nullptr) {
+            fail_early(401, terms_.key.empty() ? result_code::key_missing : result_code::key_unknown);
+            return;
+        }
+        workspace_ = w->id;
+        tier_ = w->tier.value_or(tier_);
+    }
+    const double point = static_cast<double>(core_.random() >> 11) / static_cast<double>(1ULL << 53);
+    service_ = catalog::select_service(*route_, point);
+    set_limits();
+    submit();
+}
+
+void flow::fail_early(int status, result_code code) {
+    end(status, code);
+}
+
+void flow::set_limits() {
+    const auto allowed = std::min(route_->timeout, terms_.deadline.value_or(route_->timeout));
+    ends_at_ = arrived_ + allowed;
+    request_timer_ = core_.loop.after(allowed + timeout_margin, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_request_timeout();
+        }
+    });
+    ledger_.emplace(retry::request_terms{.deadline = ends_at_,
+                                         .idempotent = route_->repeatable(),
+                                         .resumable = route_->resumable,
+                                         .max_attempts = std::max(1U, route_->max_attempts),
+                                         .hedge_after = std::nullopt,
+                                         .least_time = {}});
+}
+
+void flow::submit() {
+    record_.service = service_;
+    record_.workspace = workspace_;
+    record_.tier = tier_;
+    auto& s = core_.service(service_);
+    s.budget.record_request(core_.loop.now());
+    scheduling::work w{.id = ticket_,
+                       .tier = tier_,
+                       .workspace = workspace_,
+                       .repeatable = route_->repeatable(),
+                       .terms = terms_.terms,
+                       .arrived = arrived_,
+                       .target_at = arrived_ + route_->target,
+                       .deadline = ends_at_};
+    core_.carry_out(service_, s.scheduler->submit(std::move(w), core_.loop.now()));
+}
+
+scheduling::scheduler& flow::scheduler() {
+    return *core_.service(service_).scheduler;
+}
+
+base::duration flow::remaining() const {
+    return ends_at_ - base::boot_clock::now();
+}
+
+base::duration flow::longest_idle() const {
+    return route_->repeatable() ? longest_idle_repeatable : longest_idle_unrepeatable;
+}
+
+void flow::send(const catalog::backend_server& server) {
+    const auto self = shared_from_this();
+    if (remaining() <= 0ms) {
+        core_.carry_out(service_,
+                        scheduler().finished(ticket_, scheduling::outcome::abandoned, core_.loop.now()));
+        give_up(result_code::deadline_unreachable);
+        return;
+    }
+    const auto now = base::boot_clock::now();
+    if (record_.attempts == 0) {
+        record_.waited = now - arrived_;
+    }
+    attempt_ = ledger_->start(now);
+    record_.attempts = ledger_->attempts();
+    record_.server = server.id;
+    events_.restart();
+    body_.clear();
+    answer_is_stream_ = false;
+    answer_ = {};
+    connection_key_ = server.key();
+    connection_ = core_.pool.take(connection_key_, server.address, longest_idle());
+    server_terms t{.server = server.id,
+                   .workspace = workspace_,
+                   .remaining = remaining(),
+                   .tier = tier_,
+                   .last_event = events_.last_id() ? events_.last_id() : terms_.last_event,
+                   .body_bytes = request_.body.size()};
+    const auto message = http::serialize(core_.words.to_server(request_.head, t)) + request_.body;
+    arm_attempt_timer();
+    connection_->start(
+        message, request_.head.method == "HEAD",
+        [this, weak = weak_from_this()](const http::response_head& h) {
+            return !weak.expired() && answers_this(h);
+        },
+        attempt_hooks());
+}
+
+bool flow::answers_this(const http::response_head& h) const {
+    const auto id = core_.words.decode(h).request_id;
+    return id.empty() || id == terms_.id.str();
+}
+
+http::exchange_hooks flow::attempt_hooks() {
+    const auto with_self = [weak = weak_from_this(), attempt = attempt_](auto&& f) {
+        const auto self = weak.lock();
+        if (self && self->attempt_ == attempt && !self->ended_) {
+            f(*self);
+        }
+    };
+    return {.head = [with_self](
+                        http::response_head&& h) { with_self([&](flow& f) { f.on_head(std::move(h)); }); },
+            .body = [with_self](std::string_view part) { with_self([&](flow& f) { f.on_body(part); }); },
+            .complete = [with_self] { with_self([](flow& f) { f.on_complete(); }); },
+            .failed = [with_self](http::exchange_failure x) { with_self([x](flow& f) { f.on_failed(x); }); }};
+}
+
+void flow::arm_attempt_timer() {
+    core_.loop.cancel(attempt_timer_);
+    if (!route_->repeatable() || ledger_->attempts() >= route_->max_attempts) {
+        return;  // no other server may be tried
+    }
+    base::duration limit = std::max<base::duration>(least_silence, route_->target * silent_targets);
+    if (route_->kind == catalog::request_kind::streaming) {
+        const bool first = events_.events() == 0;
+        limit = first ? std::max<base::duration>(least_silent_first, route_->target * silent_first_events)
+                      : std::max<base::duration>(least_silent_gap,
+                                                 route_->target_gap.value_or(200ms) * silent_gaps);
+    }
+    attempt_timer_ = core_.loop.after(limit, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_attempt_timeout();
+        }
+    });
+}
+
+void flow::note_run_started() {
+    if (!std::exchange(run_counted_, true) && core_.hooks.run_started && !workspace_.empty()) {
+        core_.hooks.run_started(workspace_);
+    }
+}
+
+void flow::on_head(http::response_head&& h) {
+    answer_terms_ = core_.words.decode(h);
+    answer_is_stream_ = route_->kind == catalog::request_kind::streaming && is_event_stream(h) &&
+                        !answer_terms_.not_run && !answer_terms_.wrong_server;
+    if (!answer_is_stream_ && !answer_terms_.not_run && !answer_terms_.wrong_server) {
+        note_run_started();
+    }
+    if (!answer_begun_ || !answer_is_stream_) {
+        answer_ = std::move(h);
+    }
+}
+
+void flow::on_body(std::string_view part) {
+    if (answer_is_stream_) {
+        on_stream(part);
+    } else {
+        on_plain(part);
+    }
+}
+
+void flow::on_stream(std::string_view part) {
+    const auto before = events_.events();
+    const auto whole = events_.feed(part);
+    if (whole.empty()) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (!ledger_->progressed(attempt_, events_.events() - before)) {
+        return;
+    }
+    note_run_started();
+    scheduler().first_output(ticket_, core_.loop.now());
+    if (!record_.first_output) {
+        record_.first_output = base::boot_clock::now() - arrived_;
+    }
+    if (!std::exchange(answer_begun_, true)) {
+        http::response_head head{.status = answer_.status, .headers = http::end_to_end(answer_.headers)};
+        session_->begin(std::move(head));
+    }
+    session_->send(whole);
+    if (session_->buffered() > output_limit) {
+        connection_->pause_reading(true);
+    }
+    arm_attempt_timer();
+}
+
+void flow::on_plain(std::string_view part) {
+    body_.append(part);
+    if (body_.size() <= collected_answer_limit || answer_begun_) {
+        if (answer_begun_) {
+            session_->send(std::exchange(body_, {}));
+        }
+        return;
+    }
+    // Too large to collect: from here on a failure breaks the answer off.
+    answer_begun_ = true;
+    core_.loop.cancel(attempt_timer_);
+    session_->begin({.status = answer_.status, .headers = http::end_to_end(answer_.headers)});
+    session_->send(std::exchange(body_, {}));
+}
+
+void flow::on_complete() {
+    const auto self = shared_from_this();
+    core_.loop.cancel(attempt_timer_);
+    const auto c = std::exchange(connection_, nullptr);
+    c->pause_reading(false);
+    core_.pool.give_back(connection_key_, c);
+    if (answer_is_stream_) {
+        complete_stream();
+    } else {
+        complete_plain();
+    }
+}
+
+void flow::complete_stream() {
+    if (events_.has_partial() || !answer_begun_) {
+        attempt_failed({result_code::answer_truncated, true}, scheduling::outcome::unreachable, "truncated");
+        return;
+    }
+    ledger_->finished(attempt_, {result_code::ok, true});
+    core_.carry_out(service_, scheduler().finished(ticket_, scheduling::outcome::success, core_.loop.now()));
+    session_->finish();
+    end(answer_.status, result_code::ok);
+}
+
+void flow::complete_plain() {
+    if (answer_terms_.not_run || answer_terms_.wrong_server) {
+        attempt_failed({result_code::backend_refused, true}, scheduling::outcome::refused,
+                       answer_terms_.wrong_server ? "wrong_server" : "not_run");
+        return;
+    }
+    const bool failed = answer_.status >= 500;
+    if (failed && route_->repeatable() && !answer_begun_) {
+        attempt_failed({result_code::backend_failed, true}, scheduling::outcome::failed,
+                       "status_" + std::to_string(answer_.status));
+        return;
+    }
+    ledger_->finished(attempt_, {failed ? result_code::backend_failed : result_code::ok, true});
+    core_.carry_out(
+        service_,
+        scheduler().finished(ticket_, failed ? scheduling::outcome::failed : scheduling::outcome::success,
+                             core_.loop.now()));
+    pass_plain_answer();
+}
+
+void flow::pass_plain_answer() {
+    if (answer_begun_ && session_) {
+        session_->finish();
+    } else if (session_) {
+        session_->respond({.status = answer_.status, .headers = http::end_to_end(answer_.headers)}, body_);
+    }
+    end(answer_.status, answer_.status >= 500 ? result_code::backend_failed : result_code::ok);
+}
+
+void flow::on_failed(http::exchange_failure f) {
+    const auto self = shared_from_this();
+    core_.loop.cancel(attempt_timer_);
+    connection_.reset();
+    core_.pool.drop(connection_key_);
+    const bool sent = f != http::exchange_failure::connect_failed;
+    const bool progressed = answer_begun_ || !body_.empty();
+    const auto code = !sent        ? result_code::connect_failed
+                      : progressed ? result_code::answer_truncated
+                                   : result_code::answer_mismatched;
+    attempt_failed({code, sent}, scheduling::outcome::unreachable, std::string{to_string(f)});
+}
+
+void flow::on_attempt_timeout() {
+    const auto self = shared_from_this();
+    attempt_timer_ = net::timer_id::none;
+    const auto code = events_.events() > 0 ? result_code::token_gap_timeout : result_code::first_byte_timeout;
+    if (core_.service(service_).budget.available(core_.loop.now()) < 1) {
+        return;  // the attempt goes on: nothing else may be tried
+    }
+    const bool sent = connection_ && connection_->sent();
+    close_attempt();
+    attempt_failed({code, sent}, scheduling::outcome::unreachable, "silent");
+}
+
+void flow::attempt_failed(retry::attempt_outcome o, scheduling::outcome for_server, std::string cause) {
+    record_.cause = std::move(cause);
+    ledger_->finished(attempt_, o);
+    attempt_ = 0;
+    auto& s = core_.service(service_);
+    core_.carry_out(service_, s.scheduler->finished(ticket_, for_server, core_.loop.now()));
+    if (ended_) {
+        return;
+    }
+    const auto next = ledger_->next(s.budget, core_.loop.now());
+    base::log_line{base::log_level::info, "proxy", "Attempt failed."}
+        .field("request", terms_.id.str())
+        .field("server", record_.server.str())
+        .field("attempt", record_.attempts)
+        .field("cause", record_.cause)
+        .field("retry", next.allowed ? "yes" : "no")
+        .code(next.reason);
+    if (next.allowed && session_) {
+        core_.carry_out(service_, s.scheduler->resubmit(ticket_, core_.loop.now()));
+        return;
+    }
+    // A failure that the server itself reported is the answer if nothing else can be had.
+    if (o.code == result_code::backend_failed && !answer_begun_) {
+        pass_plain_answer();
+        return;
+    }
+    give_up(next.reason == result_code::ok ? o.code : next.reason);
+}
+
+void flow::refused(result_code code, base::duration retry_after) {
+    const auto self = shared_from_this();
+    retry_after_ = retry_after;
+    give_up(code);
+}
+
+void flow::on_request_timeout() {
+    const auto self = shared_from_this();
+    request_timer_ = net::timer_id::none;
+    if (attempt_ != 0) {
+        const bool sent = connection_ && connection_->sent();
+        close_attempt();
+        ledger_->finished(attempt_, {result_code::first_byte_timeout, sent});
+        attempt_ = 0;
+        core_.carry_out(service_,
+                        scheduler().finished(ticket_, scheduling::outcome::abandoned, core_.loop.now()));
+    }
+    give_up(result_code::deadline_unreachable);
+}
+
+void flow::give_up(result_code code) {
+    if (ended_) {
+        return;
+    }
+    record_.state = ledger_->run_state();
+    if (record_.state == base::run_state::not_run) {
+        retry_after_ = std::max<base::duration>(retry_after_, 250ms);
+        end(status_unavailable, code);
+    } else {
+        retry_after_ = {};
+        end(code == result_code::deadline_unreachable ? status_gateway_timeout : status_bad_gateway, code);
+    }
+}
+
+void flow::end(int status, result_code code) {
+    if (std::exchange(ended_, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    core_.loop.cancel(request_timer_);
+    core_.loop.cancel(attempt_timer_);
+    close_attempt();
+    auto* const session = session_.get();
+    const bool unanswered = session_ && session_->busy();
+    core_.remove(ticket_, session);
+    if (!service_.empty()) {
+        scheduler().withdraw(ticket_);
+    }
+    if (unanswered && answer_begun_) {
+        status = 0;
+        session_->abort();
+    } else if (unanswered) {
+        const auto retry_after = retry_after_ > 0ms ? std::optional{retry_after_} : std::nullopt;
+        session_->respond(core_.words.failure(status, terms_.id, retry_after), {});
+    }
+    record_.status = session == nullptr ? 0 : status;
+    record_.code = code;
+    if (ledger_) {
+        record_.state = ledger_->run_state();
+    }
+    record_.events = events_.events();
+    record_.total = base::boot_clock::now() - arrived_;
+    record_.servers_age = base::boot_clock::now() - core_.servers_changed;
+    if (core_.hooks.ended) {
+        core_.hooks.ended(record_);
+    }
+}
+
+void flow::close_attempt() {
+    if (const auto c = std::exchange(connection_, nullptr)) {
+        c->abort();
+    }
+}
+
+void flow::caller_gone() {
+    const auto self = shared_from_this();
+    session_.reset();
+    const bool running = attempt_ != 0 && connection_ && connection_->sent();
+    if (running && route_->kind == catalog::request_kind::non_idempotent) {
+        return;  // breaking it off would not undo it
+    }
+    if (attempt_ != 0) {
+        ledger_->finished(attempt_, {result_code::caller_gone, running});
+        attempt_ = 0;
+        close_attempt();
+        core_.carry_out(service_,
+                        scheduler().finished(ticket_, scheduling::outcome::abandoned, core_.loop.now()));
+    }
+    end(0, result_code::caller_gone);
+}
+
+void flow::caller_drained() {
+    if (connection_) {
+        connection_->pause_reading(false);
+    }
+}
+
+}  // namespace chicorygap::proxy
--- /dev/null
+++ b/packages/proxy/src/request_router.cpp
@@ -0,0 +1,49 @@
+#include "proxy/request_router.h"
+
+#include "core.h"
+#include "flow.h"
+
+#include <utility>
+
+namespace chicorygap::proxy {
+
+request_router::request_router(net::loop& l, const dialect& d, router_options o, base::random_function random,
+                               router_hooks hooks)
+    : core_{std::make_unique<core>(l, d, std::move(o), std::move(random), std::move(hooks))} {}
+request_router::~request_router() = default;
+
+void request_router::set_catalog(std::shared_ptr<const catalog::snapshot> s) {
+    core_->set_catalog(std::move(s));
+}
+void request_router::set_servers(const std::vector<catalog::backend_server>& servers) {
+    core_->set_servers(servers);
+}
+void request_router::set_peer_load(const base::vm_id& peer, const service_loads& loads) {
+    core_->set_peer_load(peer, loads);
+}
+void request_router::set_retry_share(const retry_share& s) {
+    core_->set_retry_share(s);
+}
+void request_router::handle(http::server_session& session, http::request&& r) {
+    core_->handle(session, std::move(r));
+}
+void request_router::caller_gone(http::server_session& session) {
+    core_->caller_gone(session);
+}
+void request_router::drained(http::server_session& session) {
+    core_->drained(session);
+}
+service_loads request_router::own_loads() const {
+    return core_->own_loads();
+}
+std::unordered_map<base::service_id, scheduling::scheduler_status> request_router::status() const {
+    return core_->status();
+}
+std::size_t request_router::open_requests() const {
+    return core_->flows.size();
+}
+std::size_t request_router::connections_opened() const {
+    return core_->pool.opened();
+}
+
+}  // namespace chicorygap::proxy
--- a/packages/retry/include/retry/attempt_ledger.h
+++ b/packages/retry/include/retry/attempt_ledger.h
@@ -20,7 +20,7 @@
     bool idempotent = true;
     /// The response is a stream of tokens, which another server can continue from a position.
     bool resumable = false;
-    /// Attempts that may have reached a server, including the first one and hedges.
+    /// Attempts that may have run, including the first one and hedges.
     std::uint32_t max_attempts = 3;
     /// Time without output after which a hedge may start; none disables hedging.
     std::optional<base::duration> hedge_after{};
@@ -46,7 +46,8 @@
 
 /// Run state of one request over its attempts; decides whether another attempt may start.
 ///
-/// A non-idempotent request never gets a second attempt once a byte of it may have been sent. The run state
+/// A non-idempotent request never gets a second attempt once a server may have run it: a byte of it may have
+/// been sent and no server said that it did not run it. The run state
 /// is `not_run` only if no attempt can have been executed; an attempt that is still in flight counts as
 /// unknown, because its adapter may be sending at this moment.
 ///
@@ -59,7 +60,7 @@
 /// @endcode
 class attempt_ledger {
 public:
-    /// Further attempts that may end before a byte was sent, for example on servers that crashed together.
+    /// Further attempts that may end without a run, for example on servers that crashed together or are full.
     static constexpr std::uint32_t max_unsent_attempts = 5;
 
     explicit attempt_ledger(request_terms t);
@@ -123,8 +124,8 @@
     [[nodiscard]] bool can_feed(std::uint32_t number) const;
     [[nodiscard]] base::result_code obstacle(base::time_point now) const;
     [[nodiscard]] base::result_code refusal(base::time_point now) const;
-    [[nodiscard]] bool may_have_been_sent() const;
-    [[nodiscard]] std::uint32_t sent_attempts() const;
+    [[nodiscard]] bool may_have_run() const;
+    [[nodiscard]] std::uint32_t run_attempts() const;
     [[nodiscard]] bool last_was_unsent() const;
 
     request_terms terms_;
--- a/packages/retry/include/retry/budget.h
+++ b/packages/retry/include/retry/budget.h
@@ -4,7 +4,7 @@
 
 #include "base/time.h"
 
-#include <array>
+#include <vector>
 #include <cstddef>
 #include <cstdint>
 
@@ -19,18 +19,24 @@
     /// Retries allowed per window without overload even when there were few requests; otherwise a service
     /// with a request every few seconds could never retry.
     int minimum = 3;
+    /// Retries that may be spent in each window beside the share.
+    int allowance = 0;
+    /// Length of the sliding window, in whole seconds up to `budget::longest_window`.
+    base::duration window = std::chrono::seconds{60};
 };
 
-/// Retry budget of one service: retries and hedges are a bounded share of the requests of the last minute.
+/// Retry budget of one service: retries and hedges are a bounded share of the requests of a sliding window.
 ///
 /// Usage: `b.record_request(now); ... if (b.try_spend(now)) { start another attempt }`
 class budget {
 public:
-    /// Length of the sliding window.
-    static constexpr std::size_t window_seconds = 60;
+    static constexpr std::size_t longest_window = 60;
 
     explicit budget(budget_options o = {});
 
+    /// Changes the settings; what was spent stays spent.
+    void set_options(budget_options o);
+
     /// Counts one request of a caller (not an attempt).
     void record_request(base::time_point now);
 
@@ -55,7 +61,7 @@
     second_count& current();
 
     budget_options options_;
-    std::array<second_count, window_seconds> seconds_{};
+    std::vector<second_count> seconds_;
     std::int64_t second_ = 0;
     std::int64_t requests_ = 0;
     std::int64_t spent_ = 0;
--- a/packages/retry/src/attempt_ledger.cpp
+++ b/packages/retry/src/attempt_ledger.cpp
@@ -34,7 +34,7 @@
 attempt_ledger::attempt_ledger(request_terms t) : terms_{t} {}
 
 std::uint32_t attempt_ledger::start(base::time_point now) {
-    if (!terms_.idempotent && may_have_been_sent()) {
+    if (!terms_.idempotent && may_have_run()) {
         throw base::error{result_code::internal, "second attempt of a non-idempotent request"};
     }
     attempts_.push_back({.started = now, .resume_at = delivered_});
@@ -164,10 +164,10 @@
     if (succeeded()) {
         return result_code::internal;
     }
-    if (!terms_.idempotent && may_have_been_sent()) {
+    if (!terms_.idempotent && may_have_run()) {
         return in_flight() > 0 ? result_code::outcome_unknown : last_.code;
     }
-    if (sent_attempts() >= terms_.max_attempts || attempts() >= terms_.max_attempts + max_unsent_attempts) {
+    if (run_attempts() >= terms_.max_attempts || attempts() >= terms_.max_attempts + max_unsent_attempts) {
         return result_code::retries_exhausted;
     }
     if (terms_.deadline != base::time_point::max() && now + terms_.least_time >= terms_.deadline) {
@@ -188,17 +188,18 @@
     return is_first || (is_retryable(last_.code) && !stuck) ? result_code::ok : last_.code;
 }
 
-std::uint32_t attempt_ledger::sent_attempts() const {
-    const auto sent = [](const attempt& a) { return a.in_flight || a.outcome.sent; };
-    return static_cast<std::uint32_t>(std::ranges::count_if(attempts_, sent));
+std::uint32_t attempt_ledger::run_attempts() const {
+    const auto counts = [](const attempt& a) { return state_of(a) != base::run_state::not_run; };
+    return static_cast<std::uint32_t>(std::ranges::count_if(attempts_, counts));
 }
 
 bool attempt_ledger::last_was_unsent() const {
     return !attempts_.empty() && !attempts_.back().in_flight && !attempts_.back().outcome.sent;
 }
 
-bool attempt_ledger::may_have_been_sent() const {
-    return std::ranges::any_of(attempts_, [](const attempt& a) { return a.in_flight || a.outcome.sent; });
+bool attempt_ledger::may_have_run() const {
+    return std::ranges::any_of(attempts_,
+                               [](const attempt& a) { return state_of(a) != base::run_state::not_run; });
 }
 
 }  // namespace chicorygap::retry
--- /dev/null
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -0,0 +1,106 @@
+/// @file
+/// Waiting, placement and refusal of one service's requests.
+#pragma once
+
+#include "base/random.h"
+#include "base/time.h"
+#include "catalog/backend_server.h"
+#include "catalog/service.h"
+#include "scheduling/action.h"
+#include "scheduling/load.h"
+#include "scheduling/work.h"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace chicorygap::scheduling {
+
+/// How one attempt ended.
+enum class outcome {
+    success,
+    refused,      ///< the server did not run it
+    failed,       ///< the server ran it and reported a failure
+    unreachable,  ///< no connection, a broken one, or silence
+    abandoned,    ///< ended from this side; says nothing about the server
+};
+
+struct scheduler_options {
+    base::vm_id self;
+    base::zone_id zone;
+};
+
+/// What the scheduler knows, for logs, metrics and the ordering of servers.
+struct scheduler_status {
+    std::size_t servers = 0;
+    std::size_t ejected = 0;
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    /// Requests that run or wait at other daemons, as last reported.
+    std::size_t peer_running = 0;
+    std::size_t peer_waiting = 0;
+};
+
+/// Decides which requests of one service start where, which wait and which are refused.
+///
+/// Concept: requests wait here and not in a server's queue, so that the order stays ours. A server gets what
+/// it can run now: slots and memory, counted over all daemons. Generations go where the first token is
+/// expected soonest, given the prompt tokens that the server has yet to read and the parts that it keeps.
+///
+/// Usage:
+/// @code
+/// scheduler s{{vm, zone}, random};
+/// s.set_servers(list, now);
+/// for (const auto& a : s.submit(w, now)) { ... }
+/// @endcode
+/// Not thread-safe; contains no I/O and reads no clock.
+class scheduler {
+public:
+    scheduler(scheduler_options o, base::random_function random);
+    ~scheduler();
+    scheduler(const scheduler&) = delete;
+    scheduler& operator=(const scheduler&) = delete;
+
+    /// @param terms engine of the service; absent for plain services.
+    void set_engine(const std::optional<catalog::engine_terms>& terms);
+
+    /// @param list all servers of the service.
+    /// @return requests that can start now.
+    std::vector<action> set_servers(const std::vector<catalog::backend_server>& list, base::time_point now);
+
+    /// Takes the load of a peer; it replaces the last report. A report is forgotten after a second.
+    std::vector<action> set_peer_load(const base::vm_id& peer, const load_report& r, base::time_point now);
+
+    /// A new request. Exactly one `start` or `refuse` follows, unless it is withdrawn before.
+    std::vector<action> submit(work w, base::time_point now);
+
+    /// The request's attempt failed and it may try another server. The attempt must have been reported by
+    /// `finished`. Servers that it tried are avoided.
+    std::vector<action> resubmit(ticket id, base::time_point now);
+
+    /// The request needs no server any more. An attempt in flight must have been reported by `finished`.
+    void withdraw(ticket id);
+
+    /// The attempt's answer has begun.
+    void first_output(ticket id, base::time_point now);
+
+    /// The attempt has ended and its place is free.
+    std::vector<action> finished(ticket id, outcome o, base::time_point now);
+
+    /// Refuses what has waited too long; expected every 50 ms while requests wait.
+    std::vector<action> tick(base::time_point now);
+
+    /// @return own load per server.
+    [[nodiscard]] load_report own_load() const;
+    [[nodiscard]] scheduler_status status() const;
+    /// @return true while requests wait.
+    [[nodiscard]] bool has_waiting() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+}  // namespace chicorygap::scheduling
--- /dev/null
+++ b/packages/scheduling/include/scheduling/work.h
@@ -0,0 +1,54 @@
+/// @file
+/// One request as the scheduler sees it.
+#pragma once
+
+#include "base/id.h"
+#include "base/tier.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace chicorygap::scheduling {
+
+/// Names one request within this process.
+enum class ticket : std::uint64_t { none = 0 };
+
+/// Part of a prompt that other requests may share.
+struct prefix_part {
+    std::uint64_t id = 0;
+    std::int64_t tokens = 0;
+
+    bool operator==(const prefix_part&) const = default;
+};
+
+/// What a generation needs of its server.
+struct generation {
+    std::int64_t prompt_tokens = 0;
+    /// Expected length of the answer; the caller's limit bounds it.
+    std::int64_t output_tokens = 0;
+    /// Parts of the prompt in order; the last one belongs to this request or its session.
+    std::vector<prefix_part> parts;
+
+    /// @return tokens that the request takes of a server's memory at its end.
+    [[nodiscard]] std::int64_t memory_tokens() const noexcept { return prompt_tokens + output_tokens; }
+};
+
+/// A request that waits for a server or runs on one.
+struct work {
+    ticket id = ticket::none;
+    base::tier tier;
+    base::workspace_id workspace;
+    /// May run again after a failure that leaves its outcome unknown.
+    bool repeatable = false;
+    /// Absent for plain services.
+    std::optional<generation> terms;
+    base::time_point arrived;
+    /// Time until which an answer is on time.
+    base::time_point target_at;
+    /// Time after which the caller does not wait any more.
+    base::time_point deadline;
+};
+
+}  // namespace chicorygap::scheduling
--- /dev/null
+++ b/packages/scheduling/src/placement.cpp
@@ -0,0 +1,98 @@
+#include "placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace chicorygap::scheduling {
+
+namespace {
+
+/// Part of a server's memory that is given out: outputs may be longer than expected.
+constexpr double usable_memory = 0.92;
+/// Cost of another zone in milliseconds of expected time: twice the way between zones, and bytes that are
+/// charged.
+constexpr double other_zone_ms = 6;
+/// Cost of one request that runs already: each step takes longer for all of them.
+constexpr double running_ms = 0.5;
+/// Weight of the load of a plain server against other costs, per slot in use.
+constexpr double plain_slot_ms = 4;
+/// Share of a prompt that the preferred server is expected to keep although this daemon did not send it
+/// there: the others choose the same server for it.
+constexpr double preferred_share = 0.6;
+/// Cost of a request on a server that may be taken away, when the request could not go on elsewhere.
+constexpr double reclaimable_ms = 15;
+
+/// Part that decides where a prompt is kept: the last one that other requests may share.
+std::uint64_t shared_part(const std::vector<prefix_part>& parts) {
+    return parts.size() >= 2 ? parts[parts.size() - 2].id : parts.empty() ? 0 : parts.front().id;
+}
+
+/// The same number for every daemon, so that they prefer the same server without talking.
+std::uint64_t preference(std::uint64_t part, const std::string& server) {
+    return XXH64(server.data(), server.size(), part);
+}
+
+const server_state* preferred_server(std::uint64_t part, const std::vector<server_state*>& candidates) {
+    const auto it = std::max_element(candidates.begin(), candidates.end(), [part](auto* a, auto* b) {
+        return preference(part, a->info.id.str()) < preference(part, b->info.id.str());
+    });
+    return it == candidates.end() ? nullptr : *it;
+}
+
+bool has_place(const server_state& s, const work& w, const placement_context& c) {
+    const auto slots = c.engine ? std::min(c.engine->slots, s.info.slots) : s.info.slots;
+    if (s.running() >= slots) {
+        return false;
+    }
+    if (!w.terms || !c.engine || s.running() == 0) {
+        return true;
+    }
+    const auto memory =
+        static_cast<std::int64_t>(usable_memory * static_cast<double>(c.engine->memory_tokens));
+    return s.memory_tokens() + w.terms->memory_tokens() <= memory;
+}
+
+double expected_ms(const server_state& s, const work& w, std::int64_t unread, const placement_context& c) {
+    double ms = s.info.zone == c.zone ? 0 : other_zone_ms;
+    if (!w.terms) {
+        return ms + plain_slot_ms * s.running();
+    }
+    const double speed = s.tokens_per_ms > 0 ? s.tokens_per_ms : c.tokens_per_ms;
+    ms += static_cast<double>(s.unread_tokens() + unread) / speed;
+    ms += running_ms * s.running();
+    ms += s.info.reclaimable && !w.repeatable ? reclaimable_ms : 0;
+    return ms;
+}
+
+}  // namespace
+
+std::optional<placement> choose_server(const work& w, const std::vector<server_state*>& candidates,
+                                       const placement_context& c, base::time_point now) {
+    const auto* preferred = w.terms ? preferred_server(shared_part(w.terms->parts), candidates) : nullptr;
+    std::optional<placement> best;
+    double best_ms = std::numeric_limits<double>::infinity();
+    for (auto* s : candidates) {
+        if (s->info.draining || s->health.ejected(now) || !has_place(*s, w, c)) {
+            continue;
+        }
+        std::int64_t unread = 0;
+        if (w.terms) {
+            auto kept = s->cache.cached_tokens(w.terms->parts);
+            if (s == preferred) {
+                const auto likely = preferred_share * static_cast<double>(w.terms->prompt_tokens);
+                kept = std::max(kept, static_cast<std::int64_t>(likely));
+            }
+            unread = std::max<std::int64_t>(0, w.terms->prompt_tokens - kept);
+        }
+        const double ms = expected_ms(*s, w, unread, c);
+        if (ms < best_ms) {
+            best_ms = ms;
+            best = placement{s, unread};
+        }
+    }
+    return best;
+}
+
+}  // namespace chicorygap::scheduling
--- /dev/null
+++ b/packages/scheduling/src/placement.h
@@ -0,0 +1,44 @@
+/// @file
+/// Choice of the server for one request.
+#pragma once
+
+#include "base/time.h"
+#include "catalog/service.h"
+#include "scheduling/work.h"
+#include "server_state.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicorygap::scheduling {
+
+/// What placement needs besides the servers.
+struct placement_context {
+    base::zone_id zone;
+    std::optional<catalog::engine_terms> engine;
+    /// Prompt tokens read in a millisecond, for servers without a measurement.
+    double tokens_per_ms = 0;
+};
+
+/// A server and what is expected of it.
+struct placement {
+    server_state* server = nullptr;
+    /// Prompt tokens that the server does not keep yet.
+    std::int64_t unread_tokens = 0;
+};
+
+/// Chooses the server whose first token is expected soonest, among those with a free place.
+///
+/// Answers these load patterns: long prompts that queue behind one another on one server while others idle;
+/// shared prompt parts that every server would read again; a server whose memory is full although it has free
+/// slots; daemons that all choose the same server.
+/// @param w the request.
+/// @param candidates servers that may be used.
+/// @param c context.
+/// @return nothing if no candidate has a free place.
+std::optional<placement> choose_server(const work& w, const std::vector<server_state*>& candidates,
+                                       const placement_context& c, base::time_point now);
+
+}  // namespace chicorygap::scheduling
--- /dev/null
+++ b/packages/scheduling/src/server_health.h
@@ -0,0 +1,37 @@
+/// @file
+/// Whether a server gets requests.
+#pragma once
+
+#include "base/time.h"
+#include "scheduling/scheduler.h"
+
+#include <cstdint>
+
+namespace chicorygap::scheduling {
+
+/// Recent outcomes of one server, and the time for which it is left out.
+///
+/// Answers the pattern of a server that crashed or fails part of its requests. A service may fail a share of
+/// its requests by itself, so that a server is left out for failures only when it fails far more than the
+/// others.
+class server_health {
+public:
+    /// @param usual_failures share of failed requests over all servers of the service.
+    void record(outcome o, double usual_failures, base::time_point now);
+
+    [[nodiscard]] bool ejected(base::time_point now) const noexcept { return now < ejected_until_; }
+
+    /// @return share of failed requests, the recent ones counted most.
+    [[nodiscard]] double failure_share() const noexcept { return samples_ > 0 ? failures_ / samples_ : 0; }
+
+private:
+    void eject(base::time_point now);
+
+    double samples_ = 0;
+    double failures_ = 0;
+    int unreachable_in_row_ = 0;
+    int ejections_in_row_ = 0;
+    base::time_point ejected_until_;
+};
+
+}  // namespace chicorygap::scheduling
--- /dev/null
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -0,0 +1,56 @@
+#include "wait_queue.h"
+
+namespace chicorygap::scheduling {
+
+void wait_queue::push(ticket id, const work& w, base::time_point latest_start) {
+    auto& in_lane = waiting_by_lane_[{w.tier.level, w.workspace}];
+    const rank at{w.tier.level, in_lane, next_order_++};
+    ++in_lane;
+    order_.emplace(at, id);
+    entries_.emplace(id, entry{at, w.workspace, latest_start});
+}
+
+bool wait_queue::erase(ticket id) {
+    const auto it = entries_.find(id);
+    if (it == entries_.end()) {
+        return false;
+    }
+    const auto lane_it = waiting_by_lane_.find({it->second.at.level, it->second.workspace});
+    if (--lane_it->second == 0) {
+        waiting_by_lane_.erase(lane_it);
+    }
+    order_.erase(it->second.at);
+    entries_.erase(it);
+    return true;
+}
+
+void wait_queue::visit(const std::function<bool(ticket)>& visit) const {
+    for (const auto& [at, id] : order_) {
+        if (!visit(id)) {
+            return;
+        }
+    }
+}
+
+std::vector<ticket> wait_queue::expired(base::time_point now) const {
+    std::vector<ticket> out;
+    for (const auto& [id, e] : entries_) {
+        if (now >= e.latest_start) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
+std::size_t wait_queue::ahead_of(base::tier tier) const {
+    std::size_t n = 0;
+    for (const auto& [at, id] : order_) {
+        if (at.level > tier.level) {
+            break;
+        }
+        ++n;
+    }
+    return n;
+}
+
+}  // namespace chicorygap::scheduling
--- /dev/null
+++ b/packages/settings/src/edge_parser.cpp
@@ -0,0 +1,150 @@
+#include "base/error.h"
+#include "document/ini.h"
+#include "document/section_reader.h"
+#include "settings/edge_settings.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <functional>
+#include <sstream>
+#include <utility>
+
+namespace chicorygap::settings {
+
+namespace {
+
+using document::section_reader;
+
+constexpr const char* address_rule = "IP address and port, for example 127.0.0.1:8080";
+constexpr std::size_t bytes_per_mib = 1024 * 1024;
+/// Longest time in a settings file.
+constexpr double most_seconds = 86'400;
+
+net::address read_address(section_reader& r, const std::string& key) {
+    const auto text = r.text(key);
+    const auto a = net::parse_address(text);
+    if (!a && r.has(key)) {
+        r.report(key, "'" + text + "' is not an address", address_rule);
+    }
+    return a.value_or(net::address{});
+}
+
+/// Reads a time that is written as a number of seconds.
+base::duration read_seconds(section_reader& r, const std::string& key) {
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>{r.real(key, {0, most_seconds})});
+}
+
+base::duration read_milliseconds(section_reader& r, const std::string& key) {
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double, std::milli>{r.real(key, {0, most_seconds * 1000})});
+}
+
+void read_daemon(section_reader& r, edge_settings& s) {
+    s.vm = base::vm_id{r.text("vm")};
+    s.zone = base::zone_id{r.text("zone")};
+    const auto level = r.choice("log_level", {"debug", "info", "warning", "error"}, 1);
+    s.log_level = static_cast<base::log_level>(level);
+    if (s.vm.empty() || s.zone.empty()) {
+        r.report("vm", "vm and zone must not be empty");
+    }
+}
+
+void read_listen(section_reader& r, edge_settings& s) {
+    s.callers = read_address(r, "callers");
+    s.readiness = read_address(r, "readiness");
+    s.operators = read_address(r, "operators");
+    s.peers = read_address(r, "peers");
+}
+
+void read_fleet(section_reader& r, edge_settings& s) {
+    for (const auto& text : r.list("seeds")) {
+        if (const auto a = net::parse_address(text)) {
+            s.seeds.push_back(*a);
+        } else {
+            r.report("seeds", "'" + text + "' is not an address", address_rule);
+        }
+    }
+}
+
+void read_platform(section_reader& r, edge_settings& s) {
+    s.store = read_address(r, "store");
+    if (r.has("orders")) {
+        s.orders = read_address(r, "orders");
+    }
+    r.lines("orders");  // known even when absent
+}
+
+void read_limits(section_reader& r, edge_settings& s) {
+    s.memory_bytes = r.number("memory_mib", {16, 1'048'576}) * bytes_per_mib;
+    s.descriptors = r.number("descriptors", {64, 10'000'000});
+}
+
+void read_times(section_reader& r, edge_settings& s) {
+    s.stop_time = read_seconds(r, "stop_seconds");
+    s.drain_time = read_milliseconds(r, "drain_milliseconds");
+}
+
+void read_retries(section_reader& r, edge_settings& s) {
+    s.retries.ratio = r.real("ratio", {0, 10});
+    s.retries.allowance = r.real("allowance", {0, 1'000'000});
+    s.retries.window = read_seconds(r, "window_seconds");
+}
+
+void read_duties(section_reader& r, edge_settings& s) {
+    s.duties.lease_length = read_milliseconds(r, "lease_milliseconds");
+    s.duties.usage_window = read_seconds(r, "usage_window_seconds");
+    s.duties.usage_due = read_seconds(r, "usage_due_seconds");
+    s.duties.calls_per_s = r.real("calls_per_second", {0, 1'000'000}, 0);
+    const auto held = r.list("held");
+    const auto holds = [&held](const char* name) {
+        return std::find(held.begin(), held.end(), name) != held.end();
+    };
+    s.reports_usage = holds("usage");
+    s.orders_servers = holds("autoscale");
+}
+
+}  // namespace
+
+edge_parse_result parse_edge(const std::string& text, const std::string& file) {
+    using reader = std::function<void(section_reader&, edge_settings&)>;
+    const std::array<std::pair<const char*, reader>, 8> sections{{{"daemon", read_daemon},
+                                                                  {"listen", read_listen},
+                                                                  {"fleet", read_fleet},
+                                                                  {"platform", read_platform},
+                                                                  {"limits", read_limits},
+                                                                  {"times", read_times},
+                                                                  {"retries", read_retries},
+                                                                  {"duties", read_duties}}};
+    const auto ini = document::read_ini(text, file);
+    auto faults = ini.faults;
+    edge_settings s;
+    for (const auto& [name, read] : sections) {
+        const auto it = std::find_if(ini.sections.begin(), ini.sections.end(),
+                                     [name = name](const auto& x) { return x.name == name; });
+        const document::ini_section absent{name, 0, {}};
+        section_reader r{it == ini.sections.end() ? absent : *it, file, faults};
+        read(r, s);
+        r.finish();
+    }
+    if (!faults.empty()) {
+        return {std::nullopt, std::move(faults)};
+    }
+    return {std::move(s), {}};
+}
+
+edge_settings load_edge(const std::string& path) {
+    std::ifstream in{path};
+    std::ostringstream text;
+    if (!in || !(text << in.rdbuf())) {
+        throw base::error{base::result_code::settings_invalid, path + ": cannot be read"};
+    }
+    auto result = parse_edge(text.str(), path);
+    if (!result.settings) {
+        throw base::error{base::result_code::settings_invalid, document::to_string(result.faults)};
+    }
+    return *std::move(result.settings);
+}
+
+}  // namespace chicorygap::settings
