Report write failures in the next round; leave out replaced servers

A write that failed called the owner's hooks inside the write: the request's flow released its connection and then used it.

Ruled out: use after free in the session set, whose sessions are shared and held while they run.

--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -54,7 +54,8 @@
     stream(const stream&) = delete;
     stream& operator=(const stream&) = delete;
 
-    /// Sends bytes, or keeps them until the connection takes them. Ignored after the end.
+    /// Sends bytes, or keeps them until the connection takes them. Ignored after the end. Calls no hook: a
+    /// failure is reported in the next round of the loop.
     void write(std::string_view bytes);
 
     /// @return bytes given to `write` that the kernel has not taken.
@@ -86,6 +87,7 @@
     void flush();
     void shut_down_output();
     void end(stream_end how);
+    void end_later(stream_end how);
     void update_interest();
 
     loop& loop_;
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -124,11 +124,10 @@
     try {
         socket_.shutdownSend();
     } catch (const Poco::Exception&) {
-        end(stream_end::reset);
+        end_later(stream_end::reset);
         return;
     }
-    const std::weak_ptr<stream> weak = weak_from_this();
-    deadline_timer_ = loop_.after(linger_time, [weak] {
+    deadline_timer_ = loop_.after(linger_time, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->end(stream_end::orderly);
         }
@@ -156,6 +155,17 @@
     }
 }
 
+// A hook that is called inside `write` would change its caller's state under it.
+void stream::end_later(stream_end how) {
+    output_.clear();
+    written_ = 0;
+    loop_.after({}, [weak = weak_from_this(), how] {
+        if (const auto self = weak.lock()) {
+            self->end(how);
+        }
+    });
+}
+
 void stream::on_ready(readiness r) {
     if (!connected_) {
         if (r.writable || r.failed) {
@@ -224,7 +234,7 @@
         try {
             n = socket_.sendBytes(output_.data() + written_, static_cast<int>(buffered()));
         } catch (const Poco::Exception&) {
-            end(stream_end::reset);
+            end_later(stream_end::reset);
             return;
         }
         if (n <= 0) {
@@ -241,7 +251,8 @@
         written_ = 0;
     }
     const bool blocked = buffered() > 0;
-    if (blocked != wants_write_) {
+    const bool was_blocked = wants_write_;
+    if (blocked != was_blocked) {
         wants_write_ = blocked;
         update_interest();
     }
@@ -253,7 +264,7 @@
         return;
     }
     const auto hooks = hooks_;
-    if (hooks->drained) {
+    if (was_blocked && hooks->drained) {
         hooks->drained();
     }
 }
--- a/packages/proxy/src/flow.cpp
+++ b/packages/proxy/src/flow.cpp
@@ -309,7 +309,9 @@
 
 void flow::complete_plain() {
     if (answer_terms_.not_run || answer_terms_.wrong_server) {
-        attempt_failed({result_code::backend_refused, true}, scheduling::outcome::refused,
+        const auto for_server =
+            answer_terms_.wrong_server ? scheduling::outcome::replaced : scheduling::outcome::refused;
+        attempt_failed({result_code::backend_refused, true}, for_server,
                        answer_terms_.wrong_server ? "wrong_server" : "not_run");
         return;
     }
--- a/packages/scheduling/include/scheduling/scheduler.h
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -22,6 +22,7 @@
 enum class outcome {
     success,
     refused,      ///< the server did not run it
+    replaced,     ///< another server has the address
     failed,       ///< the server ran it and reported a failure
     unreachable,  ///< no connection, a broken one, or silence
     abandoned,    ///< ended from this side; says nothing about the server
--- a/packages/scheduling/src/server_health.cpp
+++ b/packages/scheduling/src/server_health.cpp
@@ -25,6 +25,10 @@
     if (o == outcome::abandoned) {
         return;
     }
+    if (o == outcome::replaced) {
+        gone_ = true;
+        return;
+    }
     const bool bad = o == outcome::failed || o == outcome::unreachable;
     samples_ = samples_ * decay + 1;
     failures_ = failures_ * decay + (bad ? 1 : 0);
--- a/packages/scheduling/src/server_health.h
+++ b/packages/scheduling/src/server_health.h
@@ -19,7 +19,7 @@
     /// @param usual_failures share of failed requests over all servers of the service.
     void record(outcome o, double usual_failures, base::time_point now);
 
-    [[nodiscard]] bool ejected(base::time_point now) const noexcept { return now < ejected_until_; }
+    [[nodiscard]] bool ejected(base::time_point now) const noexcept { return gone_ || now < ejected_until_; }
 
     /// @return share of failed requests, the recent ones counted most.
     [[nodiscard]] double failure_share() const noexcept { return samples_ > 0 ? failures_ / samples_ : 0; }
@@ -32,6 +32,7 @@
     int unreachable_in_row_ = 0;
     int ejections_in_row_ = 0;
     base::time_point ejected_until_;
+    bool gone_ = false;  ///< its address belongs to another server
 };
 
 }  // namespace chicorygap::scheduling
