Let daemons hear each other, report usage and order servers

The lease is lease::role_lease; candidates ask the store only while no live peer says that it holds it.

--- /dev/null
+++ b/apps/daemon/src/duty_agent.cpp
@@ -0,0 +1,223 @@
+#include "duty_agent.h"
+
+#include "base/log.h"
+#include "platform/documents.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace chicorygap::daemon_app {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::duration tick_interval = 100ms;
+/// How often servers are planned: several times within the time that a server needs to start.
+constexpr base::duration plan_interval = 500ms;
+/// A new holder waits for the counts and loads of its peers, which arrive several times a second.
+constexpr base::duration warm_up = 1s;
+
+lease::lease_options lease_options(const settings::edge_settings& s, std::uint64_t incarnation) {
+    const auto length = s.duties.lease_length;
+    return {.role = "fleet",
+            .holder = s.vm.str(),
+            .incarnation = incarnation,
+            // Three renewals fit into the time in which the holder may act.
+            .renew_interval = length / 4,
+            .length = length,
+            .order_margin = length / 6,
+            .takeover_margin = length / 6,
+            .poll_interval = length / 4};
+}
+
+}  // namespace
+
+duty_agent::duty_agent(net::loop& l, const settings::edge_settings& s, platform::store_client& store,
+                       const sharing::peer_table& peers, metering::meter& meter, std::uint64_t incarnation,
+                       duty_questions questions)
+    : loop_{l},
+      settings_{s},
+      store_{store},
+      peers_{peers},
+      meter_{meter},
+      ask_{std::move(questions)},
+      lease_{lease_options(s, incarnation)},
+      lease_calls_{store, platform::lease_kind},
+      reporter_{{s.duties.usage_window, s.duties.usage_due},
+                [this](metering::window_number w) { return meter_.total(w); }} {
+    if (s.orders) {
+        cloud_.emplace(l, *s.orders, s.vm);
+    }
+}
+
+duty_agent::~duty_agent() {
+    loop_.cancel(timer_);
+}
+
+void duty_agent::start() {
+    if (!cloud_) {
+        return;  // there are no duties
+    }
+    handle(lease::candidacy_changed{false});
+    timer_ = loop_.every(tick_interval, [this] { tick(); });
+}
+
+void duty_agent::stop() {
+    stopping_ = true;
+    if (cloud_) {
+        handle(lease::release_requested{});
+    }
+}
+
+std::uint64_t duty_agent::held_term() const {
+    return lease_.may_act(base::boot_clock::now()) ? lease_.term() : 0;
+}
+
+bool duty_agent::may_act() const {
+    const auto now = base::boot_clock::now();
+    return lease_.may_act(now) && now - acquired_at_ >= warm_up;
+}
+
+base::wall_time duty_agent::agreed_time() const {
+    return peers_.agreed_time(base::wall_clock_now(), loop_.now());
+}
+
+void duty_agent::tick() {
+    const auto now = loop_.now();
+    most_daemons_ = std::max(most_daemons_, peers_.live_count(now));
+    // While a live peer says that it holds the lease, nobody else needs to ask the store.
+    const bool candidate = !stopping_ && (lease_.held() || peers_.lease_holder(now) == nullptr);
+    if (candidate != std::exchange(candidate_, candidate)) {
+        handle(lease::candidacy_changed{candidate});
+    }
+    handle(lease::tick{});
+    if (!may_act()) {
+        return;
+    }
+    if (settings_.reports_usage) {
+        report_usage();
+    }
+    if (settings_.orders_servers && now >= next_plan_) {
+        next_plan_ = now + plan_interval;
+        order_servers();
+    }
+}
+
+void duty_agent::handle(const lease::lease_event& e) {
+    apply(lease_.handle(e, base::boot_clock::now()));
+}
+
+void duty_agent::apply(const std::vector<lease::lease_action>& actions) {
+    const auto reply = [this](const base::store_reply& r) { handle(r); };
+    for (const auto& a : actions) {
+        if (const auto* put = std::get_if<base::store_put>(&a)) {
+            lease_calls_.put(*put, reply);
+        } else if (const auto* get = std::get_if<base::store_get>(&a)) {
+            lease_calls_.get(*get, reply);
+        } else if (const auto* got = std::get_if<lease::acquired>(&a)) {
+            acquired_at_ = base::boot_clock::now();
+            base::log_line{base::log_level::info, "duties", "Lease acquired."}.field(
+                "term", static_cast<long long>(got->term));
+        } else if (const auto* lost = std::get_if<lease::lost>(&a)) {
+            base::log_line{base::log_level::warning, "duties", "Lease lost."}.field(
+                "term", static_cast<long long>(lost->term));
+            role_lost();
+        }
+    }
+}
+
+void duty_agent::role_lost() {
+    reporter_.release();
+    planners_.clear();
+}
+
+void duty_agent::report_usage() {
+    const bool all_heard = peers_.live_count(loop_.now()) >= most_daemons_;
+    for (const auto& a : reporter_.tick(agreed_time(), all_heard, loop_.now())) {
+        if (const auto* f = std::get_if<duties::freeze_window>(&a)) {
+            freeze(*f);
+        } else {
+            report(std::get<duties::report_window>(a));
+        }
+    }
+}
+
+void duty_agent::freeze(const duties::freeze_window& f) {
+    const auto name = "window-" + std::to_string(static_cast<std::uint64_t>(f.window));
+    store_.create(platform::usage_kind, name, platform::encode_counts(f.counts),
+                  [this, w = f.window](const platform::store_result<platform::stored_item>& r) {
+                      const bool known = r.value && (r.status == platform::store_status::ok ||
+                                                     r.status == platform::store_status::conflict);
+                      reporter_.frozen(w, known ? platform::decode_counts(r.value->spec) : std::nullopt);
+                  });
+}
+
+void duty_agent::report(const duties::report_window& r) {
+    if (!may_act()) {
+        reporter_.reported(r.window, duties::report_result::failed);
+        return;
+    }
+    cloud_->report_usage(r.window, r.counts, lease_.term(), [this, w = r.window](duties::report_result x) {
+        reporter_.reported(w, x);
+        base::log_line{base::log_level::info, "duties", "Usage reported."}
+            .field("window", static_cast<long long>(w))
+            .field("result", x == duties::report_result::accepted ? "accepted"
+                             : x == duties::report_result::fenced ? "fenced"
+                                                                  : "failed");
+    });
+}
+
+void duty_agent::order_servers() {
+    const auto snapshot = ask_.catalog();
+    if (!snapshot) {
+        return;
+    }
+    const auto load = ask_.load();
+    const auto servers = ask_.servers();
+    for (const auto& [id, service] : snapshot->services()) {
+        if (!service.scaling) {
+            continue;
+        }
+        auto& planner = planners_[id];
+        if (!planner) {
+            planner = std::make_unique<duties::server_planner>(*service.scaling,
+                                                               service.engine ? service.engine->slots : 1);
+        }
+        std::vector<catalog::backend_server> own;
+        std::copy_if(servers.begin(), servers.end(), std::back_inserter(own),
+                     [&id = id](const auto& s) { return s.service == id; });
+        const auto it = load.find(id);
+        const auto status = it == load.end() ? scheduling::scheduler_status{} : it->second;
+        planner->observe({.requests = static_cast<double>(status.running + status.peer_running +
+                                                          status.waiting + status.peer_waiting),
+                          .prompt_tokens_per_s = status.prompt_tokens_per_s,
+                          .server_tokens_per_s = status.tokens_per_ms * 1000},
+                         own, loop_.now());
+        for (const auto& o : planner->orders(loop_.now())) {
+            order(id, o);
+        }
+    }
+}
+
+void duty_agent::order(const base::service_id& id, const duties::server_order& o) {
+    const auto term = lease_.term();
+    cloud_->order_servers(id, o, term, [this, id, o](duties::order_result r, bool fenced) {
+        base::log_line{base::log_level::info, "duties", "Servers ordered."}
+            .field("service", id.str())
+            .field("zone", o.zone.str())
+            .field("count", o.count)
+            .field("reclaimable", o.reclaimable ? "yes" : "no")
+            .field("result", fenced                                ? "fenced"
+                             : r == duties::order_result::accepted ? "accepted"
+                             : r == duties::order_result::failed   ? "failed"
+                                                                   : "unavailable");
+        const auto it = planners_.find(id);
+        if (it != planners_.end()) {
+            it->second->ordered(o, r, loop_.now());
+        }
+    });
+}
+
+}  // namespace chicorygap::daemon_app
--- /dev/null
+++ b/apps/daemon/src/duty_agent.h
@@ -0,0 +1,88 @@
+/// @file
+/// Duties that one daemon of the fleet holds at a time.
+#pragma once
+
+#include "base/time.h"
+#include "catalog/backend_server.h"
+#include "catalog/snapshot.h"
+#include "duties/server_planner.h"
+#include "duties/usage_reporter.h"
+#include "lease/role_lease.h"
+#include "metering/meter.h"
+#include "net/loop.h"
+#include "platform/cloud_client.h"
+#include "platform/object_calls.h"
+#include "platform/store_client.h"
+#include "scheduling/scheduler.h"
+#include "settings/edge_settings.h"
+#include "sharing/peer_table.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace chicorygap::daemon_app {
+
+/// What the agent asks the daemon.
+struct duty_questions {
+    std::function<std::shared_ptr<const catalog::snapshot>()> catalog;
+    std::function<std::vector<catalog::backend_server>()> servers;
+    std::function<std::unordered_map<base::service_id, scheduling::scheduler_status>()> load;
+};
+
+/// Competes for the fleet's lease and, while holding it, reports usage and orders servers.
+class duty_agent {
+public:
+    duty_agent(net::loop& l, const settings::edge_settings& s, platform::store_client& store,
+               const sharing::peer_table& peers, metering::meter& meter, std::uint64_t incarnation,
+               duty_questions questions);
+    ~duty_agent();
+    duty_agent(const duty_agent&) = delete;
+    duty_agent& operator=(const duty_agent&) = delete;
+
+    void start();
+
+    /// Hands the lease over; the daemon stops.
+    void stop();
+
+    /// @return the fencing token if the lease is held, else 0.
+    [[nodiscard]] std::uint64_t held_term() const;
+
+private:
+    void tick();
+    void apply(const std::vector<lease::lease_action>& actions);
+    void handle(const lease::lease_event& e);
+    [[nodiscard]] bool may_act() const;
+    [[nodiscard]] base::wall_time agreed_time() const;
+
+    void report_usage();
+    void freeze(const duties::freeze_window& f);
+    void report(const duties::report_window& r);
+    void order_servers();
+    void order(const base::service_id& id, const duties::server_order& o);
+    void role_lost();
+
+    net::loop& loop_;
+    const settings::edge_settings& settings_;
+    platform::store_client& store_;
+    const sharing::peer_table& peers_;
+    metering::meter& meter_;
+    duty_questions ask_;
+    lease::role_lease lease_;
+    platform::object_calls lease_calls_;
+    std::optional<platform::cloud_client> cloud_;
+    duties::usage_reporter reporter_;
+    std::map<base::service_id, std::unique_ptr<duties::server_planner>> planners_;
+    net::timer_id timer_ = net::timer_id::none;
+    base::time_point next_plan_;
+    base::time_point acquired_at_;
+    bool candidate_ = false;
+    bool stopping_ = false;
+    std::size_t most_daemons_ = 1;
+};
+
+}  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -22,15 +22,22 @@
 constexpr base::duration return_time = 2200ms;
 /// The platform's balancer asks for readiness once a second and takes two refusals; new connections may come
 /// until then.
-constexpr base::duration balancer_time = 3s;
+constexpr base::duration balancer_time = 2600ms;
 /// The process ends this long before it would be killed.
 constexpr base::duration stop_margin = 700ms;
 /// Largest request on the operators' and readiness addresses.
 constexpr std::size_t internal_body_limit = 1024 * 1024;
-
-constexpr const char* configuration_kind = "config";
-constexpr const char* configuration_name = "main";
-constexpr const char* server_kind = "servers";
+/// Windows whose counts are told to peers: the running one and those that are not reported yet.
+constexpr std::uint64_t told_windows = 3;
+/// Windows after which counts are forgotten.
+constexpr std::uint64_t kept_windows = 12;
+/// Share of the fleet's retry budget that is used, since its parts are not spent evenly in time.
+constexpr double used_budget = 0.85;
+/// A daemon that fell behind a peer for this long asks it: its own watch usually hears of the change first.
+constexpr base::duration behind_time = 250ms;
+
+constexpr const char* configuration_path = "/copies/configuration";
+constexpr const char* servers_path = "/copies/servers";
 
 long long to_ms(base::duration d) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
@@ -88,7 +95,7 @@
               dialect_,
               router_options(settings_),
               random(),
-              {.run_started = nullptr,
+              {.run_started = [this](const base::workspace_id& w) { count_run(w); },
                .ended =
                    [this](const proxy::request_record& r) {
                        metrics_->record(r);
@@ -97,12 +104,12 @@
       store_{loop_, settings_.store},
       configuration_watch_{loop_,
                            store_,
-                           configuration_kind,
+                           platform::configuration_kind,
                            random(),
                            {.changed = [this] { on_configuration(); }, .reachable = nullptr}},
       server_watch_{loop_,
                     store_,
-                    server_kind,
+                    platform::server_kind,
                     random(),
                     {.changed = [this] { on_servers(); },
                      .reachable =
@@ -113,6 +120,22 @@
                                  .field("revision", static_cast<long long>(server_watch_.revision()));
                          }}},
       directory_{return_time},
+      fleet_{loop_,
+             settings_,
+             store_,
+             random(),
+             {.compose = [this](sharing::beacon& b, bool counts) { compose_beacon(b, counts); },
+              .received = [this](const sharing::beacon& b) { on_beacon(b); }}},
+      meter_{{settings_.vm, fleet_.incarnation()}},
+      duties_{loop_,
+              settings_,
+              store_,
+              fleet_.peers(),
+              meter_,
+              fleet_.incarnation(),
+              {.catalog = [this] { return catalog_; },
+               .servers = [this] { return directory_.servers(); },
+               .load = [this] { return router_.status(); }}},
       caller_listener_{loop_, settings_.callers,
                        [this](Poco::Net::StreamSocket x) { accept_caller(std::move(x)); }},
       readiness_listener_{loop_, settings_.readiness,
@@ -133,6 +156,8 @@
         .field("callers", net::to_string(settings_.callers));
     configuration_watch_.start();
     server_watch_.start();
+    fleet_.start();
+    duties_.start();
     loop_.every(housekeeping_interval, [this] { housekeeping(); });
     loop_.run();
     base::log_line{base::log_level::info, "daemon", "Stopped."}.field(
@@ -183,12 +208,22 @@
 }
 
 void edge_daemon::answer_operator(http::server_session& s, const http::request& r) {
+    if (r.head.target == configuration_path) {
+        s.respond({.status = 200}, configuration_watch_.export_copy());
+        return;
+    }
+    if (r.head.target == servers_path) {
+        s.respond({.status = 200}, server_watch_.export_copy());
+        return;
+    }
     if (r.head.target != "/metrics") {
         s.respond({.status = 404}, {});
         return;
     }
     metrics_->set("open_requests", static_cast<double>(router_.open_requests()));
     metrics_->set("connections_opened", static_cast<double>(router_.connections_opened()));
+    metrics_->set("live_daemons", static_cast<double>(fleet_.peers().live_count(loop_.now())));
+    metrics_->set("lease_term", static_cast<double>(duties_.held_term()));
     metrics_->set("store_calls", static_cast<double>(store_.calls()));
     metrics_->set("configuration_version", catalog_ ? static_cast<double>(catalog_->version) : 0);
     http::response_head head{.status = 200};
@@ -201,7 +236,7 @@
 }
 
 void edge_daemon::on_configuration() {
-    const auto it = configuration_watch_.items().find(configuration_name);
+    const auto it = configuration_watch_.items().find(platform::configuration_name);
     if (it == configuration_watch_.items().end()) {
         return;
     }
@@ -255,9 +290,89 @@
     }
 }
 
+void edge_daemon::compose_beacon(sharing::beacon& b, bool with_counts) {
+    b.configuration_version = catalog_ ? catalog_->version : 0;
+    b.servers_revision = server_watch_.changed_revision();
+    b.stopping = stopping_;
+    b.lease_term = duties_.held_term();
+    for (auto& [id, load] : router_.own_loads()) {
+        b.services.emplace(id, std::move(load));
+    }
+    if (!with_counts) {
+        return;
+    }
+    const auto wall = fleet_.peers().agreed_time(base::wall_clock_now(), loop_.now());
+    const auto current = static_cast<std::uint64_t>(metering::window_at(wall, settings_.duties.usage_window));
+    for (std::uint64_t i = 0; i < told_windows; ++i) {
+        const metering::window_number w{current - i};
+        if (const auto& counts = meter_.own(w); !counts.empty()) {
+            b.windows.emplace(w, counts);
+        }
+    }
+    meter_.forget_before(metering::window_number{current - kept_windows});
+}
+
+void edge_daemon::on_beacon(const sharing::beacon& b) {
+    proxy::service_loads loads;
+    for (const auto& [id, load] : b.services) {
+        loads.emplace(id, load);
+    }
+    router_.set_peer_load(b.vm, loads);
+    for (const auto& [w, counts] : b.windows) {
+        meter_.merge({b.vm, b.incarnation}, w, counts);
+    }
+    share_retries();
+    const auto version = catalog_ ? catalog_->version : 0;
+    if (b.configuration_version > version) {
+        fetch_from_peer(configuration_watch_, b, configuration_path);
+    } else if (b.servers_revision > server_watch_.revision()) {
+        fetch_from_peer(server_watch_, b, servers_path);
+    }
+}
+
+void edge_daemon::fetch_from_peer(platform::kind_watch& watch, const sharing::beacon& b,
+                                  const std::string& path) {
+    if (std::exchange(fetching_, true)) {
+        return;
+    }
+    const auto before = watch.revision();
+    loop_.after(behind_time, [this, &watch, before, from = b.operator_address, path] {
+        fetching_ = false;
+        if (watch.revision() != before) {
+            return;  // the store was faster
+        }
+        fleet_.fetch(from, path, [this, &watch, from](const std::string& copy) {
+            if (watch.adopt(copy)) {
+                base::log_line{base::log_level::info, "daemon", "Copy taken from a peer."}
+                    .field("peer", net::to_string(from))
+                    .field("revision", static_cast<long long>(watch.revision()));
+            }
+        });
+    });
+}
+
+void edge_daemon::count_run(const base::workspace_id& workspace) {
+    const auto wall = fleet_.peers().agreed_time(base::wall_clock_now(), loop_.now());
+    meter_.count(metering::window_at(wall, settings_.duties.usage_window), workspace);
+}
+
+void edge_daemon::share_retries() {
+    const auto daemons = fleet_.peers().live_count(loop_.now());
+    if (std::exchange(shared_by_, daemons) == daemons) {
+        return;
+    }
+    const auto& r = settings_.retries;
+    router_.set_retry_share({.ratio = r.ratio * used_budget,
+                             .allowance = static_cast<int>(r.allowance * used_budget /
+                                                           static_cast<double>(daemons)),
+                             .window = r.window});
+}
+
 void edge_daemon::begin_stop() {
     stopping_ = true;
     stop_began_ = loop_.now();
+    duties_.stop();
+    fleet_.send_now();
     for (const auto& s : callers_) {
         s->close_after_answer();
     }
@@ -268,6 +383,10 @@
 void edge_daemon::finish_stop_if_idle() {
     const auto elapsed = loop_.now() - stop_began_;
     const bool over = elapsed >= settings_.stop_time - stop_margin;
+    if (elapsed >= balancer_time) {
+        // Callers that still come are on open connections; another daemon can serve them to the end.
+        router_.stop_at(stop_began_ + settings_.stop_time - stop_margin);
+    }
     const bool idle = elapsed >= balancer_time && router_.open_requests() == 0 && callers_.empty();
     if (idle || over) {
         loop_.stop();
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -5,7 +5,10 @@
 #include "base/time.h"
 #include "catalog/server_directory.h"
 #include "catalog/snapshot.h"
+#include "duty_agent.h"
+#include "fleet_link.h"
 #include "http/server_session.h"
+#include "metering/meter.h"
 #include "net/listener.h"
 #include "net/loop.h"
 #include "platform/header_dialect.h"
@@ -50,6 +53,11 @@
     void apply_servers();
     void put_in_force(std::shared_ptr<const catalog::snapshot> s, const char* source);
     void housekeeping();
+    void compose_beacon(sharing::beacon& b, bool with_counts);
+    void on_beacon(const sharing::beacon& b);
+    void fetch_from_peer(platform::kind_watch& watch, const sharing::beacon& b, const std::string& path);
+    void count_run(const base::workspace_id& workspace);
+    void share_retries();
     void begin_stop();
     void finish_stop_if_idle();
     [[nodiscard]] bool ready() const;
@@ -70,6 +78,9 @@
     platform::kind_watch configuration_watch_;
     platform::kind_watch server_watch_;
     catalog::server_directory directory_;
+    fleet_link fleet_;
+    metering::meter meter_;
+    duty_agent duties_;
     std::shared_ptr<const catalog::snapshot> catalog_;
     session_set callers_;
     session_set operators_;
@@ -77,6 +88,8 @@
     net::listener readiness_listener_;
     net::listener operator_listener_;
     bool servers_known_ = false;
+    bool fetching_ = false;
+    std::size_t shared_by_ = 0;
     bool stopping_ = false;
     base::time_point stop_began_;
 };
--- /dev/null
+++ b/apps/daemon/src/fleet_link.h
@@ -0,0 +1,71 @@
+/// @file
+/// Messages between the daemons of the fleet.
+#pragma once
+
+#include "base/random.h"
+#include "base/time.h"
+#include "http/async_client.h"
+#include "net/datagram_socket.h"
+#include "net/loop.h"
+#include "platform/store_client.h"
+#include "settings/edge_settings.h"
+#include "sharing/beacon.h"
+#include "sharing/peer_table.h"
+
+#include <functional>
+#include <string>
+
+namespace chicorygap::daemon_app {
+
+struct fleet_link_hooks {
+    /// Completes a beacon before it is sent. The flag says whether counts go with it.
+    std::function<void(sharing::beacon&, bool with_counts)> compose;
+    /// A beacon of a peer arrived.
+    std::function<void(const sharing::beacon&)> received;
+};
+
+/// Tells peers what they need to know and hears them; finds them through the platform's store.
+class fleet_link {
+public:
+    fleet_link(net::loop& l, const settings::edge_settings& s, platform::store_client& store,
+               base::random_function random, fleet_link_hooks hooks);
+    ~fleet_link();
+    fleet_link(const fleet_link&) = delete;
+    fleet_link& operator=(const fleet_link&) = delete;
+
+    /// Registers this daemon and begins to send.
+    void start();
+
+    /// Sends a beacon at once, for news that should not wait.
+    void send_now();
+
+    [[nodiscard]] sharing::peer_table& peers() noexcept { return peers_; }
+    [[nodiscard]] std::uint64_t incarnation() const noexcept { return incarnation_; }
+
+    /// Fetches a path from a peer's operator address.
+    void fetch(const net::address& from, const std::string& path,
+               std::function<void(const std::string&)> done);
+
+private:
+    void send(bool with_counts);
+    void on_datagram(std::string_view bytes);
+    void register_self();
+    void list_daemons(const std::string& after);
+    void registration_done(platform::store_status s);
+
+    net::loop& loop_;
+    const settings::edge_settings& settings_;
+    platform::store_client& store_;
+    base::random_function random_;
+    fleet_link_hooks hooks_;
+    std::uint64_t incarnation_;
+    std::uint64_t sequence_ = 0;
+    sharing::peer_table peers_;
+    net::datagram_socket socket_;
+    http::async_client client_;
+    net::timer_id beacon_timer_ = net::timer_id::none;
+    net::timer_id list_timer_ = net::timer_id::none;
+    bool registered_ = false;
+};
+
+}  // namespace chicorygap::daemon_app
--- /dev/null
+++ b/packages/duties/include/duties/server_planner.h
@@ -0,0 +1,89 @@
+/// @file
+/// How many servers of a service are wanted in each zone.
+#pragma once
+
+#include "base/id.h"
+#include "base/time.h"
+#include "catalog/backend_server.h"
+#include "catalog/service.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace chicorygap::duties {
+
+/// Load of a service over the whole fleet.
+struct service_demand {
+    /// Requests that run or wait.
+    double requests = 0;
+    /// Prompt tokens that servers have to read, per second.
+    double prompt_tokens_per_s = 0;
+    /// Prompt tokens that one server reads in a second; 0 if unknown.
+    double server_tokens_per_s = 0;
+};
+
+/// Wanted number of servers of one kind in one zone.
+struct server_order {
+    base::zone_id zone;
+    bool reclaimable = false;
+    std::uint32_t count = 0;
+
+    bool operator==(const server_order&) const = default;
+};
+
+enum class order_result {
+    accepted,
+    unavailable,  ///< there are none of this kind in the zone at the moment
+    failed,       ///< no answer; it may be carried out later
+};
+
+/// Decides how many servers of one service are wanted in each zone.
+///
+/// Concept: demand counts at its highest over some time, so that a lull releases nothing. Reclaimable servers
+/// carry the load where they are cheaper, with enough of them that the loss of all in one zone can be borne;
+/// each zone keeps one server that stays. Servers that stay are released only after others are there.
+///
+/// Usage: `observe` every second, then send the orders of `orders` and pass their results to `ordered`.
+class server_planner {
+public:
+    server_planner(catalog::scaling_terms terms, std::uint32_t slots);
+
+    /// @param servers all servers of the service.
+    void observe(const service_demand& d, const std::vector<catalog::backend_server>& servers,
+                 base::time_point now);
+
+    /// @return orders that differ from the last accepted ones, or that must be repeated.
+    std::vector<server_order> orders(base::time_point now);
+
+    void ordered(const server_order& o, order_result r, base::time_point now);
+
+    /// @return servers that the demand needs in total.
+    [[nodiscard]] double needed() const;
+
+private:
+    using kind = std::pair<base::zone_id, bool>;
+    struct order_state {
+        std::uint32_t wanted = 0;
+        std::uint32_t accepted = 0;
+        bool known = false;
+        bool in_flight = false;
+        base::time_point retry_at;
+        base::time_point accepted_at;
+    };
+
+    void plan(base::time_point now);
+    [[nodiscard]] std::uint32_t present(const base::zone_id& zone, bool reclaimable) const;
+
+    catalog::scaling_terms terms_;
+    double slots_;
+    std::deque<std::pair<base::time_point, double>> history_;
+    std::map<kind, std::uint32_t> present_;
+    std::map<kind, order_state> states_;
+    std::optional<base::time_point> first_observed_;
+};
+
+}  // namespace chicorygap::duties
--- /dev/null
+++ b/packages/duties/src/server_planner.cpp
@@ -0,0 +1,142 @@
+#include "duties/server_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace chicorygap::duties {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Part of the slots that the usual load may take; the rest is for bursts while servers start.
+constexpr double slot_utilisation = 0.35;
+/// The same for the time that servers spend reading prompts. First tokens wait behind them, so it is lower.
+constexpr double reading_utilisation = 0.35;
+/// Demand counts at its highest over this time.
+constexpr base::duration memory_time = 20s;
+/// A new holder takes the servers that it finds for needed for this long.
+constexpr base::duration learning_time = 10s;
+/// A refused order is repeated after this time.
+constexpr base::duration unavailable_time = 1500ms;
+/// An order without an answer is repeated after this time.
+constexpr base::duration failure_time = 700ms;
+/// An accepted order is repeated when its servers are missing this long after they should have started: a
+/// late older order may have been carried out after it.
+constexpr base::duration repeat_margin = 3s;
+/// Servers that stay, in each zone.
+constexpr std::uint32_t lasting_per_zone = 1;
+
+}  // namespace
+
+server_planner::server_planner(catalog::scaling_terms terms, std::uint32_t slots)
+    : terms_{std::move(terms)}, slots_{std::max(1.0, static_cast<double>(slots))} {}
+
+void server_planner::observe(const service_demand& d, const std::vector<catalog::backend_server>& servers,
+                             base::time_point now) {
+    double needed = d.requests / (slots_ * slot_utilisation);
+    if (d.server_tokens_per_s > 0) {
+        needed = std::max(needed, d.prompt_tokens_per_s / (d.server_tokens_per_s * reading_utilisation));
+    }
+    if (!first_observed_) {
+        first_observed_ = now;
+    }
+    if (now - *first_observed_ < learning_time) {
+        // Too little was seen to judge: what runs already is taken for needed.
+        needed = std::max(needed, static_cast<double>(servers.size()));
+    }
+    history_.emplace_back(now, needed);
+    while (now - history_.front().first > memory_time) {
+        history_.pop_front();
+    }
+    present_.clear();
+    for (const auto& s : servers) {
+        if (!s.draining) {
+            ++present_[{s.zone, s.reclaimable}];
+        }
+    }
+    plan(now);
+}
+
+double server_planner::needed() const {
+    double most = 0;
+    for (const auto& [at, value] : history_) {
+        most = std::max(most, value);
+    }
+    return most;
+}
+
+std::uint32_t server_planner::present(const base::zone_id& zone, bool reclaimable) const {
+    const auto it = present_.find({zone, reclaimable});
+    return it == present_.end() ? 0 : it->second;
+}
+
+void server_planner::plan(base::time_point) {
+    const auto zones = static_cast<double>(terms_.zone_prices.size());
+    if (zones == 0) {
+        return;
+    }
+    const bool cheap = terms_.reclaimable_price && *terms_.reclaimable_price < 1;
+    // With one zone's reclaimable servers gone, the others carry the demand.
+    const double per_zone = needed() / (cheap && zones > 1 ? zones - 1 : zones);
+    const auto most = terms_.max_per_zone;
+    const auto wanted = std::clamp<std::uint32_t>(static_cast<std::uint32_t>(std::ceil(per_zone)) + 1,
+                                                  terms_.min_per_zone, most);
+    for (const auto& [zone, price] : terms_.zone_prices) {
+        const auto lasting_now = present(zone, false);
+        const auto reclaimable_now = present(zone, true);
+        if (!cheap) {
+            states_[{zone, false}].wanted = wanted;
+            continue;
+        }
+        const auto lasting = std::max(lasting_per_zone, terms_.min_per_zone);
+        const auto spare = wanted > lasting ? wanted - lasting : 0;
+        // Servers that stay go as reclaimable ones come.
+        const auto missing = spare > reclaimable_now ? spare - reclaimable_now : 0;
+        const auto kept = std::min(lasting_now, lasting + missing);
+        states_[{zone, false}].wanted = std::clamp(std::max(lasting, kept), terms_.min_per_zone, most);
+        states_[{zone, true}].wanted = std::min(spare, most - std::min(most, states_[{zone, false}].wanted));
+    }
+}
+
+std::vector<server_order> server_planner::orders(base::time_point now) {
+    std::vector<server_order> out;
+    for (auto& [k, s] : states_) {
+        if (s.in_flight || now < s.retry_at) {
+            continue;
+        }
+        const auto& [zone, reclaimable] = k;
+        const bool overdue = s.known && now - s.accepted_at > terms_.boot_time + repeat_margin &&
+                             present(zone, reclaimable) != s.accepted;
+        // Nothing was ordered of a kind that is neither wanted nor there.
+        const bool idle = !s.known && s.wanted == 0 && present(zone, reclaimable) == 0;
+        if (idle || (s.known && s.accepted == s.wanted && !overdue)) {
+            continue;
+        }
+        s.in_flight = true;
+        out.push_back({zone, reclaimable, s.wanted});
+    }
+    return out;
+}
+
+void server_planner::ordered(const server_order& o, order_result r, base::time_point now) {
+    auto& s = states_[{o.zone, o.reclaimable}];
+    s.in_flight = false;
+    switch (r) {
+        case order_result::accepted:
+            s.known = true;
+            s.accepted = o.count;
+            s.accepted_at = now;
+            s.retry_at = {};
+            return;
+        case order_result::unavailable:
+            s.retry_at = now + unavailable_time;
+            return;
+        case order_result::failed:
+            s.retry_at = now + failure_time;
+            return;
+    }
+}
+
+}  // namespace chicorygap::duties
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -77,6 +77,9 @@
     /// Changes this daemon's part of the retry budget.
     void set_retry_share(const retry_share& s);
 
+    /// The process ends at `at`: requests that may not have ended by then are refused from now on.
+    void stop_at(base::time_point at);
+
     /// Takes a request. A session without a catalog gets 503.
     void handle(http::server_session& session, http::request&& r);
 
--- a/packages/proxy/src/core.cpp
+++ b/packages/proxy/src/core.cpp
@@ -161,7 +161,7 @@
 service_loads request_router::core::own_loads() const {
     service_loads out;
     for (const auto& [id, s] : services_) {
-        out.emplace(id, s.scheduler->own_load());
+        out.emplace(id, s.scheduler->own_load(loop.now()));
     }
     return out;
 }
@@ -169,7 +169,7 @@
 std::unordered_map<base::service_id, scheduling::scheduler_status> request_router::core::status() const {
     std::unordered_map<base::service_id, scheduling::scheduler_status> out;
     for (const auto& [id, s] : services_) {
-        out.emplace(id, s.scheduler->status());
+        out.emplace(id, s.scheduler->status(loop.now()));
     }
     return out;
 }
--- a/packages/proxy/src/core.h
+++ b/packages/proxy/src/core.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -63,6 +64,8 @@
     http::connection_pool pool;
     std::shared_ptr<const catalog::snapshot> catalog;
     base::time_point servers_changed;
+    /// The process ends then.
+    std::optional<base::time_point> stops_at;
     std::unordered_map<scheduling::ticket, std::shared_ptr<flow>> flows;
 
 private:
--- a/packages/proxy/src/flow.cpp
+++ b/packages/proxy/src/flow.cpp
@@ -35,6 +35,9 @@
 /// Retry-After while this daemon knows no configuration: it has one within a second of the store's return.
 constexpr base::duration not_ready_retry = 1s;
 
+/// Retry-After while this daemon stops: another one takes the next try at once.
+constexpr base::duration stopping_retry = 100ms;
+
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
@@ -86,6 +89,11 @@
         workspace_ = w->id;
         tier_ = w->tier.value_or(tier_);
     }
+    if (core_.stops_at && arrived_ + route_->timeout > *core_.stops_at) {
+        retry_after_ = stopping_retry;
+        end(status_unavailable, result_code::draining);
+        return;
+    }
     const double point = static_cast<double>(core_.random() >> 11) / static_cast<double>(1ULL << 53);
     service_ = catalog::select_service(*route_, point);
     set_limits();
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -24,6 +24,9 @@
 void request_router::set_retry_share(const retry_share& s) {
     core_->set_retry_share(s);
 }
+void request_router::stop_at(base::time_point at) {
+    core_->stops_at = at;
+}
 void request_router::handle(http::server_session& session, http::request&& r) {
     core_->handle(session, std::move(r));
 }
--- a/packages/scheduling/include/scheduling/load.h
+++ b/packages/scheduling/include/scheduling/load.h
@@ -26,6 +26,8 @@
     std::vector<server_load> servers;
     /// Requests that wait for a server.
     std::uint32_t waiting = 0;
+    /// Prompt tokens that servers had to read for this daemon's requests, per second.
+    std::uint32_t prompt_tokens_per_s = 0;
 
     bool operator==(const load_report&) const = default;
 };
--- a/packages/scheduling/include/scheduling/scheduler.h
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -42,6 +42,10 @@
     /// Requests that run or wait at other daemons, as last reported.
     std::size_t peer_running = 0;
     std::size_t peer_waiting = 0;
+    /// Prompt tokens that servers of the whole fleet had to read, per second.
+    double prompt_tokens_per_s = 0;
+    /// Prompt tokens that one server reads in a millisecond; 0 until one was seen.
+    double tokens_per_ms = 0;
 };
 
 /// Decides which requests of one service start where, which wait and which are refused.
@@ -94,8 +98,8 @@
     std::vector<action> tick(base::time_point now);
 
     /// @return own load per server.
-    [[nodiscard]] load_report own_load() const;
-    [[nodiscard]] scheduler_status status() const;
+    [[nodiscard]] load_report own_load(base::time_point now) const;
+    [[nodiscard]] scheduler_status status(base::time_point now) const;
     /// @return true while requests wait.
     [[nodiscard]] bool has_waiting() const;
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -168,7 +168,7 @@
         }
     }
 
-    [[nodiscard]] load_report own_load() const {
+    [[nodiscard]] load_report own_load(base::time_point now) const {
         load_report r;
         for (const auto* s : usable_) {
             if (s->own.running > 0) {
@@ -177,19 +177,24 @@
             }
         }
         r.waiting = static_cast<std::uint32_t>(queue_.size());
+        r.prompt_tokens_per_s = static_cast<std::uint32_t>(own_tokens_per_s(now));
         return r;
     }
 
-    [[nodiscard]] scheduler_status status() const {
+    [[nodiscard]] scheduler_status status(base::time_point now) const {
         scheduler_status st;
+        st.tokens_per_ms = tokens_per_ms_;
+        st.prompt_tokens_per_s = own_tokens_per_s(now);
         st.servers = usable_.size();
         st.waiting = queue_.size();
         for (const auto* s : usable_) {
+            st.ejected += s->health.ejected(now) ? 1 : 0;
             st.running += s->own.running;
             st.peer_running += s->peers.running;
         }
         for (const auto& [peer, report] : peers_) {
             st.peer_waiting += report.load.waiting;
+            st.prompt_tokens_per_s += report.load.prompt_tokens_per_s;
         }
         return st;
     }
@@ -202,6 +207,11 @@
         base::time_point received;
     };
 
+    struct start_record {
+        base::time_point at;
+        std::int64_t unread_tokens = 0;
+    };
+
     /// Attempts on a server that is gone end by themselves; they must not touch its state.
     void retire(std::unique_ptr<server_state>& s) {
         if (!s) {
@@ -274,7 +284,8 @@
             own.unread_tokens += e.unread;
             p->server->cache.insert(e.w.terms->parts);
         }
-        starts_.push_back(now);
+        starts_.push_back({now, e.unread});
+        drop_old_starts(now);
         actions_.emplace_back(start{e.w.id, p->server->info});
         return true;
     }
@@ -331,9 +342,7 @@
     }
 
     base::duration expected_wait(base::tier tier, base::time_point now) {
-        while (!starts_.empty() && now - starts_.front() > rate_window) {
-            starts_.pop_front();
-        }
+        drop_old_starts(now);
         if (starts_.empty()) {
             return {};
         }
@@ -341,6 +350,20 @@
         return scaled(rate_window, ahead / static_cast<double>(starts_.size()));
     }
 
+    void drop_old_starts(base::time_point now) {
+        while (!starts_.empty() && now - starts_.front().at > rate_window) {
+            starts_.pop_front();
+        }
+    }
+
+    [[nodiscard]] double own_tokens_per_s(base::time_point now) const {
+        double tokens = 0;
+        for (const auto& s : starts_) {
+            tokens += now - s.at <= rate_window ? static_cast<double>(s.unread_tokens) : 0;
+        }
+        return tokens / std::chrono::duration<double>{rate_window}.count();
+    }
+
     void refuse_entry(entry& e, result_code code, base::time_point now) {
         const auto wait = expected_wait(e.w.tier, now);
         const double spread =
@@ -376,7 +399,7 @@
     std::unordered_map<base::vm_id, peer_report> peers_;
     std::unordered_map<ticket, entry> entries_;
     wait_queue queue_;
-    std::deque<base::time_point> starts_;
+    std::deque<start_record> starts_;
     double tokens_per_ms_ = 0;
     std::vector<action> actions_;
 };
@@ -429,12 +452,12 @@
     return impl_->take_actions();
 }
 
-load_report scheduler::own_load() const {
-    return impl_->own_load();
+load_report scheduler::own_load(base::time_point now) const {
+    return impl_->own_load(now);
 }
 
-scheduler_status scheduler::status() const {
-    return impl_->status();
+scheduler_status scheduler::status(base::time_point now) const {
+    return impl_->status(now);
 }
 
 bool scheduler::has_waiting() const {
--- /dev/null
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -0,0 +1,69 @@
+/// @file
+/// The other daemons, as they last reported.
+#pragma once
+
+#include "base/id.h"
+#include "base/time.h"
+#include "sharing/beacon.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace chicorygap::sharing {
+
+/// The other daemons, as they last reported.
+///
+/// Usage: `if (t.observe(b, wall, now)) { ... }` for each beacon; the questions below need the current time.
+/// Contains no I/O and reads no clock.
+class peer_table {
+public:
+    /// A daemon that was not heard for this long is taken for dead.
+    static constexpr base::duration silent_time = std::chrono::milliseconds{1200};
+
+    explicit peer_table(base::vm_id self) : self_{std::move(self)} {}
+
+    /// Takes a beacon.
+    /// @param wall own time of day at its receipt.
+    /// @return false if it is the daemon's own or older than the last one.
+    bool observe(const beacon& b, base::wall_time wall, base::time_point now);
+
+    /// Adds addresses to send beacons to, from the platform's list or the settings.
+    void add_address(const net::address& a);
+
+    /// @return where beacons are sent: every daemon heard of, and every address listed.
+    [[nodiscard]] std::vector<net::address> addresses() const;
+
+    /// Drops daemons that have been silent for long.
+    void expire(base::time_point now);
+
+    /// @return daemons alive, this one included.
+    [[nodiscard]] std::size_t live_count(base::time_point now) const;
+
+    /// @return live peers.
+    [[nodiscard]] std::vector<const beacon*> live(base::time_point now) const;
+
+    /// @return the live peer that says it holds the lease, or null.
+    [[nodiscard]] const beacon* lease_holder(base::time_point now) const;
+
+    /// Time of day that most daemons agree on: the median over this daemon and its live peers, since the
+    /// clock of a single VM may jump.
+    /// @param wall own time of day.
+    [[nodiscard]] base::wall_time agreed_time(base::wall_time wall, base::time_point now) const;
+
+private:
+    struct peer {
+        beacon last;
+        base::time_point heard;
+        /// Its time of day less ours.
+        std::chrono::milliseconds offset{};
+    };
+
+    base::vm_id self_;
+    std::map<base::vm_id, peer> peers_;
+    std::set<net::address> listed_;
+};
+
+}  // namespace chicorygap::sharing
--- /dev/null
+++ b/packages/sharing/src/beacon.cpp
@@ -0,0 +1,137 @@
+#include "sharing/beacon.h"
+
+#include "beacon.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <exception>
+
+namespace chicorygap::sharing {
+
+namespace {
+
+/// Largest message that is decoded, in words of eight bytes. A datagram cannot hold more when packed well.
+constexpr std::uint64_t most_words = 64 * 1024;
+
+void write_loads(const beacon& b, wire::Beacon::Builder& out) {
+    auto services = out.initServices(static_cast<unsigned>(b.services.size()));
+    unsigned i = 0;
+    for (const auto& [id, load] : b.services) {
+        auto service = services[i++];
+        service.setService(id.str().c_str());
+        service.setWaiting(load.waiting);
+        service.setPromptTokensPerS(load.prompt_tokens_per_s);
+        auto servers = service.initServers(static_cast<unsigned>(load.servers.size()));
+        unsigned k = 0;
+        for (const auto& s : load.servers) {
+            auto server = servers[k++];
+            server.setServer(s.server.str().c_str());
+            server.setRunning(s.running);
+            server.setMemoryTokens(static_cast<std::uint64_t>(std::max<std::int64_t>(0, s.memory_tokens)));
+            server.setUnreadTokens(static_cast<std::uint64_t>(std::max<std::int64_t>(0, s.unread_tokens)));
+        }
+    }
+}
+
+void write_windows(const beacon& b, wire::Beacon::Builder& out) {
+    auto windows = out.initWindows(static_cast<unsigned>(b.windows.size()));
+    unsigned i = 0;
+    for (const auto& [number, counts] : b.windows) {
+        auto window = windows[i++];
+        window.setWindow(static_cast<std::uint64_t>(number));
+        auto list = window.initCounts(static_cast<unsigned>(counts.size()));
+        unsigned k = 0;
+        for (const auto& [workspace, n] : counts) {
+            auto entry = list[k++];
+            entry.setWorkspace(workspace.str().c_str());
+            entry.setRequests(static_cast<std::uint32_t>(n));
+        }
+    }
+}
+
+void read_loads(wire::Beacon::Reader in, beacon& b) {
+    for (const auto service : in.getServices()) {
+        auto& load = b.services[base::service_id{service.getService().cStr()}];
+        load.waiting = service.getWaiting();
+        load.prompt_tokens_per_s = service.getPromptTokensPerS();
+        for (const auto s : service.getServers()) {
+            load.servers.push_back({.server = base::backend_server_id{s.getServer().cStr()},
+                                    .running = s.getRunning(),
+                                    .memory_tokens = static_cast<std::int64_t>(s.getMemoryTokens()),
+                                    .unread_tokens = static_cast<std::int64_t>(s.getUnreadTokens())});
+        }
+    }
+}
+
+void read_windows(wire::Beacon::Reader in, beacon& b) {
+    for (const auto window : in.getWindows()) {
+        auto& counts = b.windows[metering::window_number{window.getWindow()}];
+        for (const auto entry : window.getCounts()) {
+            counts[base::workspace_id{entry.getWorkspace().cStr()}] = entry.getRequests();
+        }
+    }
+}
+
+beacon read(wire::Beacon::Reader in) {
+    beacon b;
+    b.vm = base::vm_id{in.getVm().cStr()};
+    b.zone = base::zone_id{in.getZone().cStr()};
+    b.incarnation = in.getIncarnation();
+    b.sequence = in.getSequence();
+    b.peer_address = net::parse_address(in.getPeerAddress().cStr()).value_or(net::address{});
+    b.operator_address = net::parse_address(in.getOperatorAddress().cStr()).value_or(net::address{});
+    b.wall_time = base::wall_time{std::chrono::milliseconds{in.getWallTimeMs()}};
+    b.configuration_version = in.getConfigurationVersion();
+    b.servers_revision = in.getServersRevision();
+    b.stopping = in.getStopping();
+    b.lease_term = in.getLeaseTerm();
+    read_loads(in, b);
+    read_windows(in, b);
+    return b;
+}
+
+}  // namespace
+
+std::string encode(const beacon& b) {
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<wire::Beacon>();
+    out.setVm(b.vm.str().c_str());
+    out.setZone(b.zone.str().c_str());
+    out.setIncarnation(b.incarnation);
+    out.setSequence(b.sequence);
+    out.setPeerAddress(net::to_string(b.peer_address).c_str());
+    out.setOperatorAddress(net::to_string(b.operator_address).c_str());
+    out.setWallTimeMs(b.wall_time.time_since_epoch().count());
+    out.setConfigurationVersion(b.configuration_version);
+    out.setServersRevision(b.servers_revision);
+    out.setStopping(b.stopping);
+    out.setLeaseTerm(b.lease_term);
+    write_loads(b, out);
+    write_windows(b, out);
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, message);
+    const auto bytes = stream.getArray();
+    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+std::optional<beacon> decode(std::string_view bytes) {
+    try {
+        const kj::ArrayPtr<const kj::byte> array{reinterpret_cast<const kj::byte*>(bytes.data()),
+                                                 bytes.size()};
+        kj::ArrayInputStream stream{array};
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = most_words;
+        capnp::PackedMessageReader message{stream, options};
+        return read(message.getRoot<wire::Beacon>());
+    } catch (const kj::Exception&) {
+        return std::nullopt;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+}  // namespace chicorygap::sharing
--- /dev/null
+++ b/packages/sharing/src/peer_table.cpp
@@ -0,0 +1,88 @@
+#include "sharing/peer_table.h"
+
+#include <algorithm>
+
+namespace chicorygap::sharing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Beacons still go to a daemon that was not heard for this long, so that both find each other after a cut.
+constexpr base::duration forget_time = 60s;
+
+}  // namespace
+
+bool peer_table::observe(const beacon& b, base::wall_time wall, base::time_point now) {
+    if (b.vm == self_ || b.vm.empty()) {
+        return false;
+    }
+    const auto it = peers_.find(b.vm);
+    if (it != peers_.end()) {
+        const auto& last = it->second.last;
+        // The start time of a daemon is its incarnation; a clock that was set back must not hide it for long.
+        const bool silent = now - it->second.heard > silent_time;
+        if (b.incarnation == last.incarnation ? b.sequence <= last.sequence
+                                              : b.incarnation < last.incarnation && !silent) {
+            return false;
+        }
+    }
+    peers_.insert_or_assign(b.vm, peer{b, now, b.wall_time - wall});
+    listed_.erase(b.peer_address);
+    return true;
+}
+
+void peer_table::add_address(const net::address& a) {
+    const bool known = std::any_of(peers_.begin(), peers_.end(),
+                                   [&](const auto& p) { return p.second.last.peer_address == a; });
+    if (!known) {
+        listed_.insert(a);
+    }
+}
+
+std::vector<net::address> peer_table::addresses() const {
+    std::vector<net::address> out{listed_.begin(), listed_.end()};
+    for (const auto& [vm, p] : peers_) {
+        out.push_back(p.last.peer_address);
+    }
+    return out;
+}
+
+void peer_table::expire(base::time_point now) {
+    std::erase_if(peers_, [&](const auto& p) { return now - p.second.heard > forget_time; });
+}
+
+std::size_t peer_table::live_count(base::time_point now) const {
+    return live(now).size() + 1;
+}
+
+std::vector<const beacon*> peer_table::live(base::time_point now) const {
+    std::vector<const beacon*> out;
+    for (const auto& [vm, p] : peers_) {
+        if (now - p.heard <= silent_time) {
+            out.push_back(&p.last);
+        }
+    }
+    return out;
+}
+
+const beacon* peer_table::lease_holder(base::time_point now) const {
+    const auto alive = live(now);
+    const auto it =
+        std::find_if(alive.begin(), alive.end(), [](const auto* b) { return b->lease_term != 0; });
+    return it == alive.end() ? nullptr : *it;
+}
+
+base::wall_time peer_table::agreed_time(base::wall_time wall, base::time_point now) const {
+    std::vector<std::chrono::milliseconds> offsets{std::chrono::milliseconds{0}};
+    for (const auto& [vm, p] : peers_) {
+        if (now - p.heard <= silent_time) {
+            offsets.push_back(p.offset);
+        }
+    }
+    const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+    std::nth_element(offsets.begin(), middle, offsets.end());
+    return wall + *middle;
+}
+
+}  // namespace chicorygap::sharing
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # Generated code keeps the generator's format.
-mapfile -t files < <(git ls-files --cached --others --exclude-standard -- '*.h' '*.cpp' ':!:packages/peer/generated')
+mapfile -t files < <(git ls-files --cached --others --exclude-standard -- '*.h' '*.cpp' ':!:packages/peer/generated' ':!:packages/sharing/generated')
 if [ "${1:-}" = --check ]; then
     clang-format --dry-run --Werror "${files[@]}"
 else
