Keep a failure out of a stream that has begun; drop lapsed entries in time

A plain answer inside a stream now counts as a failed attempt and its body is dropped.

Ruled out: a watch that missed the change; the log shows it in force within 5 ms.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -18,8 +18,6 @@
 
 /// How often signals and times are checked.
 constexpr base::duration housekeeping_interval = 100ms;
-/// Time after an outage of the store in which live servers register again.
-constexpr base::duration return_time = 2200ms;
 /// The platform's balancer asks for readiness once a second and takes two refusals; new connections may come
 /// until then.
 constexpr base::duration balancer_time = 2600ms;
@@ -119,7 +117,7 @@
                                             value ? "Store regained." : "Store lost."}
                                  .field("revision", static_cast<long long>(server_watch_.revision()));
                          }}},
-      directory_{return_time},
+      directory_{settings_.drain_time},
       fleet_{loop_,
              settings_,
              store_,
--- a/packages/catalog/include/catalog/server_directory.h
+++ b/packages/catalog/include/catalog/server_directory.h
@@ -20,8 +20,8 @@
 /// Usage: pass each list to `observe` and each change of the store's reachability; `servers` is the result.
 class server_directory {
 public:
-    /// @param return_time time after an outage in which live servers register again.
-    explicit server_directory(base::duration return_time) : return_time_{return_time} {}
+    /// @param drain_time a server that left gets requests no longer than this.
+    explicit server_directory(base::duration drain_time);
 
     /// The store answers again, or does not answer any more.
     void store_reachable(bool value, base::time_point now);
--- a/packages/catalog/src/server_directory.cpp
+++ b/packages/catalog/src/server_directory.cpp
@@ -1,7 +1,25 @@
 #include "catalog/server_directory.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace chicorygap::catalog {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time after an outage in which live servers register again, as the platform states it.
+constexpr base::duration register_time = 2s;
+/// An entry that disappeared may belong to a server that left at the end of the outage. It must be dropped
+/// before the server's drain time is over, with room for the way of a request.
+constexpr base::duration drain_margin = 200ms;
+
+}  // namespace
+
+server_directory::server_directory(base::duration drain_time)
+    : return_time_{std::max<base::duration>(0s, std::min(register_time, drain_time - drain_margin))} {}
+
 void server_directory::store_reachable(bool value, base::time_point now) {
     if (value && !reachable_) {
         regained_ = now;
--- a/packages/proxy/src/flow.cpp
+++ b/packages/proxy/src/flow.cpp
@@ -167,7 +167,10 @@
     events_.restart();
     body_.clear();
     answer_is_stream_ = false;
-    answer_ = {};
+    attempt_status_ = 0;
+    if (!answer_begun_) {
+        answer_ = {};
+    }
     connection_key_ = server.key();
     connection_ = core_.pool.take(connection_key_, server.address, longest_idle());
     server_terms t{.server = server.id,
@@ -237,8 +240,9 @@
     if (!answer_is_stream_ && !answer_terms_.not_run && !answer_terms_.wrong_server) {
         note_run_started();
     }
-    if (!answer_begun_ || !answer_is_stream_) {
-        answer_ = std::move(h);
+    attempt_status_ = h.status;
+    if (!answer_begun_) {
+        answer_ = std::move(h);  // the caller keeps the head of the first server
     }
 }
 
@@ -277,14 +281,19 @@
 }
 
 void flow::on_plain(std::string_view part) {
+    if (answer_begun_ && !passing_on_) {
+        return;  // a failure in place of the rest of a stream; the caller must not see it
+    }
     body_.append(part);
-    if (body_.size() <= collected_answer_limit || answer_begun_) {
-        if (answer_begun_) {
-            session_->send(std::exchange(body_, {}));
-        }
+    if (passing_on_) {
+        session_->send(std::exchange(body_, {}));
+        return;
+    }
+    if (body_.size() <= collected_answer_limit || !session_) {
         return;
     }
     // Too large to collect: from here on a failure breaks the answer off.
+    passing_on_ = true;
     answer_begun_ = true;
     core_.loop.cancel(attempt_timer_);
     session_->begin({.status = answer_.status, .headers = http::end_to_end(answer_.headers)});
@@ -324,9 +333,10 @@
         return;
     }
     const bool failed = answer_.status >= 500;
-    if (failed && route_->repeatable() && !answer_begun_) {
+    const bool in_stream = answer_begun_ && !passing_on_;
+    if (in_stream || (failed && route_->repeatable() && !passing_on_)) {
         attempt_failed({result_code::backend_failed, true}, scheduling::outcome::failed,
-                       "status_" + std::to_string(answer_.status));
+                       "status_" + std::to_string(attempt_status_));
         return;
     }
     ledger_->finished(attempt_, {failed ? result_code::backend_failed : result_code::ok, true});
@@ -338,7 +348,7 @@
 }
 
 void flow::pass_plain_answer() {
-    if (answer_begun_ && session_) {
+    if (passing_on_ && session_) {
         session_->finish();
     } else if (session_) {
         session_->respond({.status = answer_.status, .headers = http::end_to_end(answer_.headers)}, body_);
--- a/packages/proxy/src/flow.h
+++ b/packages/proxy/src/flow.h
@@ -94,10 +94,12 @@
     std::uint32_t attempt_ = 0;
     http::response_head answer_;
     server_answer answer_terms_;
+    int attempt_status_ = 0;
     std::string body_;
     event_splitter events_;
     bool answer_is_stream_ = false;
     bool answer_begun_ = false;  ///< the caller has part of the answer
+    bool passing_on_ = false;    ///< an answer that is too large to collect is passed on as it comes
     bool run_counted_ = false;
     bool ended_ = false;
     base::duration retry_after_{};
