Test the new packages; bound the messages between daemons

The interval grows with the fleet now, so that a daemon sends about seventy messages a second at most.

Found by the tests: a field name with a space was accepted (a hidden length); a server with all of a service's traffic was left out for the service's own failures; few starts in the window made waiting look endless, so requests were refused.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -315,7 +315,7 @@
     for (const auto& [id, load] : b.services) {
         loads.emplace(id, load);
     }
-    router_.set_peer_load(b.vm, loads);
+    router_.set_peer_load(b.vm, loads, sharing::silent_time(fleet_.peers().known_count()));
     for (const auto& [w, counts] : b.windows) {
         meter_.merge({b.vm, b.incarnation}, w, counts);
     }
@@ -360,10 +360,10 @@
         return;
     }
     const auto& r = settings_.retries;
-    router_.set_retry_share({.ratio = r.ratio * used_budget,
-                             .allowance = static_cast<int>(r.allowance * used_budget /
-                                                           static_cast<double>(daemons)),
-                             .window = r.window});
+    router_.set_retry_share(
+        {.ratio = r.ratio * used_budget,
+         .allowance = static_cast<int>(r.allowance * used_budget / static_cast<double>(daemons)),
+         .window = r.window});
 }
 
 void edge_daemon::begin_stop() {
--- a/apps/daemon/src/fleet_link.cpp
+++ b/apps/daemon/src/fleet_link.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// How often peers are told of load. Placement at high load depends on its age; each message costs bytes
-/// between zones.
-constexpr base::duration beacon_interval = 150ms;
 /// Counts go with every so many beacons: what a daemon counted since then is lost when it is killed.
 constexpr std::uint64_t counts_every = 2;
 /// How often the registered daemons are listed. A new daemon sends to all listed ones itself, so that the
@@ -54,10 +51,17 @@
             peers_.add_address({seed.host, settings_.peers.port});
         }
     }
-    beacon_timer_ = loop_.every(beacon_interval, [this] { send(sequence_ % counts_every == 0); });
+    schedule_beacon();
     register_self();
 }
 
+void fleet_link::schedule_beacon() {
+    beacon_timer_ = loop_.after(sharing::beacon_interval(peers_.known_count()), [this] {
+        send(sequence_ % counts_every == 0);
+        schedule_beacon();
+    });
+}
+
 void fleet_link::send_now() {
     send(true);
 }
--- a/apps/daemon/src/fleet_link.h
+++ b/apps/daemon/src/fleet_link.h
@@ -48,6 +48,7 @@
 
 private:
     void send(bool with_counts);
+    void schedule_beacon();
     void on_datagram(std::string_view bytes);
     void register_self();
     void list_daemons(const std::string& after);
--- a/packages/duties/include/duties/server_planner.h
+++ b/packages/duties/include/duties/server_planner.h
@@ -75,7 +75,7 @@
         base::time_point accepted_at;
     };
 
-    void plan(base::time_point now);
+    void plan();
     [[nodiscard]] std::uint32_t present(const base::zone_id& zone, bool reclaimable) const;
 
     catalog::scaling_terms terms_;
@@ -84,6 +84,7 @@
     std::map<kind, std::uint32_t> present_;
     std::map<kind, order_state> states_;
     std::optional<base::time_point> first_observed_;
+    double found_reclaimable_ = 0;
 };
 
 }  // namespace chicorygap::duties
--- a/packages/duties/src/server_planner.cpp
+++ b/packages/duties/src/server_planner.cpp
@@ -39,12 +39,16 @@
     if (d.server_tokens_per_s > 0) {
         needed = std::max(needed, d.prompt_tokens_per_s / (d.server_tokens_per_s * reading_utilisation));
     }
+    const auto reclaimable = static_cast<double>(
+        std::count_if(servers.begin(), servers.end(), [](const auto& s) { return s.reclaimable; }));
     if (!first_observed_) {
         first_observed_ = now;
+        found_reclaimable_ = reclaimable;
     }
     if (now - *first_observed_ < learning_time) {
-        // Too little was seen to judge: what runs already is taken for needed.
-        needed = std::max(needed, static_cast<double>(servers.size()));
+        // Too little was seen to judge: what was found is taken for needed, but not what was ordered since.
+        const auto lasting = static_cast<double>(servers.size()) - reclaimable;
+        needed = std::max(needed, lasting + std::min(reclaimable, found_reclaimable_));
     }
     history_.emplace_back(now, needed);
     while (now - history_.front().first > memory_time) {
@@ -56,7 +60,7 @@
             ++present_[{s.zone, s.reclaimable}];
         }
     }
-    plan(now);
+    plan();
 }
 
 double server_planner::needed() const {
@@ -72,7 +76,7 @@
     return it == present_.end() ? 0 : it->second;
 }
 
-void server_planner::plan(base::time_point) {
+void server_planner::plan() {
     const auto zones = static_cast<double>(terms_.zone_prices.size());
     if (zones == 0) {
         return;
--- /dev/null
+++ b/packages/duties/tests/server_planner_test.cpp
@@ -0,0 +1,96 @@
+#include "duties/server_planner.h"
+
+#include <gtest/gtest.h>
+
+namespace chicorygap::duties {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::time_point start{50s};
+
+catalog::scaling_terms terms(std::optional<double> reclaimable_price) {
+    catalog::scaling_terms t{.min_per_zone = 1, .max_per_zone = 6, .boot_time = 4s};
+    t.reclaimable_price = reclaimable_price;
+    t.zone_prices = {{base::zone_id{"a"}, 1.0}, {base::zone_id{"b"}, 1.0}, {base::zone_id{"c"}, 1.0}};
+    return t;
+}
+
+std::vector<catalog::backend_server> servers(int lasting, int reclaimable) {
+    std::vector<catalog::backend_server> out;
+    for (const auto* zone : {"a", "b", "c"}) {
+        for (int i = 0; i < lasting + reclaimable; ++i) {
+            catalog::backend_server s;
+            s.id = base::backend_server_id{std::string{zone} + std::to_string(i)};
+            s.zone = base::zone_id{zone};
+            s.reclaimable = i >= lasting;
+            out.push_back(s);
+        }
+    }
+    return out;
+}
+
+std::map<std::pair<std::string, bool>, std::uint32_t> send(server_planner& p, base::time_point now,
+                                                           order_result r = order_result::accepted) {
+    std::map<std::pair<std::string, bool>, std::uint32_t> out;
+    for (const auto& o : p.orders(now)) {
+        out[{o.zone.str(), o.reclaimable}] = o.count;
+        p.ordered(o, r, now);
+    }
+    return out;
+}
+
+// Guards against a new holder that releases servers before it has seen any load.
+TEST(server_planner, what_runs_is_needed_until_load_was_seen) {
+    server_planner p{terms(0.2), 64};
+    p.observe({}, servers(3, 0), start);
+    const auto orders = send(p, start);
+    EXPECT_EQ(orders.count({"a", false}) == 0 ? 3U : orders.at({"a", false}), 3U);
+    EXPECT_GE(orders.at({"a", true}), 1U);
+}
+
+// Guards against a gap in capacity: lasting servers go only when the reclaimable ones are there.
+TEST(server_planner, lasting_servers_are_released_after_reclaimable_ones_have_come) {
+    server_planner p{terms(0.2), 64};
+    p.observe({}, servers(3, 0), start);
+    send(p, start);
+    p.observe({}, servers(3, 1), start + 5s);
+    EXPECT_EQ(send(p, start + 5s).count({"a", false}), 0U) << "too few reclaimable ones yet";
+    p.observe({}, servers(3, 3), start + 60s);
+    EXPECT_EQ(send(p, start + 60s).at({"a", false}), 1U);
+}
+
+// Guards against the loss of one zone's reclaimable servers leaving too few.
+TEST(server_planner, other_zones_carry_the_load_when_one_is_reclaimed) {
+    server_planner p{terms(0.2), 64};
+    p.observe({}, servers(1, 3), start);
+    const service_demand load{.requests = 64 * 0.35 * 6};
+    p.observe(load, servers(1, 3), start + 60s);
+    const auto orders = send(p, start + 60s);
+    ASSERT_TRUE(orders.contains({"a", true}));
+    EXPECT_GE(2 * (orders.at({"a", true}) + 1) + 1, 6U);
+}
+
+TEST(server_planner, without_reclaimable_servers_lasting_ones_follow_the_load_within_bounds) {
+    server_planner p{terms(std::nullopt), 64};
+    p.observe({}, servers(3, 0), start);
+    send(p, start);
+    p.observe({.requests = 10'000}, servers(3, 0), start + 60s);
+    EXPECT_EQ(send(p, start + 60s).at({"b", false}), 6U);
+    p.observe({}, servers(6, 0), start + 70s);
+    EXPECT_TRUE(send(p, start + 70s).empty()) << "a lull releases nothing";
+    p.observe({}, servers(6, 0), start + 120s);
+    EXPECT_EQ(send(p, start + 120s).at({"b", false}), 1U);
+}
+
+TEST(server_planner, refused_and_lost_orders_are_repeated) {
+    server_planner p{terms(0.2), 64};
+    p.observe({}, servers(3, 0), start);
+    EXPECT_EQ(send(p, start, order_result::unavailable).count({"a", true}), 1U);
+    EXPECT_EQ(send(p, start + 100ms, order_result::failed).count({"a", true}), 0U);
+    EXPECT_EQ(send(p, start + 2s, order_result::failed).count({"a", true}), 1U);
+    EXPECT_EQ(send(p, start + 3s).count({"a", true}), 1U);
+}
+
+}  // namespace
+}  // namespace chicorygap::duties
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -116,6 +116,9 @@
     }
 
     void finish_field() {
+        if (field_.find_first_of(" \t") != std::string::npos) {
+            bad_field_ = true;  // other readers take "Length : 5" for a length
+        }
         if (!field_.empty()) {
             headers_.add(field_, value_);
         }
@@ -126,6 +129,9 @@
 
     int on_head() {
         finish_field();
+        if (bad_field_) {
+            return -1;
+        }
         in_body_ = true;
         const bool keep_alive = http_should_keep_alive(&parser_) != 0;
         if (kind_ == kind::request) {
@@ -188,6 +194,7 @@
     bool done_ = false;
     bool interim_ = false;
     bool failed_ = false;
+    bool bad_field_ = false;
 };
 
 message_reader::message_reader(kind k, reader_hooks h, std::size_t head_limit)
--- /dev/null
+++ b/packages/http/tests/message_reader_test.cpp
@@ -0,0 +1,152 @@
+#include "http/message_reader.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace chicorygap::http {
+namespace {
+
+constexpr std::size_t head_limit = 1024;
+
+struct reading {
+    std::vector<request_head> requests;
+    std::vector<response_head> responses;
+    std::string body;
+    message_reader reader;
+
+    explicit reading(message_reader::kind k)
+        : reader{k,
+                 {.request = [this](request_head&& h) { requests.push_back(std::move(h)); },
+                  .response = [this](response_head&& h) { responses.push_back(std::move(h)); },
+                  .body = [this](std::string_view part) { body.append(part); }},
+                 head_limit} {}
+
+    /// Feeds the text in pieces of `size` until the first message ends or fails.
+    read_result feed(std::string_view text, std::size_t size) {
+        std::size_t total = 0;
+        while (total < text.size()) {
+            const auto r = reader.read(text.substr(total, size));
+            total += r.consumed;
+            if (r.state != read_state::more) {
+                return {r.state, total};
+            }
+        }
+        return {read_state::more, total};
+    }
+};
+
+// Guards against heads that depend on how the bytes were cut.
+TEST(message_reader, request_in_pieces_of_any_size) {
+    const std::string text = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nContent-Length: 5\r\n\r\nhello";
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        reading r{message_reader::kind::request};
+        const auto x = r.feed(text + "GET / HTTP/1.1\r\n\r\n", size);
+        ASSERT_EQ(x.state, read_state::complete) << size;
+        EXPECT_EQ(x.consumed, text.size()) << size;
+        ASSERT_EQ(r.requests.size(), 1U);
+        EXPECT_EQ(r.requests[0].method, "POST");
+        EXPECT_EQ(r.requests[0].target, "/a/b?c=d");
+        EXPECT_EQ(*r.requests[0].headers.find("x-a"), "1");
+        EXPECT_EQ(r.body, "hello");
+        EXPECT_TRUE(r.requests[0].keep_alive);
+    }
+}
+
+TEST(message_reader, chunked_body_is_decoded) {
+    reading r{message_reader::kind::request};
+    const std::string text =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n";
+    const auto x = r.feed(text, 4);
+    EXPECT_EQ(x.state, read_state::complete);
+    EXPECT_EQ(x.consumed, text.size());
+    EXPECT_EQ(r.body, "abcde");
+}
+
+// Guards against a request hidden in the body of another one.
+TEST(message_reader, ambiguous_framing_is_invalid) {
+    const std::vector<std::string> heads{
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        "Content-Length: 5x\r\n",
+        "Content-Length: -1\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: gzip\r\n",
+    };
+    for (const auto& h : heads) {
+        reading r{message_reader::kind::request};
+        EXPECT_EQ(r.feed("POST / HTTP/1.1\r\n" + h + "\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n", 7).state,
+                  read_state::invalid)
+            << h;
+    }
+}
+
+TEST(message_reader, requests_that_are_none) {
+    for (const std::string text : {"hello\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/1.1\r\nA B: c\r\n\r\n",
+                                   "CONNECT h:1 HTTP/1.1\r\n\r\n"}) {
+        reading r{message_reader::kind::request};
+        EXPECT_EQ(r.feed(text, 64).state, read_state::invalid) << text;
+        EXPECT_EQ(r.feed("GET / HTTP/1.1\r\n\r\n", 64).state, read_state::invalid);
+    }
+}
+
+TEST(message_reader, head_is_bounded) {
+    reading r{message_reader::kind::request};
+    const auto x = r.feed("GET / HTTP/1.1\r\nA: " + std::string(2 * head_limit, 'x') + "\r\n\r\n", 100);
+    EXPECT_EQ(x.state, read_state::invalid);
+    EXPECT_TRUE(r.reader.head_too_long());
+}
+
+TEST(message_reader, response_that_ends_with_its_connection) {
+    reading r{message_reader::kind::response};
+    EXPECT_EQ(r.feed("HTTP/1.1 200 OK\r\n\r\nabc", 5).state, read_state::more);
+    EXPECT_FALSE(r.responses[0].keep_alive);
+    EXPECT_EQ(r.reader.end_of_input(), read_state::complete);
+    EXPECT_EQ(r.body, "abc");
+}
+
+// Guards against a truncated answer that looks whole.
+TEST(message_reader, truncated_response_is_invalid) {
+    for (const std::string text : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+                                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                                   "HTTP/1.1 200 OK\r\nContent-Le"}) {
+        reading r{message_reader::kind::response};
+        EXPECT_EQ(r.feed(text, 64).state, read_state::more);
+        EXPECT_EQ(r.reader.end_of_input(), read_state::invalid) << text;
+    }
+}
+
+TEST(message_reader, interim_responses_are_passed_over) {
+    reading r{message_reader::kind::response};
+    const auto x = r.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", 3);
+    EXPECT_EQ(x.state, read_state::complete);
+    ASSERT_EQ(r.responses.size(), 1U);
+    EXPECT_EQ(r.responses[0].status, 200);
+}
+
+TEST(message_reader, answer_to_head_has_no_body) {
+    reading r{message_reader::kind::response};
+    r.reader.expect_no_body(true);
+    const auto x = r.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", 64);
+    EXPECT_EQ(x.state, read_state::complete);
+}
+
+TEST(message, fields_of_one_connection_are_dropped) {
+    header_list h;
+    h.add("Host", "h");
+    h.add("Connection", "close, X-Private");
+    h.add("X-Private", "1");
+    h.add("Keep-Alive", "timeout=5");
+    h.add("Transfer-Encoding", "chunked");
+    h.add("Content-Length", "3");
+    h.add("X-Public", "2");
+    const auto out = end_to_end(h);
+    ASSERT_EQ(out.fields().size(), 2U);
+    EXPECT_EQ(out.fields()[0].name, "Host");
+    EXPECT_EQ(out.fields()[1].name, "X-Public");
+}
+
+}  // namespace
+}  // namespace chicorygap::http
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -72,7 +72,8 @@
 
     /// @param peer the daemon that reported.
     /// @param loads its load per service.
-    void set_peer_load(const base::vm_id& peer, const service_loads& loads);
+    /// @param lifetime time after which the report is forgotten.
+    void set_peer_load(const base::vm_id& peer, const service_loads& loads, base::duration lifetime);
 
     /// Changes this daemon's part of the retry budget.
     void set_retry_share(const retry_share& s);
--- a/packages/proxy/src/core.cpp
+++ b/packages/proxy/src/core.cpp
@@ -74,11 +74,12 @@
     }
 }
 
-void request_router::core::set_peer_load(const base::vm_id& peer, const service_loads& loads) {
+void request_router::core::set_peer_load(const base::vm_id& peer, const service_loads& loads,
+                                         base::duration lifetime) {
     for (const auto& [id, load] : loads) {
         const auto it = services_.find(id);
         if (it != services_.end()) {
-            carry_out(id, it->second.scheduler->set_peer_load(peer, load, loop.now()));
+            carry_out(id, it->second.scheduler->set_peer_load(peer, load, loop.now() + lifetime, loop.now()));
         }
     }
 }
--- a/packages/proxy/src/core.h
+++ b/packages/proxy/src/core.h
@@ -35,7 +35,7 @@
 
     void set_catalog(std::shared_ptr<const catalog::snapshot> s);
     void set_servers(const std::vector<catalog::backend_server>& servers);
-    void set_peer_load(const base::vm_id& peer, const service_loads& loads);
+    void set_peer_load(const base::vm_id& peer, const service_loads& loads, base::duration lifetime);
     void set_retry_share(const retry_share& s);
     void handle(http::server_session& session, http::request&& r);
     void caller_gone(http::server_session& session);
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -18,8 +18,9 @@
 void request_router::set_servers(const std::vector<catalog::backend_server>& servers) {
     core_->set_servers(servers);
 }
-void request_router::set_peer_load(const base::vm_id& peer, const service_loads& loads) {
-    core_->set_peer_load(peer, loads);
+void request_router::set_peer_load(const base::vm_id& peer, const service_loads& loads,
+                                   base::duration lifetime) {
+    core_->set_peer_load(peer, loads, lifetime);
 }
 void request_router::set_retry_share(const retry_share& s) {
     core_->set_retry_share(s);
--- a/packages/scheduling/include/scheduling/scheduler.h
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -75,8 +75,10 @@
     /// @return requests that can start now.
     std::vector<action> set_servers(const std::vector<catalog::backend_server>& list, base::time_point now);
 
-    /// Takes the load of a peer; it replaces the last report. A report is forgotten after a second.
-    std::vector<action> set_peer_load(const base::vm_id& peer, const load_report& r, base::time_point now);
+    /// Takes the load of a peer; it replaces the last report.
+    /// @param valid_until time after which the report is forgotten.
+    std::vector<action> set_peer_load(const base::vm_id& peer, const load_report& r,
+                                      base::time_point valid_until, base::time_point now);
 
     /// A new request. Exactly one `start` or `refuse` follows, unless it is withdrawn before.
     std::vector<action> submit(work w, base::time_point now);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -17,8 +17,6 @@
 using namespace std::chrono_literals;
 using base::result_code;
 
-/// A peer that has not reported for this long counts as gone: several of its reports in a row were lost.
-constexpr base::duration peer_report_life = 1s;
 /// Prompt tokens a millisecond until a first token was measured: a usual server of a large model.
 constexpr double initial_tokens_per_ms = 40;
 /// Share of a new measurement of the reading speed.
@@ -33,6 +31,8 @@
 constexpr double deadline_share_waiting = 0.2;
 /// Window over which the rate of starts is measured.
 constexpr base::duration rate_window = 2s;
+/// Fewer starts in the window say nothing about the rate.
+constexpr std::size_t least_starts = 8;
 /// Bounds of the time after which a refused caller is told to return.
 constexpr base::duration shortest_retry = 250ms;
 constexpr base::duration longest_retry = 3s;
@@ -97,8 +97,9 @@
         start_waiting(now);
     }
 
-    void set_peer_load(const base::vm_id& peer, const load_report& r, base::time_point now) {
-        peers_[peer] = {r, now};
+    void set_peer_load(const base::vm_id& peer, const load_report& r, base::time_point valid_until,
+                       base::time_point now) {
+        peers_[peer] = {r, valid_until};
         sum_peers(now);
         start_waiting(now);
     }
@@ -204,7 +205,7 @@
 private:
     struct peer_report {
         load_report load;
-        base::time_point received;
+        base::time_point valid_until;
     };
 
     struct start_record {
@@ -225,7 +226,7 @@
     }
 
     void sum_peers(base::time_point now) {
-        std::erase_if(peers_, [&](const auto& p) { return now - p.second.received > peer_report_life; });
+        std::erase_if(peers_, [&](const auto& p) { return now > p.second.valid_until; });
         for (auto* s : usable_) {
             s->peers = {};
         }
@@ -241,12 +242,15 @@
         }
     }
 
+    /// Share over all requests, so that a server with few of them counts little.
     [[nodiscard]] double usual_failures() const {
-        double sum = 0;
+        double failures = 0;
+        double samples = 0;
         for (const auto* s : usable_) {
-            sum += s->health.failure_share();
+            failures += s->health.failures();
+            samples += s->health.samples();
         }
-        return usable_.empty() ? 0 : sum / static_cast<double>(usable_.size());
+        return samples > 0 ? failures / samples : 0;
     }
 
     [[nodiscard]] placement_context context() const {
@@ -343,7 +347,7 @@
 
     base::duration expected_wait(base::tier tier, base::time_point now) {
         drop_old_starts(now);
-        if (starts_.empty()) {
+        if (starts_.size() < least_starts) {
             return {};
         }
         const auto ahead = static_cast<double>(queue_.ahead_of(tier));
@@ -419,8 +423,8 @@
 }
 
 std::vector<action> scheduler::set_peer_load(const base::vm_id& peer, const load_report& r,
-                                             base::time_point now) {
-    impl_->set_peer_load(peer, r, now);
+                                             base::time_point valid_until, base::time_point now) {
+    impl_->set_peer_load(peer, r, valid_until, now);
     return impl_->take_actions();
 }
 
--- a/packages/scheduling/src/server_health.cpp
+++ b/packages/scheduling/src/server_health.cpp
@@ -42,7 +42,7 @@
     if (o == outcome::success) {
         ejections_in_row_ = 0;
     }
-    if (bad && samples_ >= least_samples && failure_share() > usual_failures + excess_failures) {
+    if (bad && samples_ >= least_samples && failures_ / samples_ > usual_failures + excess_failures) {
         eject(now);
         samples_ = 0;  // judged anew when it returns
         failures_ = 0;
--- a/packages/scheduling/src/server_health.h
+++ b/packages/scheduling/src/server_health.h
@@ -21,8 +21,10 @@
 
     [[nodiscard]] bool ejected(base::time_point now) const noexcept { return gone_ || now < ejected_until_; }
 
-    /// @return share of failed requests, the recent ones counted most.
-    [[nodiscard]] double failure_share() const noexcept { return samples_ > 0 ? failures_ / samples_ : 0; }
+    /// @return recent outcomes, the latest counted most.
+    [[nodiscard]] double samples() const noexcept { return samples_; }
+    /// @return failures among them.
+    [[nodiscard]] double failures() const noexcept { return failures_; }
 
 private:
     void eject(base::time_point now);
--- /dev/null
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -0,0 +1,274 @@
+#include "scheduling/scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace chicorygap::scheduling {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::time_point start_time{1000s};
+
+catalog::backend_server server(const std::string& id, std::uint32_t slots, const std::string& zone = "z1") {
+    catalog::backend_server s;
+    s.id = base::backend_server_id{id};
+    s.service = base::service_id{"assistant"};
+    s.zone = base::zone_id{zone};
+    s.slots = slots;
+    return s;
+}
+
+struct load_test : testing::Test {
+    std::uint64_t random_state = 1;
+    scheduler s{{base::vm_id{"self"}, base::zone_id{"z1"}}, [this] { return ++random_state; }};
+    std::uint64_t last_ticket = 0;
+    std::map<std::string, int> started;
+    std::map<ticket, std::string> at;
+    std::vector<refuse> refused;
+    std::vector<ticket> start_order;
+
+    void take(const std::vector<action>& actions) {
+        for (const auto& a : actions) {
+            if (const auto* x = std::get_if<start>(&a)) {
+                ++started[x->server.id.str()];
+                at[x->id] = x->server.id.str();
+                start_order.push_back(x->id);
+            } else {
+                refused.push_back(std::get<refuse>(a));
+            }
+        }
+    }
+
+    work make(base::time_point now, std::uint8_t level = 1, const std::string& workspace = "w") {
+        work w;
+        w.id = ticket{++last_ticket};
+        w.tier = base::tier{level};
+        w.workspace = base::workspace_id{workspace};
+        w.arrived = now;
+        w.target_at = now + 400ms;
+        w.deadline = now + 5s;
+        return w;
+    }
+
+    work generation_work(base::time_point now, std::int64_t prompt, std::vector<prefix_part> parts = {}) {
+        auto w = make(now);
+        w.terms = generation{prompt, 100, std::move(parts)};
+        return w;
+    }
+
+    ticket submit(work w, base::time_point now) {
+        const auto id = w.id;
+        take(s.submit(std::move(w), now));
+        return id;
+    }
+
+    void end(ticket id, base::time_point now, outcome o = outcome::success) {
+        take(s.finished(id, o, now));
+        s.withdraw(id);
+    }
+};
+
+// Load: more requests than places. Guards against places counted twice and against refusals while places are
+// free.
+TEST_F(load_test, places_are_filled_and_not_exceeded) {
+    s.set_servers({server("a", 2), server("b", 3)}, start_time);
+    for (int i = 0; i < 7; ++i) {
+        submit(make(start_time), start_time);
+    }
+    EXPECT_EQ(started["a"], 2);
+    EXPECT_EQ(started["b"], 3);
+    EXPECT_TRUE(refused.empty());
+    EXPECT_EQ(s.status(start_time).waiting, 2U);
+}
+
+// Load: two daemons send to the same servers. Guards against a server that both fill.
+TEST_F(load_test, places_taken_by_peers_are_not_free) {
+    s.set_servers({server("a", 2)}, start_time);
+    load_report peer;
+    peer.servers = {{.server = base::backend_server_id{"a"}, .running = 2}};
+    take(s.set_peer_load(base::vm_id{"peer"}, peer, start_time + 1s, start_time));
+    const auto id = submit(make(start_time), start_time);
+    EXPECT_TRUE(started.empty());
+    // The peer has gone silent.
+    take(s.tick(start_time + 1100ms));
+    EXPECT_EQ(at[id], "a");
+}
+
+// Load: many users at once. Guards against a lower tier that starts before a higher one.
+TEST_F(load_test, higher_tier_starts_first_when_a_place_is_free) {
+    s.set_servers({server("a", 1)}, start_time);
+    const auto running = submit(make(start_time), start_time);
+    const auto low = submit(make(start_time, 3), start_time);
+    const auto high = submit(make(start_time, 0), start_time);
+    end(running, start_time + 10ms);
+    ASSERT_EQ(start_order.size(), 2U);
+    EXPECT_EQ(start_order[1], high);
+    end(high, start_time + 20ms);
+    EXPECT_EQ(start_order.back(), low);
+}
+
+// Load: one workspace sends many times its usual. Guards against others that wait behind all of its requests.
+TEST_F(load_test, workspaces_take_turns) {
+    s.set_servers({server("a", 1)}, start_time);
+    auto running = submit(make(start_time), start_time);
+    for (int i = 0; i < 5; ++i) {
+        submit(make(start_time, 1, "large"), start_time);
+    }
+    const auto small = submit(make(start_time, 1, "small"), start_time);
+    end(running, start_time + 1ms);
+    running = start_order.back();
+    end(running, start_time + 2ms);
+    EXPECT_EQ(start_order.back(), small);
+}
+
+// Load: overload that lasts. Guards against requests held until their callers give up, and against a return
+// of all refused callers at the same moment.
+TEST_F(load_test, what_cannot_start_in_time_is_refused_with_a_spread_return) {
+    s.set_servers({server("a", 1)}, start_time);
+    submit(make(start_time), start_time);
+    for (int i = 0; i < 20; ++i) {
+        submit(make(start_time), start_time);
+    }
+    take(s.tick(start_time + 1100ms));
+    ASSERT_EQ(refused.size(), 20U);
+    std::set<base::duration> returns;
+    for (const auto& r : refused) {
+        EXPECT_GE(r.retry_after, 250ms);
+        EXPECT_LE(r.retry_after, 4500ms);
+        returns.insert(r.retry_after);
+    }
+    EXPECT_GT(returns.size(), 10U);
+}
+
+TEST_F(load_test, without_servers_requests_are_refused_at_once) {
+    submit(make(start_time), start_time);
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].code, base::result_code::no_backend_server);
+}
+
+// Load: long prompts. Guards against prompts that queue behind one another while another server is idle.
+TEST_F(load_test, long_prompts_spread_over_servers) {
+    s.set_engine(catalog::engine_terms{.slots = 64, .memory_tokens = 500'000});
+    s.set_servers({server("a", 64), server("b", 64), server("c", 64)}, start_time);
+    for (int i = 0; i < 9; ++i) {
+        submit(generation_work(start_time, 8000, {{static_cast<std::uint64_t>(i), 8000}}), start_time);
+    }
+    for (const auto* id : {"a", "b", "c"}) {
+        EXPECT_GE(started[id], 2) << id;
+        EXPECT_LE(started[id], 4) << id;
+    }
+}
+
+// Load: prompts that share a long part. Guards against every server reading the same part.
+TEST_F(load_test, requests_with_a_shared_part_go_to_one_server) {
+    s.set_engine(catalog::engine_terms{.slots = 64, .memory_tokens = 500'000});
+    s.set_servers({server("a", 64), server("b", 64), server("c", 64)}, start_time);
+    std::set<std::string> servers;
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        const auto now = start_time + i * 500ms;
+        const auto id = submit(generation_work(now, 7000, {{77, 6500}, {1000 + i, 500}}), now);
+        s.first_output(id, now + 100ms);
+        servers.insert(at[id]);
+        end(id, now + 400ms);
+    }
+    EXPECT_EQ(servers.size(), 1U);
+}
+
+// Load: one key. Guards against one server that gets all requests of a part while others idle.
+TEST_F(load_test, a_hot_part_spreads_when_its_server_is_busy) {
+    s.set_engine(catalog::engine_terms{.slots = 64, .memory_tokens = 500'000});
+    s.set_servers({server("a", 64), server("b", 64)}, start_time);
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        submit(generation_work(start_time, 7000, {{77, 1000}, {1000 + i, 6000}}), start_time);
+    }
+    EXPECT_GE(started["a"], 10);
+    EXPECT_GE(started["b"], 10);
+}
+
+// Load: generations that fill the memory. Guards against preemption of running ones.
+TEST_F(load_test, memory_is_not_given_out_twice) {
+    s.set_engine(catalog::engine_terms{.slots = 64, .memory_tokens = 20'000});
+    s.set_servers({server("a", 64)}, start_time);
+    submit(generation_work(start_time, 9000), start_time);
+    submit(generation_work(start_time, 9000), start_time);
+    submit(generation_work(start_time, 9000), start_time);
+    EXPECT_EQ(started["a"], 2);
+    // A small one does not wait behind a large one that has no room.
+    submit(generation_work(start_time, 100), start_time);
+    EXPECT_EQ(s.status(start_time).waiting, 2U);
+    take(s.tick(start_time + 10ms));
+    EXPECT_EQ(started["a"], 3);
+}
+
+// Failure: a server crashed. Guards against every request trying it.
+TEST_F(load_test, unreachable_server_is_left_out_and_returns) {
+    s.set_servers({server("a", 6), server("b", 6, "z2")}, start_time);
+    for (int i = 0; i < 2; ++i) {
+        const auto id = submit(make(start_time), start_time);
+        ASSERT_EQ(at[id], "a");
+        end(id, start_time, outcome::unreachable);
+    }
+    EXPECT_EQ(at[submit(make(start_time), start_time)], "b");
+    EXPECT_EQ(at[submit(make(start_time + 600ms), start_time + 600ms)], "a");
+}
+
+// Failure: a service fails a share of its requests by itself. Guards against an empty service.
+TEST_F(load_test, common_failures_leave_no_server_out) {
+    s.set_servers({server("a", 6), server("b", 6)}, start_time);
+    for (int i = 0; i < 200; ++i) {
+        const auto id = submit(make(start_time), start_time);
+        end(id, start_time, i % 5 < 2 ? outcome::failed : outcome::success);
+    }
+    EXPECT_EQ(s.status(start_time).ejected, 0U);
+}
+
+// Failure: another server has taken the address; lsra-drainops scale-1 sent 302 repeats instead of 268 at
+// most.
+TEST_F(load_test, replaced_server_gets_nothing_more) {
+    s.set_servers({server("a", 6), server("b", 6, "z2")}, start_time);
+    const auto id = submit(make(start_time), start_time);
+    ASSERT_EQ(at[id], "a");
+    end(id, start_time, outcome::replaced);
+    for (int i = 1; i < 20; ++i) {
+        const auto next = submit(make(start_time + i * 1s), start_time + i * 1s);
+        EXPECT_EQ(at[next], "b");
+        end(next, start_time + i * 1s);
+    }
+}
+
+TEST_F(load_test, draining_server_gets_nothing_new) {
+    auto leaving = server("a", 6);
+    s.set_servers({leaving, server("b", 6, "z2")}, start_time);
+    leaving.draining = true;
+    take(s.set_servers({leaving, server("b", 6, "z2")}, start_time));
+    EXPECT_EQ(at[submit(make(start_time), start_time)], "b");
+}
+
+// Guards against an attempt on a server that has left touching the state of its successor.
+TEST_F(load_test, attempt_outlives_its_server) {
+    s.set_servers({server("a", 1)}, start_time);
+    const auto id = submit(make(start_time), start_time);
+    auto again = server("a", 1);
+    again.incarnation = 2;
+    take(s.set_servers({again}, start_time));
+    submit(make(start_time), start_time);
+    EXPECT_EQ(started["a"], 2);
+    end(id, start_time, outcome::unreachable);
+    EXPECT_EQ(s.status(start_time).running, 1U);
+}
+
+TEST_F(load_test, repeated_request_avoids_servers_that_it_tried) {
+    s.set_servers({server("a", 6), server("b", 6, "z2")}, start_time);
+    const auto id = submit(make(start_time), start_time);
+    ASSERT_EQ(at[id], "a");
+    take(s.finished(id, outcome::failed, start_time));
+    take(s.resubmit(id, start_time));
+    EXPECT_EQ(at[id], "b");
+}
+
+}  // namespace
+}  // namespace chicorygap::scheduling
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -14,15 +14,21 @@
 
 namespace chicorygap::sharing {
 
+/// @param daemons size of the fleet.
+/// @return how often a daemon sends to each of its peers. A daemon sends and hears a bounded number of
+/// messages a second, so that the rate for each peer falls in a large fleet.
+base::duration beacon_interval(std::size_t daemons);
+
+/// @param daemons size of the fleet.
+/// @return a daemon that was not heard for this long is taken for dead: several messages in a row were lost.
+base::duration silent_time(std::size_t daemons);
+
 /// The other daemons, as they last reported.
 ///
 /// Usage: `if (t.observe(b, wall, now)) { ... }` for each beacon; the questions below need the current time.
 /// Contains no I/O and reads no clock.
 class peer_table {
 public:
-    /// A daemon that was not heard for this long is taken for dead.
-    static constexpr base::duration silent_time = std::chrono::milliseconds{1200};
-
     explicit peer_table(base::vm_id self) : self_{std::move(self)} {}
 
     /// Takes a beacon.
@@ -36,6 +42,9 @@
     /// @return where beacons are sent: every daemon heard of, and every address listed.
     [[nodiscard]] std::vector<net::address> addresses() const;
 
+    /// @return daemons known, this one included, whether alive or not.
+    [[nodiscard]] std::size_t known_count() const noexcept { return peers_.size() + 1; }
+
     /// Drops daemons that have been silent for long.
     void expire(base::time_point now);
 
@@ -61,6 +70,8 @@
         std::chrono::milliseconds offset{};
     };
 
+    [[nodiscard]] bool alive(const peer& p, base::time_point now) const;
+
     base::vm_id self_;
     std::map<base::vm_id, peer> peers_;
     std::set<net::address> listed_;
--- a/packages/sharing/src/peer_table.cpp
+++ b/packages/sharing/src/peer_table.cpp
@@ -10,9 +10,29 @@
 
 /// Beacons still go to a daemon that was not heard for this long, so that both find each other after a cut.
 constexpr base::duration forget_time = 60s;
+/// Placement at high load depends on the age of what peers said.
+constexpr base::duration shortest_interval = 150ms;
+constexpr base::duration longest_interval = 2s;
+/// Time that one message may take up: about seventy a second are a few parts in a thousand of a core.
+constexpr base::duration time_per_message = 15ms;
+constexpr int silent_intervals = 5;
+constexpr base::duration silent_margin = 450ms;
 
 }  // namespace
 
+base::duration beacon_interval(std::size_t daemons) {
+    return std::clamp<base::duration>(time_per_message * static_cast<int>(daemons), shortest_interval,
+                                      longest_interval);
+}
+
+base::duration silent_time(std::size_t daemons) {
+    return beacon_interval(daemons) * silent_intervals + silent_margin;
+}
+
+bool peer_table::alive(const peer& p, base::time_point now) const {
+    return now - p.heard <= silent_time(known_count());
+}
+
 bool peer_table::observe(const beacon& b, base::wall_time wall, base::time_point now) {
     if (b.vm == self_ || b.vm.empty()) {
         return false;
@@ -21,7 +41,7 @@
     if (it != peers_.end()) {
         const auto& last = it->second.last;
         // The start time of a daemon is its incarnation; a clock that was set back must not hide it for long.
-        const bool silent = now - it->second.heard > silent_time;
+        const bool silent = !alive(it->second, now);
         if (b.incarnation == last.incarnation ? b.sequence <= last.sequence
                                               : b.incarnation < last.incarnation && !silent) {
             return false;
@@ -59,7 +79,7 @@
 std::vector<const beacon*> peer_table::live(base::time_point now) const {
     std::vector<const beacon*> out;
     for (const auto& [vm, p] : peers_) {
-        if (now - p.heard <= silent_time) {
+        if (alive(p, now)) {
             out.push_back(&p.last);
         }
     }
@@ -76,7 +96,7 @@
 base::wall_time peer_table::agreed_time(base::wall_time wall, base::time_point now) const {
     std::vector<std::chrono::milliseconds> offsets{std::chrono::milliseconds{0}};
     for (const auto& [vm, p] : peers_) {
-        if (now - p.heard <= silent_time) {
+        if (alive(p, now)) {
             offsets.push_back(p.offset);
         }
     }
--- /dev/null
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -0,0 +1,113 @@
+#include "sharing/beacon.h"
+#include "sharing/peer_table.h"
+
+#include <gtest/gtest.h>
+
+namespace chicorygap::sharing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::time_point start{50s};
+constexpr base::wall_time wall{1'000'000ms};
+
+beacon from(const std::string& vm, std::uint64_t incarnation = 1, std::uint64_t sequence = 1) {
+    beacon b;
+    b.vm = base::vm_id{vm};
+    b.zone = base::zone_id{"z"};
+    b.incarnation = incarnation;
+    b.sequence = sequence;
+    b.peer_address = {"10.0.0." + vm, 7200};
+    b.operator_address = {"10.0.0." + vm, 7300};
+    b.wall_time = wall;
+    return b;
+}
+
+TEST(beacon, survives_its_encoding) {
+    auto b = from("1", 7, 9);
+    b.configuration_version = 41;
+    b.servers_revision = 77;
+    b.stopping = true;
+    b.lease_term = 3;
+    auto& load = b.services[base::service_id{"s"}];
+    load.waiting = 5;
+    load.prompt_tokens_per_s = 12'000;
+    load.servers = {{base::backend_server_id{"i-1"}, 4, 30'000, 900}};
+    b.windows[metering::window_number{12}] = {{base::workspace_id{"north"}, 8}};
+    EXPECT_EQ(decode(encode(b)), b);
+}
+
+TEST(beacon, bytes_that_are_none_are_refused) {
+    EXPECT_EQ(decode(""), std::nullopt);
+    EXPECT_EQ(decode("hello, this is no beacon at all"), std::nullopt);
+    const auto bytes = encode(from("1"));
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        decode(bytes.substr(0, n));  // must not fail otherwise than by refusing
+    }
+}
+
+TEST(peer_table, older_messages_are_dropped) {
+    peer_table t{base::vm_id{"0"}};
+    EXPECT_TRUE(t.observe(from("1", 5, 2), wall, start));
+    EXPECT_FALSE(t.observe(from("1", 5, 1), wall, start));
+    EXPECT_FALSE(t.observe(from("1", 4, 9), wall, start));
+    EXPECT_TRUE(t.observe(from("1", 6, 1), wall, start));
+    EXPECT_FALSE(t.observe(from("0"), wall, start));
+    EXPECT_EQ(t.live_count(start), 2U);
+}
+
+// Guards against a daemon that stays unheard because its clock was behind when it started again.
+TEST(peer_table, smaller_incarnation_counts_once_the_earlier_one_is_silent) {
+    peer_table t{base::vm_id{"0"}};
+    t.observe(from("1", 5, 2), wall, start);
+    EXPECT_TRUE(t.observe(from("1", 4, 1), wall, start + 10s));
+}
+
+TEST(peer_table, silent_daemons_are_taken_for_dead_but_still_sent_to) {
+    peer_table t{base::vm_id{"0"}};
+    t.observe(from("1"), wall, start);
+    EXPECT_EQ(t.live_count(start + 1s), 2U);
+    EXPECT_EQ(t.live_count(start + 3s), 1U);
+    EXPECT_EQ(t.addresses().size(), 1U);
+    t.expire(start + 61s);
+    EXPECT_TRUE(t.addresses().empty());
+}
+
+// Guards against a single clock that jumps deciding which window a request belongs to.
+TEST(peer_table, agreed_time_is_that_of_the_majority) {
+    peer_table t{base::vm_id{"0"}};
+    for (const auto* vm : {"1", "2", "3", "4"}) {
+        t.observe(from(vm), wall, start);
+    }
+    auto wrong = from("5");
+    wrong.wall_time = wall + 1h;
+    t.observe(wrong, wall, start);
+    EXPECT_EQ(t.agreed_time(wall, start), wall);
+    // The own clock jumps: all others are behind it now.
+    for (const auto* vm : {"1", "2", "3", "4"}) {
+        auto b = from(vm, 1, 2);
+        t.observe(b, wall + 10min, start);
+    }
+    EXPECT_EQ(t.agreed_time(wall + 10min, start), wall);
+}
+
+// Guards against messages that grow with the square of the fleet.
+TEST(peer_table, rate_for_each_peer_falls_with_the_size_of_the_fleet) {
+    EXPECT_EQ(beacon_interval(2), 150ms);
+    EXPECT_EQ(beacon_interval(60), 900ms);
+    EXPECT_EQ(beacon_interval(1700), 2s);
+    EXPECT_GT(silent_time(60), 4 * beacon_interval(60));
+}
+
+TEST(peer_table, names_the_holder_of_the_lease) {
+    peer_table t{base::vm_id{"0"}};
+    EXPECT_EQ(t.lease_holder(start), nullptr);
+    auto b = from("1");
+    b.lease_term = 4;
+    t.observe(b, wall, start);
+    ASSERT_NE(t.lease_holder(start), nullptr);
+    EXPECT_EQ(t.lease_holder(start + 5s), nullptr);
+}
+
+}  // namespace
+}  // namespace chicorygap::sharing
