--- a/apps/daemon/src/duty_agent.cpp
+++ b/apps/daemon/src/duty_agent.cpp
@@ -19,6 +19,10 @@
 /// A new holder waits for the counts and loads of its peers, which arrive several times a second.
 constexpr base::duration warm_up = 1s;
 
+/// The last counts of a window arrive within this many messages of each daemon, and this margin.
+constexpr int settle_messages = 3;
+constexpr base::duration settle_margin = 900ms;
+
 lease::lease_options lease_options(const settings::edge_settings& s, std::uint64_t incarnation) {
     const auto length = s.duties.lease_length;
     return {.role = "fleet",
@@ -135,7 +139,8 @@
 
 void duty_agent::report_usage() {
     const bool all_heard = peers_.live_count(loop_.now()) >= most_daemons_;
-    for (const auto& a : reporter_.tick(agreed_time(), all_heard, loop_.now())) {
+    const auto settle = settle_margin + settle_messages * sharing::beacon_interval(peers_.known_count());
+    for (const auto& a : reporter_.tick(agreed_time(), settle, all_heard, loop_.now())) {
         if (const auto* f = std::get_if<duties::freeze_window>(&a)) {
             freeze(*f);
         } else {
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -34,6 +34,11 @@
 /// A daemon that fell behind a peer for this long asks it: its own watch usually hears of the change first.
 constexpr base::duration behind_time = 250ms;
 
+/// Changes of the server list are read together over a time that grows with the fleet, since each daemon pays
+/// for its calls and a larger fleet has more servers. It stays well below the drain time.
+constexpr base::duration gather_per_daemon = 6ms;
+constexpr base::duration longest_gather = 500ms;
+
 constexpr const char* configuration_path = "/copies/configuration";
 constexpr const char* servers_path = "/copies/servers";
 
@@ -359,6 +364,7 @@
     if (std::exchange(shared_by_, daemons) == daemons) {
         return;
     }
+    server_watch_.set_gather_time(std::min(gather_per_daemon * static_cast<int>(daemons), longest_gather));
     const auto& r = settings_.retries;
     router_.set_retry_share(
         {.ratio = r.ratio * used_budget,
--- a/apps/daemon/src/fleet_link.cpp
+++ b/apps/daemon/src/fleet_link.cpp
@@ -55,18 +55,25 @@
     register_self();
 }
 
+// Daemons of one zone share its servers and hear each other at the rate of a fleet of their number.
 void fleet_link::schedule_beacon() {
-    beacon_timer_ = loop_.after(sharing::beacon_interval(peers_.known_count()), [this] {
-        send(sequence_ % counts_every == 0);
+    const auto in_zone = peers_.addresses_in(settings_.zone);
+    beacon_timer_ = loop_.after(sharing::beacon_interval(in_zone.size() + 1), [this] {
+        const auto now = loop_.now();
+        const bool to_all = now >= next_to_all_;
+        if (to_all) {
+            next_to_all_ = now + sharing::beacon_interval(peers_.known_count());
+        }
+        send(to_all, to_all || sequence_ % counts_every == 0);
         schedule_beacon();
     });
 }
 
 void fleet_link::send_now() {
-    send(true);
+    send(true, true);
 }
 
-void fleet_link::send(bool with_counts) {
+void fleet_link::send(bool to_all, bool with_counts) {
     peers_.expire(loop_.now());
     sharing::beacon b{.vm = settings_.vm,
                       .zone = settings_.zone,
@@ -77,7 +84,7 @@
                       .wall_time = base::wall_clock_now()};
     hooks_.compose(b, with_counts);
     const auto bytes = sharing::encode(b);
-    for (const auto& to : peers_.addresses()) {
+    for (const auto& to : to_all ? peers_.addresses() : peers_.addresses_in(settings_.zone)) {
         socket_.send(to, bytes);
     }
 }
--- a/apps/daemon/src/fleet_link.h
+++ b/apps/daemon/src/fleet_link.h
@@ -47,7 +47,7 @@
                std::function<void(const std::string&)> done);
 
 private:
-    void send(bool with_counts);
+    void send(bool to_all, bool with_counts);
     void schedule_beacon();
     void on_datagram(std::string_view bytes);
     void register_self();
@@ -66,6 +66,7 @@
     http::async_client client_;
     net::timer_id beacon_timer_ = net::timer_id::none;
     net::timer_id list_timer_ = net::timer_id::none;
+    base::time_point next_to_all_;
     bool registered_ = false;
 };
 
--- a/packages/duties/include/duties/usage_reporter.h
+++ b/packages/duties/include/duties/usage_reporter.h
@@ -54,9 +54,11 @@
     usage_reporter(usage_times t, counts_function counts);
 
     /// @param wall time of day that the fleet agrees on.
+    /// @param settle time after the end of a window in which the last counts of all daemons arrive.
     /// @param all_heard all daemons that counted in the last windows were heard lately; if not, their counts
     /// are waited for as long as the report can still be in time.
-    std::vector<usage_action> tick(base::wall_time wall, bool all_heard, base::time_point now);
+    std::vector<usage_action> tick(base::wall_time wall, base::duration settle, bool all_heard,
+                                   base::time_point now);
 
     /// @param stored counts that the store holds for the window; nothing if the call failed.
     void frozen(metering::window_number w, const std::optional<metering::workspace_counts>& stored);
--- a/packages/duties/src/usage_reporter.cpp
+++ b/packages/duties/src/usage_reporter.cpp
@@ -11,8 +11,6 @@
 
 using namespace std::chrono_literals;
 
-/// Time after the end of a window in which the last counts arrive: several messages of each daemon.
-constexpr base::duration settle_time = 1500ms;
 /// A report is sent at the latest this long before it is due, even if counts are missing.
 constexpr base::duration due_margin = 3s;
 /// Time before a failed call is repeated.
@@ -29,8 +27,10 @@
 usage_reporter::usage_reporter(usage_times t, counts_function counts)
     : times_{t}, counts_{std::move(counts)} {}
 
-std::vector<usage_action> usage_reporter::tick(base::wall_time wall, bool all_heard, base::time_point now) {
-    const auto wait = all_heard ? settle_time : std::max(settle_time, times_.due - due_margin);
+std::vector<usage_action> usage_reporter::tick(base::wall_time wall, base::duration settle, bool all_heard,
+                                               base::time_point now) {
+    const auto latest = times_.due - due_margin;
+    const auto wait = all_heard ? std::min(settle, latest) : latest;
     for (auto w = first_window(wall); metering::window_end(w, times_.window) + to_ms(wait) <= wall;
          w = metering::window_number{static_cast<std::uint64_t>(w) + 1}) {
         advance(w, windows_[w], now);
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -21,6 +21,12 @@
 /// Share of a prompt that the preferred server is expected to keep although this daemon did not send it
 /// there: the others choose the same server for it.
 constexpr double preferred_share = 0.6;
+/// Random part of the cost for each other daemon: about the time of the prompts that one of them adds between
+/// two reports.
+constexpr double spread_per_peer_ms = 0.25;
+/// One place is left for so many other daemons, up to this part of a server's slots.
+constexpr std::size_t peers_per_place = 20;
+constexpr std::uint32_t most_unseen_part = 4;
 /// Cost of a request on a server that may be taken away, when the request could not go on elsewhere.
 constexpr double reclaimable_ms = 15;
 
@@ -41,9 +47,22 @@
     return it == candidates.end() ? nullptr : *it;
 }
 
+/// Places that peers may have taken since they last reported.
+std::uint32_t unseen_places(std::uint32_t slots, std::size_t peers) {
+    return std::min<std::uint32_t>(slots / most_unseen_part,
+                                   static_cast<std::uint32_t>(peers / peers_per_place));
+}
+
+/// Cost that differs between daemons, so that they do not all choose the same server at the same moment.
+double spread_ms(const placement_context& c) {
+    constexpr std::uint64_t steps = 1024;
+    const double part = static_cast<double>(c.random() % steps) / static_cast<double>(steps);
+    return part * spread_per_peer_ms * static_cast<double>(c.peers);
+}
+
 bool has_place(const server_state& s, const work& w, const placement_context& c) {
     const auto slots = c.engine ? std::min(c.engine->slots, s.info.slots) : s.info.slots;
-    if (s.running() >= slots) {
+    if (s.running() + unseen_places(slots, c.peers) >= slots) {
         return false;
     }
     if (!w.terms || !c.engine || s.running() == 0) {
@@ -55,7 +74,7 @@
 }
 
 double expected_ms(const server_state& s, const work& w, std::int64_t unread, const placement_context& c) {
-    double ms = s.info.zone == c.zone ? 0 : other_zone_ms;
+    double ms = (s.info.zone == c.zone ? 0 : other_zone_ms) + spread_ms(c);
     if (!w.terms) {
         return ms + plain_slot_ms * s.running();
     }
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -2,12 +2,13 @@
 /// Choice of the server for one request.
 #pragma once
 
+#include "base/random.h"
 #include "base/time.h"
 #include "catalog/service.h"
 #include "scheduling/work.h"
 #include "server_state.h"
 
-#include <functional>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
     std::optional<catalog::engine_terms> engine;
     /// Prompt tokens read in a millisecond, for servers without a measurement.
     double tokens_per_ms = 0;
+    /// Other daemons that send to the same servers; what they sent lately is not known yet.
+    std::size_t peers = 0;
+    base::random_function random;
 };
 
 /// A server and what is expected of it.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -254,7 +254,8 @@
     }
 
     [[nodiscard]] placement_context context() const {
-        return {options_.zone, engine_, tokens_per_ms_ > 0 ? tokens_per_ms_ : initial_tokens_per_ms};
+        return {options_.zone, engine_, tokens_per_ms_ > 0 ? tokens_per_ms_ : initial_tokens_per_ms,
+                peers_.size(), random_};
     }
 
     std::optional<placement> place(const entry& e, base::time_point now) {
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -42,6 +42,9 @@
     /// @return where beacons are sent: every daemon heard of, and every address listed.
     [[nodiscard]] std::vector<net::address> addresses() const;
 
+    /// @return addresses of the daemons heard of in a zone.
+    [[nodiscard]] std::vector<net::address> addresses_in(const base::zone_id& zone) const;
+
     /// @return daemons known, this one included, whether alive or not.
     [[nodiscard]] std::size_t known_count() const noexcept { return peers_.size() + 1; }
 
--- a/packages/sharing/src/peer_table.cpp
+++ b/packages/sharing/src/peer_table.cpp
@@ -68,6 +68,16 @@
     return out;
 }
 
+std::vector<net::address> peer_table::addresses_in(const base::zone_id& zone) const {
+    std::vector<net::address> out;
+    for (const auto& [vm, p] : peers_) {
+        if (p.last.zone == zone) {
+            out.push_back(p.last.peer_address);
+        }
+    }
+    return out;
+}
+
 void peer_table::expire(base::time_point now) {
     std::erase_if(peers_, [&](const auto& p) { return now - p.second.heard > forget_time; });
 }
