--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -60,8 +60,13 @@
         .field("waited_ms", to_ms(r.waited))
         .field("total_ms", to_ms(r.total))
         .field("version", static_cast<long long>(r.catalog_version))
-        .field("servers_age_ms", to_ms(r.servers_age))
         .code(r.code);
+    if (r.servers_age) {
+        line.field("servers_age_ms", to_ms(*r.servers_age));
+    }
+    if (r.peers_age) {
+        line.field("peers_age_ms", to_ms(*r.peers_age));
+    }
     if (r.first_output) {
         line.field("first_ms", to_ms(*r.first_output)).field("events", static_cast<long long>(r.events));
     }
@@ -282,6 +287,7 @@
     if (directory_.expire(loop_.now())) {
         apply_servers();
     }
+    share_retries();
     if (reload_requested.exchange(false)) {
         base::log_line{base::log_level::info, "daemon", "Reload requested."};
     }
@@ -324,7 +330,6 @@
     for (const auto& [w, counts] : b.windows) {
         meter_.merge({b.vm, b.incarnation}, w, counts);
     }
-    share_retries();
     const auto version = catalog_ ? catalog_->version : 0;
     if (b.configuration_version > version) {
         fetch_from_peer(configuration_watch_, b, configuration_path);
@@ -364,6 +369,8 @@
     if (std::exchange(shared_by_, daemons) == daemons) {
         return;
     }
+    base::log_line{base::log_level::info, "fleet", "Live daemons changed."}.field(
+        "count", static_cast<long long>(daemons));
     server_watch_.set_gather_time(std::min(gather_per_daemon * static_cast<int>(daemons), longest_gather));
     const auto& r = settings_.retries;
     router_.set_retry_share(
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -14,7 +14,7 @@
 
 /// Time to establish a connection. Within a region the answer takes a few milliseconds; a lost opening packet
 /// is sent again after a second, which is too late for most callers.
-constexpr base::duration connect_timeout = 600ms;
+constexpr base::duration connect_timeout = 250ms;
 /// Idle connections per server; more are needed only in a burst.
 constexpr std::size_t idle_limit = 64;
 /// Idle time when the server names none.
--- a/packages/proxy/include/proxy/request_record.h
+++ b/packages/proxy/include/proxy/request_record.h
@@ -33,8 +33,12 @@
     std::optional<base::duration> first_output;
     base::duration total{};
     std::uint64_t events = 0;
+    /// Version of the configuration that decided, 0 if none was known.
     std::uint64_t catalog_version = 0;
-    base::duration servers_age{};
+    /// Time since the list of servers last changed; absent before the first one.
+    std::optional<base::duration> servers_age;
+    /// Time since a peer last reported its load; absent without peers.
+    std::optional<base::duration> peers_age;
 };
 
 }  // namespace chicorygap::proxy
--- a/packages/proxy/src/core.cpp
+++ b/packages/proxy/src/core.cpp
@@ -76,6 +76,7 @@
 
 void request_router::core::set_peer_load(const base::vm_id& peer, const service_loads& loads,
                                          base::duration lifetime) {
+    peers_heard = loop.now();
     for (const auto& [id, load] : loads) {
         const auto it = services_.find(id);
         if (it != services_.end()) {
--- a/packages/proxy/src/core.h
+++ b/packages/proxy/src/core.h
@@ -63,7 +63,8 @@
     router_hooks hooks;
     http::connection_pool pool;
     std::shared_ptr<const catalog::snapshot> catalog;
-    base::time_point servers_changed;
+    std::optional<base::time_point> servers_changed;
+    std::optional<base::time_point> peers_heard;
     /// The process ends then.
     std::optional<base::time_point> stops_at;
     std::unordered_map<scheduling::ticket, std::shared_ptr<flow>> flows;
--- a/packages/proxy/src/flow.cpp
+++ b/packages/proxy/src/flow.cpp
@@ -472,7 +472,11 @@
     }
     record_.events = events_.events();
     record_.total = base::boot_clock::now() - arrived_;
-    record_.servers_age = base::boot_clock::now() - core_.servers_changed;
+    const auto age = [](const std::optional<base::time_point>& since) {
+        return since ? std::optional<base::duration>{base::boot_clock::now() - *since} : std::nullopt;
+    };
+    record_.servers_age = age(core_.servers_changed);
+    record_.peers_age = age(core_.peers_heard);
     if (core_.hooks.ended) {
         core_.hooks.ended(record_);
     }
