--- /dev/null
+++ b/fuzz/platform_documents_fuzz.cpp
@@ -0,0 +1,25 @@
+// Documents of the users' platform must be decoded or refused, never fail otherwise.
+#include "base/log.h"
+#include "platform/cloud_client.h"
+#include "platform/documents.h"
+#include "platform/store_client.h"
+
+#include <cstdint>
+#include <string>
+
+extern "C" int LLVMFuzzerInitialize(int* /*argc*/,
+                                    char*** /*argv*/) {  // NOLINT(readability-identifier-naming)
+    chicorygap::base::configure_log(chicorygap::base::log_level::error);
+    return 0;
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    using namespace chicorygap::platform;
+    const std::string text{reinterpret_cast<const char*>(data), size};
+    decode_configuration(text);
+    decode_server("i-1", text);
+    decode_daemon(text);
+    decode_counts(text);
+    decode_listing(text);
+    return 0;
+}
