Order nothing before the servers have registered; learn the time of a first token

The planner took a list of the first few servers for the fleet and released the others. It now looks for four seconds and takes what it found for needed until it has seen load for ten. The next reclaimable server gets its room, and the time of a first token beside reading is learned from short prompts.

Ruled out: keeping the number found in the demand's memory (cost without service).

--- a/packages/duties/include/duties/server_planner.h
+++ b/packages/duties/include/duties/server_planner.h
@@ -84,7 +84,10 @@
     std::map<kind, std::uint32_t> present_;
     std::map<kind, order_state> states_;
     std::optional<base::time_point> first_observed_;
+    std::optional<base::time_point> first_load_;
     double found_reclaimable_ = 0;
+    double found_ = 0;    ///< servers found at first
+    double assumed_ = 0;  ///< servers taken for needed while little load was seen
 };
 
 }  // namespace chicorygap::duties
--- a/packages/duties/src/server_planner.cpp
+++ b/packages/duties/src/server_planner.cpp
@@ -13,11 +13,16 @@
 /// Part of the slots that the usual load may take; the rest is for bursts while servers start.
 constexpr double slot_utilisation = 0.35;
 /// The same for the time that servers spend reading prompts. First tokens wait behind them, so it is lower.
-constexpr double reading_utilisation = 0.35;
+constexpr double reading_utilisation = 0.25;
 /// Demand counts at its highest over this time.
 constexpr base::duration memory_time = 20s;
-/// A new holder takes the servers that it finds for needed for this long.
+/// A new holder takes the servers that it finds for needed until it has seen load for this long, and at most for the
+/// second time.
 constexpr base::duration learning_time = 10s;
+constexpr base::duration longest_learning = 60s;
+/// Nothing is ordered for this long: servers register one after the other when the fleet starts or the store
+/// returns, and a list of the first few would release all others.
+constexpr base::duration settle_time = 4s;
 /// A refused order is repeated after this time.
 constexpr base::duration unavailable_time = 1500ms;
 /// An order without an answer is repeated after this time.
@@ -43,13 +48,21 @@
         std::count_if(servers.begin(), servers.end(), [](const auto& s) { return s.reclaimable; }));
     if (!first_observed_) {
         first_observed_ = now;
-        found_reclaimable_ = reclaimable;
     }
-    if (now - *first_observed_ < learning_time) {
-        // Too little was seen to judge: what was found is taken for needed, but not what was ordered since.
-        const auto lasting = static_cast<double>(servers.size()) - reclaimable;
-        needed = std::max(needed, lasting + std::min(reclaimable, found_reclaimable_));
+    if (now - *first_observed_ <= settle_time) {
+        found_reclaimable_ = std::max(found_reclaimable_, reclaimable);
     }
+    if (needed > 0 && !first_load_) {
+        first_load_ = now;
+    }
+    const bool learning =
+        now - first_load_.value_or(now) < learning_time && now - *first_observed_ < longest_learning;
+    // Too little was seen to judge: what was found is taken for needed, but not what was ordered since.
+    const auto lasting = static_cast<double>(servers.size()) - reclaimable;
+    assumed_ = learning ? lasting + std::min(reclaimable, found_reclaimable_) : 0;
+    // Servers that stay are released meanwhile; the number found at first goes on to count.
+    found_ = std::max(found_, assumed_);
+    assumed_ = learning ? found_ : 0;
     history_.emplace_back(now, needed);
     while (now - history_.front().first > memory_time) {
         history_.pop_front();
@@ -64,7 +77,7 @@
 }
 
 double server_planner::needed() const {
-    double most = 0;
+    double most = assumed_;
     for (const auto& [at, value] : history_) {
         most = std::max(most, value);
     }
@@ -97,8 +110,12 @@
         const auto lasting = std::max(lasting_per_zone, terms_.min_per_zone);
         const auto spare = wanted > lasting ? wanted - lasting : 0;
         // Servers that stay go as reclaimable ones come.
-        const auto missing = spare > reclaimable_now ? spare - reclaimable_now : 0;
-        const auto kept = std::min(lasting_now, lasting + missing);
+        const auto load = static_cast<std::uint32_t>(std::ceil(needed() / zones)) + 1;
+        const auto missing = std::min(spare, load) > reclaimable_now ? std::min(spare, load) - reclaimable_now : 0;
+        auto kept = std::min(lasting_now, lasting + missing);
+        if (lasting_now + reclaimable_now >= most && kept > lasting) {
+            --kept;  // both kinds share the zone's bound: the next reclaimable one needs its room
+        }
         states_[{zone, false}].wanted = std::clamp(std::max(lasting, kept), terms_.min_per_zone, most);
         states_[{zone, true}].wanted = std::min(spare, most - std::min(most, states_[{zone, false}].wanted));
     }
@@ -106,6 +123,9 @@
 
 std::vector<server_order> server_planner::orders(base::time_point now) {
     std::vector<server_order> out;
+    if (!first_observed_ || now - *first_observed_ < settle_time) {
+        return out;
+    }
     for (auto& [k, s] : states_) {
         if (s.in_flight || now < s.retry_at) {
             continue;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -23,8 +23,8 @@
 constexpr double speed_weight = 0.2;
 /// Prompts shorter than this measure the network rather than the reading speed.
 constexpr std::int64_t measurable_tokens = 1'500;
-/// Time of a first token beside reading the prompt.
-constexpr double first_step_ms = 8;
+/// Prompts up to this length take hardly longer to read than one step of the server.
+constexpr std::int64_t short_tokens = 500;
 /// Waiting up to this share of the target still leaves time to answer in time.
 constexpr double target_share_waiting = 0.75;
 /// Waiting up to this share of the caller's time is worth a late answer.
@@ -380,20 +380,26 @@
         entries_.erase(id);
     }
 
+    /// Learns the time of a first token beside reading from short prompts, and the speed of reading from long ones.
     void learn_speed(const entry& e, base::time_point now) {
-        if (e.unread < measurable_tokens || e.server->own.unread_tokens > e.unread) {
-            return;  // too short, or other prompts were read at the same time
+        if (e.server->own.unread_tokens > e.unread) {
+            return;  // other prompts were read at the same time
         }
-        const double ms = to_ms(now - e.started) - first_step_ms;
-        if (ms <= 0) {
-            return;
-        }
-        const double seen = static_cast<double>(e.unread) / ms;
-        const auto mix = [seen](double& value) {
+        const auto mix = [](double& value, double seen) {
             value = value > 0 ? value * (1 - speed_weight) + seen * speed_weight : seen;
         };
-        mix(e.server->tokens_per_ms);
-        mix(tokens_per_ms_);
+        const double ms = to_ms(now - e.started);
+        if (e.unread < short_tokens) {
+            mix(first_token_ms_, ms);
+            return;
+        }
+        const double reading_ms = ms - first_token_ms_;
+        if (e.unread < measurable_tokens || reading_ms <= 1) {
+            return;
+        }
+        const double seen = static_cast<double>(e.unread) / reading_ms;
+        mix(e.server->tokens_per_ms, seen);
+        mix(tokens_per_ms_, seen);
     }
 
     scheduler_options options_;
@@ -406,6 +412,7 @@
     wait_queue queue_;
     std::deque<start_record> starts_;
     double tokens_per_ms_ = 0;
+    double first_token_ms_ = 0;  ///< time of a first token beside reading, 0 until one was seen
     std::vector<action> actions_;
 };
 
