Make the new packages clean under the linter

Cause: clang-tidy had not been run on them; sockets were passed by value though POCO's sockets are shared handles, and sizes were multiplied as int.

No behaviour changes.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -24,7 +24,7 @@
 /// The process ends this long before it would be killed.
 constexpr base::duration stop_margin = 700ms;
 /// Largest request on the operators' and readiness addresses.
-constexpr std::size_t internal_body_limit = 1024 * 1024;
+constexpr std::size_t internal_body_limit = std::size_t{1024} * 1024;
 /// Windows whose counts are told to peers: the running one and those that are not reported yet.
 constexpr std::uint64_t told_windows = 3;
 /// Windows after which counts are forgotten.
@@ -145,11 +145,11 @@
                .servers = [this] { return directory_.servers(); },
                .load = [this] { return router_.status(); }}},
       caller_listener_{loop_, settings_.callers,
-                       [this](Poco::Net::StreamSocket x) { accept_caller(std::move(x)); }},
+                       [this](const Poco::Net::StreamSocket& x) { accept_caller(x); }},
       readiness_listener_{loop_, settings_.readiness,
-                          [this](Poco::Net::StreamSocket x) { accept_readiness(std::move(x)); }},
+                          [this](const Poco::Net::StreamSocket& x) { accept_readiness(x); }},
       operator_listener_{loop_, settings_.operators,
-                         [this](Poco::Net::StreamSocket x) { accept_operator(std::move(x)); }} {}
+                         [this](const Poco::Net::StreamSocket& x) { accept_operator(x); }} {}
 
 edge_daemon::~edge_daemon() = default;
 
@@ -188,7 +188,7 @@
             .closed = [&sessions](http::server_session& s) { sessions.erase(s.shared_from_this()); }};
 }
 
-void edge_daemon::accept_caller(Poco::Net::StreamSocket socket) {
+void edge_daemon::accept_caller(const Poco::Net::StreamSocket& socket) {
     auto hooks = service_hooks(callers_, [this](http::server_session& s, http::request&& r) {
         if (stopping_) {
             s.close_after_answer();
@@ -197,22 +197,22 @@
     });
     hooks.caller_gone = [this](http::server_session& s) { router_.caller_gone(s); };
     hooks.drained = [this](http::server_session& s) { router_.drained(s); };
-    callers_.insert(http::server_session::start(loop_, std::move(socket), caller_limits(), std::move(hooks)));
+    callers_.insert(http::server_session::start(loop_, socket, caller_limits(), std::move(hooks)));
 }
 
-void edge_daemon::accept_readiness(Poco::Net::StreamSocket socket) {
+void edge_daemon::accept_readiness(const Poco::Net::StreamSocket& socket) {
     auto hooks = service_hooks(operators_, [this](http::server_session& s, http::request&&) {
         s.respond({.status = ready() ? 200 : 503}, {});
     });
-    operators_.insert(http::server_session::start(loop_, std::move(socket),
-                                                  {.body_bytes = internal_body_limit}, std::move(hooks)));
+    operators_.insert(
+        http::server_session::start(loop_, socket, {.body_bytes = internal_body_limit}, std::move(hooks)));
 }
 
-void edge_daemon::accept_operator(Poco::Net::StreamSocket socket) {
+void edge_daemon::accept_operator(const Poco::Net::StreamSocket& socket) {
     auto hooks = service_hooks(operators_,
                                [this](http::server_session& s, http::request&& r) { answer_operator(s, r); });
-    operators_.insert(http::server_session::start(loop_, std::move(socket),
-                                                  {.body_bytes = internal_body_limit}, std::move(hooks)));
+    operators_.insert(
+        http::server_session::start(loop_, socket, {.body_bytes = internal_body_limit}, std::move(hooks)));
 }
 
 void edge_daemon::answer_operator(http::server_session& s, const http::request& r) {
@@ -349,7 +349,7 @@
         if (watch.revision() != before) {
             return;  // the store was faster
         }
-        fleet_.fetch(from, path, [this, &watch, from](const std::string& copy) {
+        fleet_.fetch(from, path, [&watch, from](const std::string& copy) {
             if (watch.adopt(copy)) {
                 base::log_line{base::log_level::info, "daemon", "Copy taken from a peer."}
                     .field("peer", net::to_string(from))
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -44,9 +44,9 @@
     static void request_reload() noexcept;
 
 private:
-    void accept_caller(Poco::Net::StreamSocket socket);
-    void accept_readiness(Poco::Net::StreamSocket socket);
-    void accept_operator(Poco::Net::StreamSocket socket);
+    void accept_caller(const Poco::Net::StreamSocket& socket);
+    void accept_readiness(const Poco::Net::StreamSocket& socket);
+    void accept_operator(const Poco::Net::StreamSocket& socket);
     void answer_operator(http::server_session& s, const http::request& r);
     void on_configuration();
     void on_servers();
--- a/packages/catalog/include/catalog/snapshot.h
+++ b/packages/catalog/include/catalog/snapshot.h
@@ -20,8 +20,8 @@
 
 /// What callers may send.
 struct caller_limits {
-    std::size_t head_bytes = 16 * 1024;
-    std::size_t body_bytes = 4 * 1024 * 1024;
+    std::size_t head_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
     base::duration head_time = std::chrono::seconds{3};
     base::duration idle_time = std::chrono::seconds{15};
 
--- a/packages/duties/src/server_planner.cpp
+++ b/packages/duties/src/server_planner.cpp
@@ -16,8 +16,8 @@
 constexpr double reading_utilisation = 0.25;
 /// Demand counts at its highest over this time.
 constexpr base::duration memory_time = 20s;
-/// A new holder takes the servers that it finds for needed until it has seen load for this long, and at most for the
-/// second time.
+/// A new holder takes the servers that it finds for needed until it has seen load for this long, and at most
+/// for the second time.
 constexpr base::duration learning_time = 10s;
 constexpr base::duration longest_learning = 60s;
 /// Nothing is ordered for this long: servers register one after the other when the fleet starts or the store
@@ -111,7 +111,8 @@
         const auto spare = wanted > lasting ? wanted - lasting : 0;
         // Servers that stay go as reclaimable ones come.
         const auto load = static_cast<std::uint32_t>(std::ceil(needed() / zones)) + 1;
-        const auto missing = std::min(spare, load) > reclaimable_now ? std::min(spare, load) - reclaimable_now : 0;
+        const auto missing =
+            std::min(spare, load) > reclaimable_now ? std::min(spare, load) - reclaimable_now : 0;
         auto kept = std::min(lasting_now, lasting + missing);
         if (lasting_now + reclaimable_now >= most && kept > lasting) {
             --kept;  // both kinds share the zone's bound: the next reclaimable one needs its room
--- a/packages/duties/tests/server_planner_test.cpp
+++ b/packages/duties/tests/server_planner_test.cpp
@@ -53,8 +53,9 @@
     EXPECT_GE(orders.at({"a", true}), 1U);
 }
 
-// Guards against a list of the first few servers at the start of the fleet releasing all others: utkp-router-grown
-// scale-1 began with a handful of its 90 servers and served 0.14 to 0.27 of the first six seconds.
+// Guards against a list of the first few servers at the start of the fleet releasing all others:
+// utkp-router-grown scale-1 began with a handful of its 90 servers and served 0.14 to 0.27 of the first six
+// seconds.
 TEST(server_planner, nothing_is_ordered_before_the_servers_have_registered) {
     server_planner p{terms(0.2), 64};
     p.observe({}, servers(1, 0), before);
--- a/packages/http/include/http/server_session.h
+++ b/packages/http/include/http/server_session.h
@@ -23,8 +23,8 @@
 
 /// Bounds on what a caller may send and how long it may take.
 struct session_limits {
-    std::size_t head_bytes = 16 * 1024;
-    std::size_t body_bytes = 4 * 1024 * 1024;
+    std::size_t head_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
     base::duration head_time = std::chrono::seconds{3};
     base::duration idle_time = std::chrono::seconds{15};
 };
@@ -48,7 +48,7 @@
 /// `begin`, `send` and `finish`. `abort` ends an answer so that the caller sees it as incomplete.
 class server_session : public std::enable_shared_from_this<server_session> {
 public:
-    static std::shared_ptr<server_session> start(net::loop& l, Poco::Net::StreamSocket socket,
+    static std::shared_ptr<server_session> start(net::loop& l, const Poco::Net::StreamSocket& socket,
                                                  session_limits limits, session_hooks hooks);
     server_session(const server_session&) = delete;
     server_session& operator=(const server_session&) = delete;
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Longest head of a response; twice what callers may send.
-constexpr std::size_t head_limit = 32 * 1024;
+constexpr std::size_t head_limit = std::size_t{32} * 1024;
 /// Responses to other requests that are dropped before the connection counts as broken.
 constexpr int dropped_response_limit = 3;
 
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -29,7 +29,7 @@
     const auto it = idle_.find(key);
     while (it != idle_.end() && !it->second.empty()) {
         // The last one was used most recently and is the least likely to have been closed.
-        const auto c = std::move(it->second.back());
+        auto c = std::move(it->second.back());
         it->second.pop_back();
         if (usable(*c, longest_idle)) {
             return c;
--- a/packages/http/src/server_session.cpp
+++ b/packages/http/src/server_session.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Input of later requests that is kept while one is answered. More stays in the kernel.
-constexpr std::size_t early_input_limit = 64 * 1024;
+constexpr std::size_t early_input_limit = std::size_t{64} * 1024;
 
 bool has_no_body(int status) {
     return status / 100 == 1 || status == 204 || status == 304;
@@ -38,7 +38,7 @@
     loop_.cancel(timer_);
 }
 
-std::shared_ptr<server_session> server_session::start(net::loop& l, Poco::Net::StreamSocket socket,
+std::shared_ptr<server_session> server_session::start(net::loop& l, const Poco::Net::StreamSocket& socket,
                                                       session_limits limits, session_hooks hooks) {
     std::shared_ptr<server_session> s{new server_session{l, limits, std::move(hooks)}};
     const std::weak_ptr<server_session> weak = s;
@@ -48,7 +48,7 @@
         }
     };
     s->stream_ = net::stream::adopt(
-        l, std::move(socket),
+        l, socket,
         {.connected = nullptr,
          .received = [with_self](std::string_view b) { with_self([b](auto& self) { self.received(b); }); },
          .drained =
--- a/packages/net/include/net/listener.h
+++ b/packages/net/include/net/listener.h
@@ -8,7 +8,7 @@
 
 #include <functional>
 
-namespace Poco::Net {
+namespace Poco::Net {  // NOLINT(readability-identifier-naming)
 class StreamSocket;
 }
 
@@ -18,7 +18,7 @@
 
 /// Accepts connections on one address as long as it lives.
 ///
-/// Usage: `listener l{loop, address, [](Poco::Net::StreamSocket s) { ... }};`
+/// Usage: `listener l{loop, address, [](const Poco::Net::StreamSocket& s) { ... }};`
 class listener {
 public:
     using accept_function = std::function<void(Poco::Net::StreamSocket)>;
--- a/packages/net/include/net/loop.h
+++ b/packages/net/include/net/loop.h
@@ -8,7 +8,7 @@
 #include <functional>
 #include <memory>
 
-namespace Poco::Net {
+namespace Poco::Net {  // NOLINT(readability-identifier-naming)
 class Socket;
 }
 
--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -48,7 +48,7 @@
                                            stream_hooks hooks);
 
     /// Takes over a connection that was accepted.
-    static std::shared_ptr<stream> adopt(loop& l, Poco::Net::StreamSocket socket, stream_hooks hooks);
+    static std::shared_ptr<stream> adopt(loop& l, const Poco::Net::StreamSocket& socket, stream_hooks hooks);
 
     ~stream();
     stream(const stream&) = delete;
@@ -78,7 +78,7 @@
     [[nodiscard]] bool is_connected() const noexcept { return connected_; }
 
 private:
-    stream(loop& l, Poco::Net::StreamSocket socket, stream_hooks hooks);
+    stream(loop& l, const Poco::Net::StreamSocket& socket, stream_hooks hooks);
 
     void start(bool connected);
     void on_ready(readiness r);
--- a/packages/net/src/loop.cpp
+++ b/packages/net/src/loop.cpp
@@ -54,21 +54,17 @@
     std::unordered_map<std::uint64_t, timer_map::iterator> by_number;
     std::uint64_t last_number = 0;
 
-    void schedule(base::time_point at, timer t) {
-        const auto number = t.number;
-        by_number[number] = timers.emplace(at, std::move(t));
-    }
+    void schedule(base::time_point at, const timer& t) { by_number[t.number] = timers.emplace(at, t); }
 
     void fire_due(base::time_point now) {
         while (!timers.empty() && timers.begin()->first <= now) {
-            auto t = std::move(timers.begin()->second);
+            const auto t = timers.begin()->second;
             timers.erase(timers.begin());
             by_number.erase(t.number);
-            const auto call = t.call;
             if (t.interval > base::duration::zero()) {
-                schedule(now + t.interval, std::move(t));
+                schedule(now + t.interval, t);
             }
-            call_guarded(*call);
+            call_guarded(*t.call);
         }
     }
 
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -15,11 +15,11 @@
 using namespace std::chrono_literals;
 
 /// Bytes read from a socket at once; a page multiple that holds the usual request and answer.
-constexpr std::size_t read_size = 16 * 1024;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 /// Reads in one round before other sockets get their turn.
 constexpr int reads_per_round = 4;
 /// Output below this size is not moved to the front of the buffer, which would cost a copy for each write.
-constexpr std::size_t compact_size = 64 * 1024;
+constexpr std::size_t compact_size = std::size_t{64} * 1024;
 
 /// How long the other side may take to close after all output was sent. Closing before it has read the output
 /// would reset the connection when bytes of it are still unread here.
@@ -44,9 +44,9 @@
 
 }  // namespace
 
-stream::stream(loop& l, Poco::Net::StreamSocket socket, stream_hooks hooks)
+stream::stream(loop& l, const Poco::Net::StreamSocket& socket, stream_hooks hooks)
     : loop_{l},
-      socket_{std::move(socket)},
+      socket_{socket},
       hooks_{std::make_shared<const stream_hooks>(std::move(hooks))},
       last_progress_{base::boot_clock::now()} {}
 
@@ -75,8 +75,8 @@
     return s;
 }
 
-std::shared_ptr<stream> stream::adopt(loop& l, Poco::Net::StreamSocket socket, stream_hooks hooks) {
-    std::shared_ptr<stream> s{new stream{l, std::move(socket), std::move(hooks)}};
+std::shared_ptr<stream> stream::adopt(loop& l, const Poco::Net::StreamSocket& socket, stream_hooks hooks) {
+    std::shared_ptr<stream> s{new stream{l, socket, std::move(hooks)}};
     set_options(s->socket_);
     s->start(true);
     return s;
@@ -202,7 +202,7 @@
 }
 
 void stream::read_available() {
-    std::array<char, read_size> buf;
+    std::array<char, read_size> buf;  // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
     for (int i = 0; i < reads_per_round && !closed_ && !read_paused_; ++i) {
         int n = 0;
         try {
--- a/packages/proxy/src/flow.cpp
+++ b/packages/proxy/src/flow.cpp
@@ -18,9 +18,9 @@
 constexpr base::duration longest_idle_unrepeatable = 800ms;
 constexpr base::duration longest_idle_repeatable = 4s;
 /// Answers up to this size are collected before the caller sees them.
-constexpr std::size_t collected_answer_limit = 1024 * 1024;
+constexpr std::size_t collected_answer_limit = std::size_t{1024} * 1024;
 /// Output that the caller has not taken, above which the server is not read.
-constexpr std::size_t output_limit = 256 * 1024;
+constexpr std::size_t output_limit = std::size_t{256} * 1024;
 /// The server's own report of a timeout may arrive this much after it.
 constexpr base::duration timeout_margin = 60ms;
 /// A repeatable request tries another server after this many times its target without an answer.
--- a/packages/proxy/tests/request_router_test.cpp
+++ b/packages/proxy/tests/request_router_test.cpp
@@ -69,12 +69,12 @@
                           {.run_started = [this](const base::workspace_id& w) { runs.push_back(w.str()); },
                            .ended = [this](const request_record& r) { records.push_back(r); }}};
     std::set<std::shared_ptr<http::server_session>> sessions;
-    net::listener front{loop, {"127.0.0.1", 0}, [this](Poco::Net::StreamSocket s) { accept(std::move(s)); }};
+    net::listener front{loop, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& s) { accept(s); }};
     std::vector<std::unique_ptr<scripted_server>> servers;
 
-    void accept(Poco::Net::StreamSocket socket) {
+    void accept(const Poco::Net::StreamSocket& socket) {
         sessions.insert(http::server_session::start(
-            loop, std::move(socket), {},
+            loop, socket, {},
             {.received = [this](http::server_session& s,
                                 http::request&& r) { router.handle(s, std::move(r)); },
              .caller_gone = [this](http::server_session& s) { router.caller_gone(s); },
--- a/packages/proxy/tests/scripted_server.h
+++ b/packages/proxy/tests/scripted_server.h
@@ -23,9 +23,9 @@
     using script = std::function<void(connection, const std::string& request)>;
 
     scripted_server(net::loop& l, script s)
-        : loop_{l}, script_{std::move(s)}, listener_{l, {"127.0.0.1", 0}, [this](Poco::Net::StreamSocket x) {
-                                                         accept(std::move(x));
-                                                     }} {}
+        : loop_{l},
+          script_{std::move(s)},
+          listener_{l, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& x) { accept(x); }} {}
 
     [[nodiscard]] net::address address() const { return listener_.local(); }
     [[nodiscard]] int requests() const { return requests_; }
@@ -38,10 +38,10 @@
         std::string input;
     };
 
-    void accept(Poco::Net::StreamSocket socket) {
+    void accept(const Poco::Net::StreamSocket& socket) {
         auto h = std::make_shared<held>();
         streams_.push_back(h);
-        h->stream = net::stream::adopt(loop_, std::move(socket),
+        h->stream = net::stream::adopt(loop_, socket,
                                        {.connected = nullptr,
                                         .received = [this, h](std::string_view b) { received(*h, b); },
                                         .drained = nullptr,
--- a/packages/retry/include/retry/budget.h
+++ b/packages/retry/include/retry/budget.h
@@ -4,9 +4,9 @@
 
 #include "base/time.h"
 
-#include <vector>
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace chicorygap::retry {
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -380,7 +380,8 @@
         entries_.erase(id);
     }
 
-    /// Learns the time of a first token beside reading from short prompts, and the speed of reading from long ones.
+    /// Learns the time of a first token beside reading from short prompts, and the speed of reading from long
+    /// ones.
     void learn_speed(const entry& e, base::time_point now) {
         if (e.server->own.unread_tokens > e.unread) {
             return;  // other prompts were read at the same time
--- a/packages/settings/src/edge_parser.cpp
+++ b/packages/settings/src/edge_parser.cpp
@@ -17,7 +17,7 @@
 using document::section_reader;
 
 constexpr const char* address_rule = "IP address and port, for example 127.0.0.1:8080";
-constexpr std::size_t bytes_per_mib = 1024 * 1024;
+constexpr std::size_t bytes_per_mib = std::size_t{1024} * 1024;
 /// Longest time in a settings file.
 constexpr double most_seconds = 86'400;
 
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Largest message that is decoded, in words of eight bytes. A datagram cannot hold more when packed well.
-constexpr std::uint64_t most_words = 64 * 1024;
+constexpr std::uint64_t most_words = std::uint64_t{64} * 1024;
 
 void write_loads(const beacon& b, wire::Beacon::Builder& out) {
     auto services = out.initServices(static_cast<unsigned>(b.services.size()));
