Keep long prompts apart from streams with short pauses where pauses are seen

Prompts that take a quarter of the shortest pause to read now keep to a part of each zone's servers, as large as their load, in an order that all daemons share; but only while streams are really late for pauses.

--- a/packages/proxy/src/flow.cpp
+++ b/packages/proxy/src/flow.cpp
@@ -134,6 +134,9 @@
                        .arrived = arrived_,
                        .target_at = arrived_ + route_->target,
                        .deadline = ends_at_};
+    if (w.terms) {
+        w.terms->pause = route_->target_gap;
+    }
     core_.carry_out(service_, s.scheduler->submit(std::move(w), core_.loop.now()));
 }
 
@@ -233,6 +236,14 @@
     }
 }
 
+void flow::note_pause() {
+    const auto now = base::boot_clock::now();
+    const auto last = std::exchange(last_event_at_, now);
+    if (last && route_->target_gap && now - *last > *route_->target_gap) {
+        scheduler().paused_too_long(ticket_, now);
+    }
+}
+
 void flow::on_head(http::response_head&& h) {
     answer_terms_ = core_.words.decode(h);
     answer_is_stream_ = route_->kind == catalog::request_kind::streaming && is_event_stream(h) &&
@@ -265,6 +276,7 @@
         return;
     }
     note_run_started();
+    note_pause();
     scheduler().first_output(ticket_, core_.loop.now());
     if (!record_.first_output) {
         record_.first_output = base::boot_clock::now() - arrived_;
--- a/packages/proxy/src/flow.h
+++ b/packages/proxy/src/flow.h
@@ -61,6 +61,7 @@
     void on_attempt_timeout();
     void on_request_timeout();
     void note_run_started();
+    void note_pause();
 
     void complete_stream();
     void complete_plain();
@@ -97,6 +98,7 @@
     int attempt_status_ = 0;
     std::string body_;
     event_splitter events_;
+    std::optional<base::time_point> last_event_at_;
     bool answer_is_stream_ = false;
     bool answer_begun_ = false;  ///< the caller has part of the answer
     bool passing_on_ = false;    ///< an answer that is too large to collect is passed on as it comes
--- a/packages/scheduling/include/scheduling/scheduler.h
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -93,6 +93,9 @@
     /// The attempt's answer has begun.
     void first_output(ticket id, base::time_point now);
 
+    /// A pause between two events of the stream was longer than is on time.
+    void paused_too_long(ticket id, base::time_point now);
+
     /// The attempt has ended and its place is free.
     std::vector<action> finished(ticket id, outcome o, base::time_point now);
 
--- a/packages/scheduling/include/scheduling/work.h
+++ b/packages/scheduling/include/scheduling/work.h
@@ -30,6 +30,8 @@
     std::int64_t output_tokens = 0;
     /// Parts of the prompt in order; the last one belongs to this request or its session.
     std::vector<prefix_part> parts;
+    /// Longest pause between two events that is on time, if the route names one.
+    std::optional<base::duration> pause;
 
     /// @return tokens that the request takes of a server's memory at its end.
     [[nodiscard]] std::int64_t memory_tokens() const noexcept { return prompt_tokens + output_tokens; }
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 
 namespace chicorygap::scheduling {
 
@@ -21,6 +22,8 @@
 /// Share of a prompt that the preferred server is expected to keep although this daemon did not send it
 /// there: the others choose the same server for it.
 constexpr double preferred_share = 0.6;
+/// Cost of a server of the other part: a long prompt beside streams, or a stream beside long prompts.
+constexpr double other_part_ms = 60;
 /// Random part of the cost for each other daemon: about the time of the prompts that one of them adds between
 /// two reports.
 constexpr double spread_per_peer_ms = 0.25;
@@ -40,13 +43,6 @@
     return XXH64(server.data(), server.size(), part);
 }
 
-const server_state* preferred_server(std::uint64_t part, const std::vector<server_state*>& candidates) {
-    const auto it = std::max_element(candidates.begin(), candidates.end(), [part](auto* a, auto* b) {
-        return preference(part, a->info.id.str()) < preference(part, b->info.id.str());
-    });
-    return it == candidates.end() ? nullptr : *it;
-}
-
 /// Places that peers may have taken since they last reported.
 std::uint32_t unseen_places(std::uint32_t slots, std::size_t peers) {
     return std::min<std::uint32_t>(slots / most_unseen_part,
@@ -60,6 +56,30 @@
     return part * spread_per_peer_ms * static_cast<double>(c.peers);
 }
 
+bool is_long(const work& w, const placement_context& c) {
+    return c.long_prompt_tokens > 0 && w.terms && w.terms->prompt_tokens >= c.long_prompt_tokens;
+}
+
+bool reads_long_prompts(const server_state& s, const placement_context& c) {
+    return s.position < c.long_prompt_share;
+}
+
+const server_state* preferred_server(const work& w, const std::vector<server_state*>& candidates,
+                                     const placement_context& c) {
+    const auto part = shared_part(w.terms->parts);
+    const server_state* best = nullptr;
+    std::uint64_t most = 0;
+    for (const auto* s : candidates) {
+        const bool own_part = c.long_prompt_share <= 0 || is_long(w, c) == reads_long_prompts(*s, c);
+        const auto value = preference(part, s->info.id.str());
+        if (own_part && !s->info.draining && (best == nullptr || value > most)) {
+            best = s;
+            most = value;
+        }
+    }
+    return best;
+}
+
 bool has_place(const server_state& s, const work& w, const placement_context& c) {
     const auto slots = c.engine ? std::min(c.engine->slots, s.info.slots) : s.info.slots;
     if (s.running() + unseen_places(slots, c.peers) >= slots) {
@@ -78,6 +98,9 @@
     if (!w.terms) {
         return ms + plain_slot_ms * s.running();
     }
+    if (c.long_prompt_share > 0 && is_long(w, c) != reads_long_prompts(s, c)) {
+        ms += other_part_ms;
+    }
     const double speed = s.tokens_per_ms > 0 ? s.tokens_per_ms : c.tokens_per_ms;
     ms += static_cast<double>(s.unread_tokens() + unread) / speed;
     ms += running_ms * s.running();
@@ -87,9 +110,26 @@
 
 }  // namespace
 
+void assign_positions(const std::vector<server_state*>& servers) {
+    std::map<base::zone_id, std::vector<server_state*>> by_zone;
+    for (auto* s : servers) {
+        if (!s->info.draining) {
+            by_zone[s->info.zone].push_back(s);
+        }
+    }
+    for (auto& [zone, list] : by_zone) {
+        std::sort(list.begin(), list.end(), [](const auto* a, const auto* b) {
+            return preference(0, a->info.id.str()) < preference(0, b->info.id.str());
+        });
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            list[i]->position = (static_cast<double>(i) + 0.5) / static_cast<double>(list.size());
+        }
+    }
+}
+
 std::optional<placement> choose_server(const work& w, const std::vector<server_state*>& candidates,
                                        const placement_context& c, base::time_point now) {
-    const auto* preferred = w.terms ? preferred_server(shared_part(w.terms->parts), candidates) : nullptr;
+    const auto* preferred = w.terms ? preferred_server(w, candidates, c) : nullptr;
     std::optional<placement> best;
     double best_ms = std::numeric_limits<double>::infinity();
     for (auto* s : candidates) {
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -21,11 +21,18 @@
     std::optional<catalog::engine_terms> engine;
     /// Prompt tokens read in a millisecond, for servers without a measurement.
     double tokens_per_ms = 0;
+    /// Prompts from this length on interrupt the streams beside them for too long; 0 if none do.
+    std::int64_t long_prompt_tokens = 0;
+    /// Part of the servers that read long prompts.
+    double long_prompt_share = 0;
     /// Other daemons that send to the same servers; what they sent lately is not known yet.
     std::size_t peers = 0;
     base::random_function random;
 };
 
+/// Sets the position from 0 to 1 of each server among those of its zone, in an order that all daemons share.
+void assign_positions(const std::vector<server_state*>& servers);
+
 /// A server and what is expected of it.
 struct placement {
     server_state* server = nullptr;
@@ -37,7 +44,8 @@
 ///
 /// Answers these load patterns: long prompts that queue behind one another on one server while others idle;
 /// shared prompt parts that every server would read again; a server whose memory is full although it has free
-/// slots; daemons that all choose the same server.
+/// slots; daemons that all choose the same server; streams with short pauses that are interrupted by the
+/// reading of long prompts, which therefore keep to a part of the servers.
 /// @param w the request.
 /// @param candidates servers that may be used.
 /// @param c context.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -33,6 +33,20 @@
 constexpr base::duration rate_window = 2s;
 /// Fewer starts in the window say nothing about the rate.
 constexpr std::size_t least_starts = 8;
+/// A prompt that takes this part of the shortest pause to read is long: a few of them in a row between two
+/// events make the streams beside them late.
+constexpr double pause_share_reading = 0.25;
+/// So many streams with a pause that is too long within the time are a pattern and no accident.
+constexpr std::size_t least_paused_streams = 3;
+constexpr base::duration pause_memory = 5s;
+/// Long prompts stay apart for this long after the last such pattern: while they are apart there are few
+/// pauses.
+constexpr base::duration apart_time = 30s;
+/// Servers for long prompts read for this part of the time.
+constexpr double long_prompt_utilisation = 0.5;
+/// Bounds of their part of the servers.
+constexpr double least_share = 0.25;
+constexpr double most_share = 0.75;
 /// Bounds of the time after which a refused caller is told to return.
 constexpr base::duration shortest_retry = 250ms;
 constexpr base::duration longest_retry = 3s;
@@ -59,6 +73,7 @@
         base::time_point started;
         std::vector<base::backend_server_id> tried;
         bool waiting = false;
+        bool paused = false;  ///< counted as a stream with a pause that is too long
     };
 
     std::vector<action> take_actions() { return std::exchange(actions_, {}); }
@@ -93,6 +108,7 @@
             usable_.push_back(s.get());
         }
         std::sort(usable_.begin(), usable_.end(), [](auto* a, auto* b) { return a->info.id < b->info.id; });
+        assign_positions(usable_);
         sum_peers(now);
         start_waiting(now);
     }
@@ -108,6 +124,9 @@
         const auto id = w.id;
         auto& e = entries_[id];
         e.w = std::move(w);
+        if (e.w.terms && e.w.terms->pause) {
+            shortest_pause_ = std::min(shortest_pause_.value_or(*e.w.terms->pause), *e.w.terms->pause);
+        }
         if (queue_.empty() || queue_.ahead_of(e.w.tier) == 0) {
             if (try_start(e, now)) {
                 return;
@@ -147,6 +166,14 @@
         e.server->own.unread_tokens -= std::exchange(e.unread, 0);
     }
 
+    void paused_too_long(ticket id, base::time_point now) {
+        const auto it = entries_.find(id);
+        if (it == entries_.end() || std::exchange(it->second.paused, true)) {
+            return;
+        }
+        paused_streams_.push_back(now);
+    }
+
     void finished(ticket id, outcome o, base::time_point now) {
         const auto it = entries_.find(id);
         if (it == entries_.end() || it->second.server == nullptr) {
@@ -185,7 +212,7 @@
     [[nodiscard]] scheduler_status status(base::time_point now) const {
         scheduler_status st;
         st.tokens_per_ms = tokens_per_ms_;
-        st.prompt_tokens_per_s = own_tokens_per_s(now);
+        st.prompt_tokens_per_s = fleet_tokens_per_s(now);
         st.servers = usable_.size();
         st.waiting = queue_.size();
         for (const auto* s : usable_) {
@@ -195,7 +222,6 @@
         }
         for (const auto& [peer, report] : peers_) {
             st.peer_waiting += report.load.waiting;
-            st.prompt_tokens_per_s += report.load.prompt_tokens_per_s;
         }
         return st;
     }
@@ -253,22 +279,55 @@
         return samples > 0 ? failures / samples : 0;
     }
 
-    [[nodiscard]] placement_context context() const {
-        return {options_.zone, engine_, tokens_per_ms_ > 0 ? tokens_per_ms_ : initial_tokens_per_ms,
-                peers_.size(), random_};
+    [[nodiscard]] placement_context context(base::time_point now) {
+        placement_context c{.zone = options_.zone,
+                            .engine = engine_,
+                            .tokens_per_ms = tokens_per_ms_ > 0 ? tokens_per_ms_ : initial_tokens_per_ms,
+                            .peers = peers_.size(),
+                            .random = random_};
+        if (shortest_pause_ && keeps_long_prompts_apart(now)) {
+            c.long_prompt_tokens =
+                static_cast<std::int64_t>(c.tokens_per_ms * to_ms(*shortest_pause_) * pause_share_reading);
+            const double capacity =
+                c.tokens_per_ms * 1000 * long_prompt_utilisation * static_cast<double>(usable_.size());
+            c.long_prompt_share =
+                capacity > 0 ? std::clamp(fleet_tokens_per_s(now) / capacity, least_share, most_share) : 0;
+        }
+        return c;
+    }
+
+    /// Long prompts keep to a part of the servers only where streams are really late for pauses: servers that
+    /// read in small steps interrupt nobody, and fewer servers for a prompt cost time to its first token.
+    [[nodiscard]] bool keeps_long_prompts_apart(base::time_point now) {
+        while (!paused_streams_.empty() && now - paused_streams_.front() > pause_memory) {
+            paused_streams_.pop_front();
+        }
+        if (paused_streams_.size() >= least_paused_streams) {
+            apart_until_ = now + apart_time;
+        }
+        return apart_until_ && now < *apart_until_;
+    }
+
+    [[nodiscard]] double fleet_tokens_per_s(base::time_point now) const {
+        double tokens = own_tokens_per_s(now);
+        for (const auto& [peer, report] : peers_) {
+            tokens += report.load.prompt_tokens_per_s;
+        }
+        return tokens;
     }
 
     std::optional<placement> place(const entry& e, base::time_point now) {
+        const auto c = context(now);
         std::vector<server_state*> fresh;
         for (auto* s : usable_) {
             if (std::find(e.tried.begin(), e.tried.end(), s->info.id) == e.tried.end()) {
                 fresh.push_back(s);
             }
         }
-        auto p = choose_server(e.w, fresh, context(), now);
+        auto p = choose_server(e.w, fresh, c, now);
         // With every other server gone, one that failed before is better than a refusal.
         if (!p && fresh.size() < usable_.size()) {
-            p = choose_server(e.w, usable_, context(), now);
+            p = choose_server(e.w, usable_, c, now);
         }
         return p;
     }
@@ -412,6 +471,9 @@
     std::unordered_map<ticket, entry> entries_;
     wait_queue queue_;
     std::deque<start_record> starts_;
+    std::deque<base::time_point> paused_streams_;
+    std::optional<base::time_point> apart_until_;
+    std::optional<base::duration> shortest_pause_;  ///< of all routes to the service
     double tokens_per_ms_ = 0;
     double first_token_ms_ = 0;  ///< time of a first token beside reading, 0 until one was seen
     std::vector<action> actions_;
@@ -455,6 +517,10 @@
     impl_->first_output(id, now);
 }
 
+void scheduler::paused_too_long(ticket id, base::time_point now) {
+    impl_->paused_too_long(id, now);
+}
+
 std::vector<action> scheduler::finished(ticket id, outcome o, base::time_point now) {
     impl_->finished(id, o, now);
     return impl_->take_actions();
--- a/packages/scheduling/src/server_state.h
+++ b/packages/scheduling/src/server_state.h
@@ -18,6 +18,8 @@
     server_load peers;  ///< sum over all peers
     prefix_cache cache;
     server_health health;
+    /// Position from 0 to 1 among the servers of its zone, in an order that all daemons share.
+    double position = 0;
     /// Prompt tokens that it reads in a millisecond, learned from first tokens; 0 until one was seen.
     double tokens_per_ms = 0;
 
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -189,6 +189,37 @@
     EXPECT_GE(started["b"], 10);
 }
 
+// Load: long prompts beside streams with short pauses (lsra-drainops quiet-1: 17 in 100 of the short
+// questions were late by a pause). Guards against servers that read long prompts between the events of such
+// streams.
+TEST_F(load_test, long_prompts_keep_away_from_streams_with_short_pauses) {
+    s.set_engine(catalog::engine_terms{.slots = 64, .memory_tokens = 500'000});
+    s.set_servers({server("a", 64), server("b", 64), server("c", 64), server("d", 64)}, start_time);
+    for (int i = 0; i < 3; ++i) {
+        const auto late = submit(generation_work(start_time, 300), start_time);
+        s.paused_too_long(late, start_time);
+        end(late, start_time);
+    }
+    std::set<std::string> with_long;
+    std::set<std::string> with_short;
+    for (std::uint64_t i = 0; i < 30; ++i) {
+        const auto now = start_time + i * 60ms;
+        auto question = generation_work(now, 300, {{500 + i, 300}});
+        question.terms->pause = 250ms;
+        const auto q = submit(std::move(question), now);
+        auto report = generation_work(now, 8000, {{i, 8000}});
+        report.terms->pause = 400ms;
+        const auto r = submit(std::move(report), now);
+        with_short.insert(at[q]);
+        with_long.insert(at[r]);
+        s.first_output(r, now + 30ms);
+        end(r, now + 50ms);
+    }
+    for (const auto& id : with_long) {
+        EXPECT_FALSE(with_short.contains(id)) << id;
+    }
+}
+
 // Load: generations that fill the memory. Guards against preemption of running ones.
 TEST_F(load_test, memory_is_not_given_out_twice) {
     s.set_engine(catalog::engine_terms{.slots = 64, .memory_tokens = 20'000});
