--- a/packages/duties/src/server_planner.cpp
+++ b/packages/duties/src/server_planner.cpp
@@ -13,7 +13,7 @@
 /// Part of the slots that the usual load may take; the rest is for bursts while servers start.
 constexpr double slot_utilisation = 0.35;
 /// The same for the time that servers spend reading prompts. First tokens wait behind them, so it is lower.
-constexpr double reading_utilisation = 0.25;
+constexpr double reading_utilisation = 0.35;
 /// Demand counts at its highest over this time.
 constexpr base::duration memory_time = 20s;
 /// A new holder takes the servers that it finds for needed until it has seen load for this long, and at most
--- /dev/null
+++ b/packages/scheduling/src/reading_speed.h
@@ -0,0 +1,34 @@
+/// @file
+/// How fast servers read prompts.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+
+namespace chicorygap::scheduling {
+
+/// How fast the servers of a service read prompts, learned from first tokens.
+///
+/// Short prompts tell the time of a first token beside reading, long ones the speed. Answers the pattern of
+/// servers whose speed nobody states: placement and the ordering of servers depend on it.
+class reading_speed {
+public:
+    /// A first token has come.
+    /// @param unread prompt tokens that the server had to read for it, and for no other prompt meanwhile.
+    /// @param taken time since the request was sent.
+    /// @return the speed seen in tokens a millisecond, 0 if the prompt says nothing about it.
+    double observe(std::int64_t unread, base::duration taken);
+
+    /// @return tokens a millisecond over all servers, 0 until a long prompt was seen.
+    [[nodiscard]] double tokens_per_ms() const noexcept { return tokens_per_ms_; }
+
+    /// Mixes a new observation into an average; the first one is taken as it is.
+    static void mix(double& average, double seen);
+
+private:
+    double tokens_per_ms_ = 0;
+    double first_token_ms_ = 0;  ///< time of a first token beside reading, 0 until one was seen
+};
+
+}  // namespace chicorygap::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -1,6 +1,8 @@
 #include "scheduling/scheduler.h"
 
+#include "pause_watch.h"
 #include "placement.h"
+#include "reading_speed.h"
 #include "server_state.h"
 #include "wait_queue.h"
 
@@ -19,12 +21,6 @@
 
 /// Prompt tokens a millisecond until a first token was measured: a usual server of a large model.
 constexpr double initial_tokens_per_ms = 40;
-/// Share of a new measurement of the reading speed.
-constexpr double speed_weight = 0.2;
-/// Prompts shorter than this measure the network rather than the reading speed.
-constexpr std::int64_t measurable_tokens = 1'500;
-/// Prompts up to this length take hardly longer to read than one step of the server.
-constexpr std::int64_t short_tokens = 500;
 /// Waiting up to this share of the target still leaves time to answer in time.
 constexpr double target_share_waiting = 0.75;
 /// Waiting up to this share of the caller's time is worth a late answer.
@@ -36,12 +32,6 @@
 /// A prompt that takes this part of the shortest pause to read is long: a few of them in a row between two
 /// events make the streams beside them late.
 constexpr double pause_share_reading = 0.25;
-/// So many streams with a pause that is too long within the time are a pattern and no accident.
-constexpr std::size_t least_paused_streams = 3;
-constexpr base::duration pause_memory = 5s;
-/// Long prompts stay apart for this long after the last such pattern: while they are apart there are few
-/// pauses.
-constexpr base::duration apart_time = 30s;
 /// Servers for long prompts read for this part of the time.
 constexpr double long_prompt_utilisation = 0.5;
 /// Bounds of their part of the servers.
@@ -72,8 +62,8 @@
         std::int64_t unread = 0;
         base::time_point started;
         std::vector<base::backend_server_id> tried;
-        bool waiting = false;
-        bool paused = false;  ///< counted as a stream with a pause that is too long
+        bool answered = false;  ///< the attempt's answer has begun
+        bool paused = false;    ///< counted as a stream with a pause that is too long
     };
 
     std::vector<action> take_actions() { return std::exchange(actions_, {}); }
@@ -125,7 +115,7 @@
         auto& e = entries_[id];
         e.w = std::move(w);
         if (e.w.terms && e.w.terms->pause) {
-            shortest_pause_ = std::min(shortest_pause_.value_or(*e.w.terms->pause), *e.w.terms->pause);
+            pauses_.note_target(*e.w.terms->pause);
         }
         if (queue_.empty() || queue_.ahead_of(e.w.tier) == 0) {
             if (try_start(e, now)) {
@@ -158,7 +148,8 @@
 
     void first_output(ticket id, base::time_point now) {
         const auto it = entries_.find(id);
-        if (it == entries_.end() || it->second.server == nullptr) {
+        if (it == entries_.end() || it->second.server == nullptr ||
+            std::exchange(it->second.answered, true)) {
             return;
         }
         auto& e = it->second;
@@ -171,7 +162,7 @@
         if (it == entries_.end() || std::exchange(it->second.paused, true)) {
             return;
         }
-        paused_streams_.push_back(now);
+        pauses_.note_late(now);
     }
 
     void finished(ticket id, outcome o, base::time_point now) {
@@ -211,7 +202,7 @@
 
     [[nodiscard]] scheduler_status status(base::time_point now) const {
         scheduler_status st;
-        st.tokens_per_ms = tokens_per_ms_;
+        st.tokens_per_ms = speed_.tokens_per_ms();
         st.prompt_tokens_per_s = fleet_tokens_per_s(now);
         st.servers = usable_.size();
         st.waiting = queue_.size();
@@ -280,14 +271,15 @@
     }
 
     [[nodiscard]] placement_context context(base::time_point now) {
-        placement_context c{.zone = options_.zone,
-                            .engine = engine_,
-                            .tokens_per_ms = tokens_per_ms_ > 0 ? tokens_per_ms_ : initial_tokens_per_ms,
-                            .peers = peers_.size(),
-                            .random = random_};
-        if (shortest_pause_ && keeps_long_prompts_apart(now)) {
+        placement_context c{
+            .zone = options_.zone,
+            .engine = engine_,
+            .tokens_per_ms = speed_.tokens_per_ms() > 0 ? speed_.tokens_per_ms() : initial_tokens_per_ms,
+            .peers = peers_.size(),
+            .random = random_};
+        if (const auto pause = pauses_.pause_to_keep(now)) {
             c.long_prompt_tokens =
-                static_cast<std::int64_t>(c.tokens_per_ms * to_ms(*shortest_pause_) * pause_share_reading);
+                static_cast<std::int64_t>(c.tokens_per_ms * to_ms(*pause) * pause_share_reading);
             const double capacity =
                 c.tokens_per_ms * 1000 * long_prompt_utilisation * static_cast<double>(usable_.size());
             c.long_prompt_share =
@@ -296,18 +288,6 @@
         return c;
     }
 
-    /// Long prompts keep to a part of the servers only where streams are really late for pauses: servers that
-    /// read in small steps interrupt nobody, and fewer servers for a prompt cost time to its first token.
-    [[nodiscard]] bool keeps_long_prompts_apart(base::time_point now) {
-        while (!paused_streams_.empty() && now - paused_streams_.front() > pause_memory) {
-            paused_streams_.pop_front();
-        }
-        if (paused_streams_.size() >= least_paused_streams) {
-            apart_until_ = now + apart_time;
-        }
-        return apart_until_ && now < *apart_until_;
-    }
-
     [[nodiscard]] double fleet_tokens_per_s(base::time_point now) const {
         double tokens = own_tokens_per_s(now);
         for (const auto& [peer, report] : peers_) {
@@ -340,7 +320,7 @@
         e.server = p->server;
         e.unread = p->unread_tokens;
         e.started = now;
-        e.waiting = false;
+        e.answered = false;
         auto& own = p->server->own;
         own.running++;
         if (e.w.terms) {
@@ -397,7 +377,6 @@
             refuse_entry(e, result_code::queue_full, now);
             return;
         }
-        e.waiting = true;
         queue_.push(e.w.id, e.w, latest);
     }
 
@@ -439,27 +418,13 @@
         entries_.erase(id);
     }
 
-    /// Learns the time of a first token beside reading from short prompts, and the speed of reading from long
-    /// ones.
     void learn_speed(const entry& e, base::time_point now) {
         if (e.server->own.unread_tokens > e.unread) {
             return;  // other prompts were read at the same time
         }
-        const auto mix = [](double& value, double seen) {
-            value = value > 0 ? value * (1 - speed_weight) + seen * speed_weight : seen;
-        };
-        const double ms = to_ms(now - e.started);
-        if (e.unread < short_tokens) {
-            mix(first_token_ms_, ms);
-            return;
-        }
-        const double reading_ms = ms - first_token_ms_;
-        if (e.unread < measurable_tokens || reading_ms <= 1) {
-            return;
+        if (const double seen = speed_.observe(e.unread, now - e.started); seen > 0) {
+            reading_speed::mix(e.server->tokens_per_ms, seen);
         }
-        const double seen = static_cast<double>(e.unread) / reading_ms;
-        mix(e.server->tokens_per_ms, seen);
-        mix(tokens_per_ms_, seen);
     }
 
     scheduler_options options_;
@@ -471,11 +436,8 @@
     std::unordered_map<ticket, entry> entries_;
     wait_queue queue_;
     std::deque<start_record> starts_;
-    std::deque<base::time_point> paused_streams_;
-    std::optional<base::time_point> apart_until_;
-    std::optional<base::duration> shortest_pause_;  ///< of all routes to the service
-    double tokens_per_ms_ = 0;
-    double first_token_ms_ = 0;  ///< time of a first token beside reading, 0 until one was seen
+    pause_watch pauses_;
+    reading_speed speed_;
     std::vector<action> actions_;
 };
 
