Rank requests by the workspace's tier and then by the route's

Every workspace has a tier there, which hides that of the route, so that a server took an urgent question and a report of one tier for equals and put the newer one back. The rank sent to servers, and that of the queue, has both now.

--- a/packages/proxy/include/proxy/dialect.h
+++ b/packages/proxy/include/proxy/dialect.h
@@ -9,6 +9,7 @@
 #include "scheduling/work.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -28,6 +29,9 @@
     std::optional<std::string> last_event;
 };
 
+/// Ranks of requests: the tier of the workspace, then that of the route.
+inline constexpr std::uint8_t urgency_count = base::tier_count * base::tier_count;
+
 /// What a request to a server says besides the caller's own fields.
 struct server_terms {
     /// The server refuses the request if it is another one.
@@ -35,7 +39,8 @@
     /// Empty on anonymous routes.
     base::workspace_id workspace;
     base::duration remaining{};
-    base::tier tier;
+    /// Rank among the requests of a service; 0 goes first, below `urgency_count`.
+    std::uint8_t urgency = 0;
     /// The server continues behind this event.
     std::optional<std::string> last_event;
     std::size_t body_bytes = 0;
--- a/packages/proxy/src/flow.cpp
+++ b/packages/proxy/src/flow.cpp
@@ -127,7 +127,7 @@
     auto& s = core_.service(service_);
     s.budget.record_request(core_.loop.now());
     scheduling::work w{.id = ticket_,
-                       .tier = tier_,
+                       .urgency = urgency(),
                        .workspace = workspace_,
                        .repeatable = route_->repeatable(),
                        .terms = terms_.terms,
@@ -140,6 +140,11 @@
     core_.carry_out(service_, s.scheduler->submit(std::move(w), core_.loop.now()));
 }
 
+// The workspace's tier goes first; among its requests the more urgent route goes first.
+std::uint8_t flow::urgency() const {
+    return static_cast<std::uint8_t>(tier_.level * base::tier_count + route_->tier.level);
+}
+
 scheduling::scheduler& flow::scheduler() {
     return *core_.service(service_).scheduler;
 }
@@ -179,7 +184,7 @@
     server_terms t{.server = server.id,
                    .workspace = workspace_,
                    .remaining = remaining(),
-                   .tier = tier_,
+                   .urgency = urgency(),
                    .last_event = events_.last_id() ? events_.last_id() : terms_.last_event,
                    .body_bytes = request_.body.size()};
     const auto message = http::serialize(core_.words.to_server(request_.head, t)) + request_.body;
--- a/packages/proxy/src/flow.h
+++ b/packages/proxy/src/flow.h
@@ -46,6 +46,7 @@
     void fail_early(int status, base::result_code code);
     void submit();
     void set_limits();
+    [[nodiscard]] std::uint8_t urgency() const;
     [[nodiscard]] scheduling::scheduler& scheduler();
     [[nodiscard]] base::duration remaining() const;
     [[nodiscard]] base::duration longest_idle() const;
--- a/packages/scheduling/include/scheduling/work.h
+++ b/packages/scheduling/include/scheduling/work.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "base/id.h"
-#include "base/tier.h"
 #include "base/time.h"
 
 #include <cstdint>
@@ -40,7 +39,8 @@
 /// A request that waits for a server or runs on one.
 struct work {
     ticket id = ticket::none;
-    base::tier tier;
+    /// Rank of the request; 0 starts first.
+    std::uint8_t urgency = 0;
     base::workspace_id workspace;
     /// May run again after a failure that leaves its outcome unknown.
     bool repeatable = false;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -117,7 +117,7 @@
         if (e.w.terms && e.w.terms->pause) {
             pauses_.note_target(*e.w.terms->pause);
         }
-        if (queue_.empty() || queue_.ahead_of(e.w.tier) == 0) {
+        if (queue_.empty() || queue_.ahead_of(e.w.urgency) == 0) {
             if (try_start(e, now)) {
                 return;
             }
@@ -373,7 +373,7 @@
             refuse_entry(e, result_code::no_backend_server, now);
             return;
         }
-        if (now >= latest || now + expected_wait(e.w.tier, now) > latest) {
+        if (now >= latest || now + expected_wait(e.w.urgency, now) > latest) {
             refuse_entry(e, result_code::queue_full, now);
             return;
         }
@@ -384,12 +384,12 @@
         return std::chrono::duration_cast<base::duration>(d * factor);
     }
 
-    base::duration expected_wait(base::tier tier, base::time_point now) {
+    base::duration expected_wait(std::uint8_t urgency, base::time_point now) {
         drop_old_starts(now);
         if (starts_.size() < least_starts) {
             return {};
         }
-        const auto ahead = static_cast<double>(queue_.ahead_of(tier));
+        const auto ahead = static_cast<double>(queue_.ahead_of(urgency));
         return scaled(rate_window, ahead / static_cast<double>(starts_.size()));
     }
 
@@ -408,7 +408,7 @@
     }
 
     void refuse_entry(entry& e, result_code code, base::time_point now) {
-        const auto wait = expected_wait(e.w.tier, now);
+        const auto wait = expected_wait(e.w.urgency, now);
         const double spread =
             retry_spread * static_cast<double>(random_() % 1024) / 1024.0;  // 1024 steps are fine enough
         const auto retry = scaled(std::clamp(wait, shortest_retry, longest_retry), 1 + spread);
--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -3,8 +3,8 @@
 namespace chicorygap::scheduling {
 
 void wait_queue::push(ticket id, const work& w, base::time_point latest_start) {
-    auto& in_lane = waiting_by_lane_[{w.tier.level, w.workspace}];
-    const rank at{w.tier.level, in_lane, next_order_++};
+    auto& in_lane = waiting_by_lane_[{w.urgency, w.workspace}];
+    const rank at{w.urgency, in_lane, next_order_++};
     ++in_lane;
     order_.emplace(at, id);
     entries_.emplace(id, entry{at, w.workspace, latest_start});
@@ -15,7 +15,7 @@
     if (it == entries_.end()) {
         return false;
     }
-    const auto lane_it = waiting_by_lane_.find({it->second.at.level, it->second.workspace});
+    const auto lane_it = waiting_by_lane_.find({it->second.at.urgency, it->second.workspace});
     if (--lane_it->second == 0) {
         waiting_by_lane_.erase(lane_it);
     }
@@ -42,10 +42,10 @@
     return out;
 }
 
-std::size_t wait_queue::ahead_of(base::tier tier) const {
+std::size_t wait_queue::ahead_of(std::uint8_t urgency) const {
     std::size_t n = 0;
     for (const auto& [at, id] : order_) {
-        if (at.level > tier.level) {
+        if (at.urgency > urgency) {
             break;
         }
         ++n;
--- a/packages/scheduling/src/wait_queue.h
+++ b/packages/scheduling/src/wait_queue.h
@@ -15,10 +15,10 @@
 
 namespace chicorygap::scheduling {
 
-/// Requests that wait, by tier and then in a fair order over workspaces.
+/// Requests that wait, by urgency and then in a fair order over workspaces.
 ///
-/// Answers the patterns of many users at once (a higher tier starts first) and of one workspace that sends
-/// many times its usual (its own requests wait behind one another, not those of others).
+/// Answers the patterns of many users at once (the more urgent ones start first) and of one workspace that
+/// sends many times its usual (its own requests wait behind one another, not those of others).
 class wait_queue {
 public:
     /// @param id a request that is not in the queue.
@@ -35,16 +35,16 @@
     /// @return requests whose latest start has passed.
     [[nodiscard]] std::vector<ticket> expired(base::time_point now) const;
 
-    /// @return requests that start before a new one of `tier`.
-    [[nodiscard]] std::size_t ahead_of(base::tier tier) const;
+    /// @return requests that start before a new one of that urgency.
+    [[nodiscard]] std::size_t ahead_of(std::uint8_t urgency) const;
 
     [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
     [[nodiscard]] bool empty() const noexcept { return entries_.empty(); }
 
 private:
-    /// Tier, turn of the request among those of its workspace, order of arrival.
+    /// Urgency, turn of the request among those of its workspace, order of arrival.
     struct rank {
-        std::uint8_t level = 0;
+        std::uint8_t urgency = 0;
         std::uint64_t turn = 0;
         std::uint64_t order = 0;
 
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -46,7 +46,7 @@
     work make(base::time_point now, std::uint8_t level = 1, const std::string& workspace = "w") {
         work w;
         w.id = ticket{++last_ticket};
-        w.tier = base::tier{level};
+        w.urgency = level;
         w.workspace = base::workspace_id{workspace};
         w.arrived = now;
         w.target_at = now + 400ms;
