Never wait for the reader of the log

Cause: lines went to standard output through a stream that blocks: a full pipe would have stopped the daemon. Lines now go through a sink of easylogging++ to a non-blocking writer that keeps 256 KiB, drops whole lines beyond and counts them.

Found on the way: a loop without sockets did not wait for its timers but turned round at once, since an empty poll set of POCO returns immediately. The daemon always has sockets; tests had not.

Ruled out: O_NONBLOCK on the stream of easylogging++, which cuts lines in the middle.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -5,6 +5,7 @@
 #include "platform/documents.h"
 
 #include <atomic>
+#include <unistd.h>
 #include <utility>
 
 namespace chicorygap::daemon_app {
@@ -39,6 +40,9 @@
 constexpr base::duration gather_per_daemon = 6ms;
 constexpr base::duration longest_gather = 500ms;
 
+/// Log lines that are kept while nobody reads them; some seconds of the heaviest day.
+constexpr std::size_t log_limit = std::size_t{256} * 1024;
+
 constexpr const char* configuration_path = "/copies/configuration";
 constexpr const char* servers_path = "/copies/servers";
 
@@ -98,6 +102,7 @@
 edge_daemon::edge_daemon(settings::edge_settings s)
     : settings_{std::move(s)},
       generator_{std::random_device{}()},
+      log_output_{loop_, STDOUT_FILENO, log_limit},
       metrics_{std::make_unique<edge_metrics>()},
       router_{loop_,
               dialect_,
@@ -151,13 +156,16 @@
       operator_listener_{loop_, settings_.operators,
                          [this](const Poco::Net::StreamSocket& x) { accept_operator(x); }} {}
 
-edge_daemon::~edge_daemon() = default;
+edge_daemon::~edge_daemon() {
+    base::set_log_sink(nullptr);
+}
 
 base::random_function edge_daemon::random() {
     return [this] { return generator_(); };
 }
 
 void edge_daemon::run() {
+    base::set_log_sink([this](std::string_view line) { log_output_.write(line); });
     base::log_line{base::log_level::info, "daemon", "Started."}
         .field("vm", settings_.vm.str())
         .field("zone", settings_.zone.str())
@@ -232,6 +240,7 @@
     metrics_->set("connections_opened", static_cast<double>(router_.connections_opened()));
     metrics_->set("live_daemons", static_cast<double>(fleet_.peers().live_count(loop_.now())));
     metrics_->set("lease_term", static_cast<double>(duties_.held_term()));
+    metrics_->set("log_lines_dropped", static_cast<double>(log_output_.dropped()));
     metrics_->set("store_calls", static_cast<double>(store_.calls()));
     metrics_->set("configuration_version", catalog_ ? static_cast<double>(catalog_->version) : 0);
     http::response_head head{.status = 200};
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -9,6 +9,7 @@
 #include "fleet_link.h"
 #include "http/server_session.h"
 #include "metering/meter.h"
+#include "net/line_output.h"
 #include "net/listener.h"
 #include "net/loop.h"
 #include "platform/header_dialect.h"
@@ -71,6 +72,7 @@
     settings::edge_settings settings_;
     std::mt19937_64 generator_;
     net::loop loop_;
+    net::line_output log_output_;
     platform::header_dialect dialect_;
     std::unique_ptr<edge_metrics> metrics_;
     proxy::request_router router_;
--- a/packages/base/include/base/log.h
+++ b/packages/base/include/base/log.h
@@ -4,6 +4,7 @@
 
 #include "base/result_code.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,13 @@
 /// @param level lowest level written.
 void configure_log(log_level level);
 
+/// Receives whole lines of the log, with their newline. Must not log itself.
+using log_sink = std::function<void(std::string_view line)>;
+
+/// Sends lines to `sink` instead of standard output. Call it after `configure_log`, before other threads log.
+/// @param sink receiver; empty goes back to standard output.
+void set_log_sink(log_sink sink);
+
 /// @param name one of "debug", "info", "warning", "error".
 /// @return the level.
 /// @throws error with `settings_invalid` for another name.
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -19,8 +19,44 @@
     return out;
 }
 
+/// Where lines go; empty for standard output.
+log_sink& current_sink() {
+    static log_sink sink;
+    return sink;
+}
+
+/// Passes lines to the current sink. easylogging++ creates it by its type.
+class sink_dispatch final : public el::LogDispatchCallback {
+protected:
+    void handle(const el::LogDispatchData* data) noexcept override {
+        const auto& sink = current_sink();
+        if (!sink) {
+            return;
+        }
+        const bool normal = data->dispatchAction() == el::base::DispatchAction::NormalLog;
+        sink(data->logMessage()->logger()->logBuilder()->build(data->logMessage(), normal));
+    }
+};
+
+constexpr const char* sink_name = "chicorygap_sink";
+
+void write_to_standard_output(bool value) {
+    el::Loggers::reconfigureAllLoggers(el::ConfigurationType::ToStandardOutput, value ? "true" : "false");
+}
+
 }  // namespace
 
+void set_log_sink(log_sink sink) {
+    const bool own = static_cast<bool>(sink);
+    current_sink() = std::move(sink);
+    if (own) {
+        el::Helpers::installLogDispatchCallback<sink_dispatch>(sink_name);
+    } else {
+        el::Helpers::uninstallLogDispatchCallback<sink_dispatch>(sink_name);
+    }
+    write_to_standard_output(!own);
+}
+
 void configure_log(log_level level) {
     el::Configurations conf;
     conf.setToDefault();
--- a/packages/net/src/loop.cpp
+++ b/packages/net/src/loop.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <exception>
 #include <map>
+#include <thread>
 #include <unordered_map>
 #include <utility>
 
@@ -77,6 +78,10 @@
     }
 
     void dispatch(base::duration wait) {
+        if (sockets.empty()) {
+            std::this_thread::sleep_for(wait);  // an empty poll set returns at once
+            return;
+        }
         // Rounded up: a wait that ends before the timer is due would only start another round.
         const auto micros = std::chrono::ceil<std::chrono::microseconds>(wait);
         for (const auto& [socket, mode] : polled.poll(Poco::Timespan{micros.count()})) {
