Use one address type, one option scan and one reader of settings files

Cause: settings::address stood beside net::address, the daemon's two command lines repeated the getopt loop, and the two readers of settings repeated the reading of the file. Change: net::address reads IPv6 addresses in brackets and port 0 as the settings type did; callers that need a port check it. scan_options and read_text are shared. Ruled out: an address type in base, since only net and above need it.

--- a/apps/daemon/src/edge_options.cpp
+++ b/apps/daemon/src/edge_options.cpp
@@ -1,8 +1,8 @@
 #include "edge_options.h"
 
-#include <array>
+#include "option_scan.h"
+
 #include <cstdlib>
-#include <getopt.h>
 #include <iostream>
 
 namespace chicorygap::daemon_app {
@@ -16,18 +16,12 @@
 }
 
 std::optional<edge_options> parse_edge_options(int argc, char** argv) {
-    const std::array<option, 4> known{{{"settings", required_argument, nullptr, 's'},
-                                       {"check", no_argument, nullptr, 'k'},
-                                       {"help", no_argument, nullptr, 'h'},
-                                       {nullptr, 0, nullptr, 0}}};
     edge_options o;
     if (const char* file = std::getenv("CHICORYGAP_SETTINGS")) {
         o.settings = file;
     }
-    optind = 1;
-    int c = 0;
-    while ((c = getopt_long(argc, argv, "s:kh", known.data(), nullptr)) != -1) {
-        switch (c) {
+    const auto apply = [&o](int value) {
+        switch (value) {
             case 's':
                 o.settings = optarg;
                 break;
@@ -38,11 +32,14 @@
                 o.help = true;
                 break;
             default:
-                return std::nullopt;
+                break;
         }
-    }
-    if (optind < argc) {
-        std::cerr << "unexpected argument '" << argv[optind] << "'\n";
+    };
+    if (!scan_options(argc, argv,
+                      {{"settings", required_argument, nullptr, 's'},
+                       {"check", no_argument, nullptr, 'k'},
+                       {"help", no_argument, nullptr, 'h'}},
+                      apply)) {
         return std::nullopt;
     }
     if (o.settings.empty() && !o.help) {
--- a/apps/daemon/src/fleet_agent.cpp
+++ b/apps/daemon/src/fleet_agent.cpp
@@ -21,7 +21,7 @@
 membership::fleet_options make_options(const settings::daemon_settings& s, std::uint64_t incarnation) {
     membership::fleet_options o;
     o.self.id = s.vm;
-    o.self.address = settings::to_string(s.peers);
+    o.self.address = net::to_string(s.peers);
     o.self.zone = s.zone;
     o.self.incarnation = incarnation;
     return o;
@@ -30,7 +30,7 @@
 std::vector<membership::seed> static_seeds(const settings::daemon_settings& s) {
     std::vector<membership::seed> out;
     for (const auto& a : s.seeds) {
-        out.push_back({settings::to_string(a), {}});
+        out.push_back({net::to_string(a), {}});
     }
     return out;
 }
@@ -67,7 +67,7 @@
         configuration_.post(distribution::received{from, m});
     };
     peer::node_options o;
-    o.listen = settings::to_string(s.peers);
+    o.listen = net::to_string(s.peers);
     o.call_timeout = s.timeouts.peer;
     node_ = std::make_unique<peer::node>(o, std::move(extra));
     gossip_.attach(*node_);
@@ -115,7 +115,7 @@
             return m.address;
         }
     }
-    return vm == settings_.vm ? settings::to_string(settings_.peers) : std::string{};
+    return vm == settings_.vm ? net::to_string(settings_.peers) : std::string{};
 }
 
 std::vector<membership::member> fleet_agent::known() const {
--- a/apps/daemon/src/options.cpp
+++ b/apps/daemon/src/options.cpp
@@ -1,7 +1,7 @@
 #include "options.h"
 
-#include <array>
-#include <getopt.h>
+#include "option_scan.h"
+
 #include <iostream>
 
 namespace chicorygap::daemon_app {
@@ -17,16 +17,9 @@
 }
 
 std::optional<options> parse_options(int argc, char** argv) {
-    const std::array<option, 6> known{{{"config", required_argument, nullptr, 'c'},
-                                       {"check", no_argument, nullptr, 'k'},
-                                       {"log-level", required_argument, nullptr, 'l'},
-                                       {"version", no_argument, nullptr, 'v'},
-                                       {"help", no_argument, nullptr, 'h'},
-                                       {nullptr, 0, nullptr, 0}}};
     options o;
-    int c = 0;
-    while ((c = getopt_long(argc, argv, "c:kl:vh", known.data(), nullptr)) != -1) {
-        switch (c) {
+    const auto apply = [&o](int value) {
+        switch (value) {
             case 'c':
                 o.config = optarg;
                 break;
@@ -43,11 +36,16 @@
                 o.help = true;
                 break;
             default:
-                return std::nullopt;
+                break;
         }
-    }
-    if (optind < argc) {
-        std::cerr << "unexpected argument '" << argv[optind] << "'\n";
+    };
+    if (!scan_options(argc, argv,
+                      {{"config", required_argument, nullptr, 'c'},
+                       {"check", no_argument, nullptr, 'k'},
+                       {"log-level", required_argument, nullptr, 'l'},
+                       {"version", no_argument, nullptr, 'v'},
+                       {"help", no_argument, nullptr, 'h'}},
+                      apply)) {
         return std::nullopt;
     }
     if (o.config.empty() && !o.version && !o.help) {
--- a/apps/daemon/src/roles_agent.cpp
+++ b/apps/daemon/src/roles_agent.cpp
@@ -52,7 +52,7 @@
 roles_agent::roles_agent(const settings::daemon_settings& s, ports::http_platform& p,
                          base::random_function random, std::uint64_t incarnation)
     : settings_{s}, controller_{base::boot_clock::now} {
-    const auto self = settings::to_string(s.peers);
+    const auto self = net::to_string(s.peers);
     control::zone_role_options zone;
     zone.zone = s.zone.str();
     zone.daemon = self;
--- a/apps/daemon/src/server_sync.cpp
+++ b/apps/daemon/src/server_sync.cpp
@@ -28,7 +28,7 @@
     return out;
 }
 
-gateway::server_entry make_entry(const ports::backend_server& s, const settings::address& a) {
+gateway::server_entry make_entry(const ports::backend_server& s, const net::address& a) {
     gateway::server_entry e;
     e.info.id = s.id;
     e.info.zone = s.zone;
@@ -67,7 +67,7 @@
     entries by_service;
     std::map<base::backend_server_id, std::string> kinds;
     for (const auto& s : listed) {
-        const auto a = settings::parse_address(s.address);
+        const auto a = net::parse_address(s.address);
         if (!a) {
             base::log_line{base::log_level::warning, "servers", "Listed address is invalid."}.field(
                 "server", s.id.str());
--- a/apps/daemon/src/usage_agent.cpp
+++ b/apps/daemon/src/usage_agent.cpp
@@ -11,7 +11,7 @@
     : settings_{s},
       store_{store},
       wall_now_{std::move(wall_now)},
-      counters_{{settings::to_string(s.peers), incarnation}} {}
+      counters_{{net::to_string(s.peers), incarnation}} {}
 
 void usage_agent::record(const gateway::request_record& r) {
     // A request that was not run is not billed; one of unknown outcome is billed for the tokens delivered.
--- a/apps/tool/src/command_line.cpp
+++ b/apps/tool/src/command_line.cpp
@@ -12,8 +12,8 @@
 
 enum option_id : int { platform = 1, daemon, timeout, base_version, json, daemon_settings, help };
 
-settings::address parse_address(const std::string& name, const std::string& text) {
-    const auto a = settings::parse_address(text);
+net::address parse_address(const std::string& name, const std::string& text) {
+    const auto a = net::parse_address(text);
     if (!a) {
         throw usage_error("--" + name + " needs an IP address and port, for example 127.0.0.1:9100");
     }
--- a/apps/tool/src/command_line.h
+++ b/apps/tool/src/command_line.h
@@ -23,8 +23,8 @@
 struct command_line {
     std::string command;
     std::vector<std::string> operands;
-    settings::address platform{"127.0.0.1", 9100};
-    settings::address daemon{"127.0.0.1", 8081};
+    net::address platform{"127.0.0.1", 9100};
+    net::address daemon{"127.0.0.1", 8081};
     base::duration timeout = std::chrono::seconds{5};
     std::optional<std::uint64_t> base_version;
     bool json = false;
--- a/apps/tool/src/daemon_commands.cpp
+++ b/apps/tool/src/daemon_commands.cpp
@@ -21,7 +21,7 @@
 /// Reads JSON from the operator address of a daemon.
 /// @throws base::error with `not_ready` when the daemon gives no usable reply.
 Poco::Dynamic::Var read_daemon(const command_line& c, const std::string& path) {
-    const auto place = settings::to_string(c.daemon) + path;
+    const auto place = net::to_string(c.daemon) + path;
     try {
         const auto us = std::chrono::duration_cast<std::chrono::microseconds>(c.timeout);
         Poco::Net::HTTPClientSession session{c.daemon.host, c.daemon.port};
--- a/packages/settings/include/settings/daemon_settings.h
+++ b/packages/settings/include/settings/daemon_settings.h
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/time.h"
 #include "document/fault.h"
+#include "net/address.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,20 +16,6 @@
 
 namespace chicorygap::settings {
 
-/// IP address and port. Host names are not resolved; an IPv6 address is written in brackets.
-struct address {
-    std::string host;
-    std::uint16_t port = 0;  ///< 0 asks the system for a free port.
-
-    bool operator==(const address&) const = default;
-};
-
-/// @return `host:port`.
-std::string to_string(const address& a);
-
-/// @return the address, or nothing for text that is not an IP address and a port.
-std::optional<address> parse_address(const std::string& text);
-
 struct resource_limits {
     std::uint32_t connections = 0;  ///< callers' connections, one thread each.
     std::size_t thread_stack_bytes = 0;
@@ -55,7 +42,7 @@
     base::backend_server_id id;
     base::service_id service;
     base::zone_id zone;
-    settings::address address;
+    net::address address;
     std::string kind;
     bool reclaimable = false;
     std::uint32_t slots = 0;
@@ -66,11 +53,11 @@
 struct daemon_settings {
     base::vm_id vm;
     base::zone_id zone;
-    address callers;
-    address operators;
-    address peers;
-    std::vector<address> seeds;       ///< peers to contact first; may be empty.
-    std::optional<address> platform;  ///< absent: documents come from `document_files`.
+    net::address callers;
+    net::address operators;
+    net::address peers;
+    std::vector<net::address> seeds;       ///< peers to contact first; may be empty.
+    std::optional<net::address> platform;  ///< absent: documents come from `document_files`.
     std::vector<std::string> document_files;
     base::log_level log_level = base::log_level::info;
     resource_limits limits;
--- a/packages/settings/src/edge_parser.cpp
+++ b/packages/settings/src/edge_parser.cpp
@@ -1,13 +1,12 @@
 #include "base/error.h"
 #include "document/ini.h"
 #include "document/section_reader.h"
+#include "file_text.h"
 #include "settings/edge_settings.h"
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <functional>
-#include <sstream>
 #include <utility>
 
 namespace chicorygap::settings {
@@ -24,7 +23,7 @@
 net::address read_address(section_reader& r, const std::string& key) {
     const auto text = r.text(key);
     const auto a = net::parse_address(text);
-    if (!a && r.has(key)) {
+    if ((!a || a->port == 0) && r.has(key)) {
         r.report(key, "'" + text + "' is not an address", address_rule);
     }
     return a.value_or(net::address{});
@@ -60,7 +59,7 @@
 
 void read_fleet(section_reader& r, edge_settings& s) {
     for (const auto& text : r.list("seeds")) {
-        if (const auto a = net::parse_address(text)) {
+        if (const auto a = net::parse_address(text); a && a->port != 0) {
             s.seeds.push_back(*a);
         } else {
             r.report("seeds", "'" + text + "' is not an address", address_rule);
@@ -135,12 +134,7 @@
 }
 
 edge_settings load_edge(const std::string& path) {
-    std::ifstream in{path};
-    std::ostringstream text;
-    if (!in || !(text << in.rdbuf())) {
-        throw base::error{base::result_code::settings_invalid, path + ": cannot be read"};
-    }
-    auto result = parse_edge(text.str(), path);
+    auto result = parse_edge(read_text(path), path);
     if (!result.settings) {
         throw base::error{base::result_code::settings_invalid, document::to_string(result.faults)};
     }
--- /dev/null
+++ b/packages/settings/src/file_text.h
@@ -0,0 +1,13 @@
+/// @file
+/// Text of a settings file.
+#pragma once
+
+#include <string>
+
+namespace chicorygap::settings {
+
+/// @return the text of the file.
+/// @throws base::error with `settings_invalid` when the file cannot be read.
+std::string read_text(const std::string& path);
+
+}  // namespace chicorygap::settings
--- a/packages/settings/src/parser.cpp
+++ b/packages/settings/src/parser.cpp
@@ -1,8 +1,8 @@
 #include "base/error.h"
+#include "file_text.h"
 #include "settings_parser.h"
 
-#include <fstream>
-#include <sstream>
+#include <utility>
 
 namespace chicorygap::settings {
 
@@ -12,12 +12,7 @@
 }
 
 daemon_settings load(const std::string& path) {
-    std::ifstream in{path};
-    std::ostringstream text;
-    if (!in || !(text << in.rdbuf())) {
-        throw base::error{base::result_code::settings_invalid, path + ": cannot be read"};
-    }
-    auto result = parse(text.str(), path);
+    auto result = parse(read_text(path), path);
     if (!result.settings) {
         throw base::error{base::result_code::settings_invalid, document::to_string(result.faults)};
     }
--- a/packages/settings/src/settings_parser.cpp
+++ b/packages/settings/src/settings_parser.cpp
@@ -20,11 +20,11 @@
 constexpr std::size_t bytes_per_kib = 1024;
 constexpr std::size_t bytes_per_mib = 1024 * bytes_per_kib;
 
-bool is_wildcard(const address& a) {
+bool is_wildcard(const net::address& a) {
     return a.host == "0.0.0.0" || a.host == "::";
 }
 
-bool clash(const address& a, const address& b) {
+bool clash(const net::address& a, const net::address& b) {
     return a.port != 0 && a.port == b.port && (a.host == b.host || is_wildcard(a) || is_wildcard(b));
 }
 
@@ -75,16 +75,17 @@
     settings_.document_files = r.list("document_files");
 }
 
-address settings_parser::read_address(section_reader& r, const std::string& key, bool port_zero_allowed) {
+net::address settings_parser::read_address(section_reader& r, const std::string& key,
+                                           bool port_zero_allowed) {
     const auto text = r.text(key);
-    const auto a = parse_address(text);
+    const auto a = net::parse_address(text);
     if (!r.has(key) || text.empty()) {
         return {};
     }
     if (!a || (a->port == 0 && !port_zero_allowed)) {
         r.report(key, "'" + text + "' is not an address", address_rule);
     }
-    return a.value_or(address{});
+    return a.value_or(net::address{});
 }
 
 void settings_parser::read_listen(section_reader& r) {
@@ -95,14 +96,14 @@
 }
 
 void settings_parser::check_listen_clash(section_reader& r) {
-    const std::array<std::pair<const char*, const address*>, 3> all{
+    const std::array<std::pair<const char*, const net::address*>, 3> all{
         std::pair{"callers", &settings_.callers}, std::pair{"operators", &settings_.operators},
         std::pair{"peers", &settings_.peers}};
     for (std::size_t i = 0; i < all.size(); ++i) {
         for (std::size_t j = 0; j < i; ++j) {
             if (clash(*all[i].second, *all[j].second)) {
                 r.report(all[i].first, "address clashes with " + std::string{all[j].first} + " = " +
-                                           to_string(*all[j].second));
+                                           net::to_string(*all[j].second));
             }
         }
     }
@@ -110,7 +111,7 @@
 
 void settings_parser::read_peers(section_reader& r) {
     for (const auto& text : r.list("seeds")) {
-        const auto a = parse_address(text);
+        const auto a = net::parse_address(text);
         if (!a || a->port == 0) {
             r.report("seeds", "'" + text + "' is not an address", address_rule);
             continue;
--- a/packages/settings/src/settings_parser.h
+++ b/packages/settings/src/settings_parser.h
@@ -34,7 +34,7 @@
     void read_servers();
     void report_unknown_sections();
     void check_sources();
-    address read_address(document::section_reader& r, const std::string& key, bool port_zero_allowed);
+    net::address read_address(document::section_reader& r, const std::string& key, bool port_zero_allowed);
     void check_listen_clash(document::section_reader& r);
 
     const document::ini_file& ini_;
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -53,7 +53,7 @@
 TEST(settings, host_names_and_malformed_addresses_are_refused) {
     // Guards against a start-up that depends on name resolution.
     for (const auto* const bad : {"localhost:80", "127.0.0.1", "127.0.0.1:99999", "::1:80", "127.0.0.1:"}) {
-        EXPECT_FALSE(parse_address(bad).has_value()) << bad;
+        EXPECT_FALSE(net::parse_address(bad).has_value()) << bad;
     }
     EXPECT_NE(faults_after("127.0.0.1:9100", "platform.local:80").find("IP address and port"),
               std::string::npos);
