--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -1,8 +1,10 @@
 #include "edge_daemon.h"
 
+#include "base/error.h"
 #include "base/log.h"
 #include "edge_metrics.h"
 #include "platform/documents.h"
+#include "settings/edge_settings.h"
 
 #include <atomic>
 #include <unistd.h>
@@ -19,6 +21,8 @@
 
 /// How often signals and times are checked.
 constexpr base::duration housekeeping_interval = 100ms;
+/// How often the settings file is looked at: it may change without a signal.
+constexpr base::duration settings_interval = 2s;
 /// The platform's balancer asks for readiness once a second and takes two refusals; new connections may come
 /// until then.
 constexpr base::duration balancer_time = 2600ms;
@@ -43,8 +47,9 @@
 /// Log lines that are kept while nobody reads them; some seconds of the heaviest day.
 constexpr std::size_t log_limit = std::size_t{256} * 1024;
 
-constexpr const char* configuration_path = "/copies/configuration";
-constexpr const char* servers_path = "/copies/servers";
+/// Wait of a watch in a zone with mirrors: a mirror that was cut off from the store, or froze, is found after
+/// it, and the change that it missed must still be in force in time.
+constexpr base::duration mirrored_wait = 800ms;
 
 long long to_ms(base::duration d) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
@@ -71,14 +76,43 @@
     if (r.peers_age) {
         line.field("peers_age_ms", to_ms(*r.peers_age));
     }
+    if (r.prompt_tokens > 0) {
+        line.field("prompt_tokens", static_cast<long long>(r.prompt_tokens))
+            .field("unread_tokens", static_cast<long long>(r.unread_tokens))
+            .field("home", r.home_rank ? std::to_string(*r.home_rank) : "none");
+    }
     if (r.first_output) {
-        line.field("first_ms", to_ms(*r.first_output)).field("events", static_cast<long long>(r.events));
+        line.field("first_ms", to_ms(*r.first_output))
+            .field("events", static_cast<long long>(r.events))
+            .field("longest_pause_ms", to_ms(r.longest_pause));
     }
     if (!r.cause.empty()) {
         line.field("cause", r.cause);
     }
 }
 
+/// Memory that one open request may take: its head, its share of buffered output, and the connection to its
+/// server. Bodies are small beside it.
+constexpr std::size_t request_bytes = std::size_t{48} * 1024;
+/// Part of the memory that open requests may take; the rest is for the program, configuration and servers.
+constexpr std::size_t requests_memory_part = 2;
+/// Descriptors for everything but callers and servers: log, listeners, store, peers, and those that the
+/// platform keeps for files.
+constexpr std::size_t reserved_descriptors = 260;
+
+/// Connections of callers that are kept open. A connection to a server may stand beside each of them.
+std::size_t caller_limit(const settings::edge_settings& s) {
+    return s.descriptors > 2 * reserved_descriptors ? (s.descriptors - reserved_descriptors) / 2
+                                                    : reserved_descriptors / 2;
+}
+
+/// @return when the file was last written; the earliest time if it cannot be read now.
+std::filesystem::file_time_type write_time(const std::string& path) {
+    std::error_code ec;
+    const auto t = std::filesystem::last_write_time(path, ec);
+    return ec ? std::filesystem::file_time_type::min() : t;
+}
+
 proxy::router_options router_options(const settings::edge_settings& s) {
     // Until peers are known this daemon takes as many as it was told of as seeds.
     const auto daemons = static_cast<double>(s.seeds.size() + 1);
@@ -86,7 +120,8 @@
             .zone = s.zone,
             .retries = {.ratio = s.retries.ratio,
                         .allowance = static_cast<int>(s.retries.allowance / daemons),
-                        .window = s.retries.window}};
+                        .window = s.retries.window},
+            .open_limit = s.memory_bytes / requests_memory_part / request_bytes};
 }
 
 }  // namespace
@@ -99,8 +134,11 @@
     reload_requested = true;
 }
 
-edge_daemon::edge_daemon(settings::edge_settings s)
+edge_daemon::edge_daemon(settings::edge_settings s, std::string settings_path)
     : settings_{std::move(s)},
+      settings_path_{std::move(settings_path)},
+      settings_written_{write_time(settings_path_)},
+      caller_limit_{caller_limit(settings_)},
       generator_{std::random_device{}()},
       log_output_{loop_, STDOUT_FILENO, log_limit},
       metrics_{std::make_unique<edge_metrics>()},
@@ -119,19 +157,33 @@
                            store_,
                            platform::configuration_kind,
                            random(),
-                           {.changed = [this] { on_configuration(); }, .reachable = nullptr}},
+                           {.changed =
+                                [this] {
+                                    on_configuration();
+                                    configuration_mirror_.changed();
+                                },
+                            .reachable = nullptr,
+                            .plan = [this] { return plan_watch(); }}},
       server_watch_{loop_,
                     store_,
                     platform::server_kind,
                     random(),
-                    {.changed = [this] { on_servers(); },
+                    {.changed =
+                         [this] {
+                             on_servers();
+                             server_mirror_.changed();
+                         },
                      .reachable =
                          [this](bool value) {
                              directory_.store_reachable(value, loop_.now());
                              base::log_line{base::log_level::info, "platform",
                                             value ? "Store regained." : "Store lost."}
                                  .field("revision", static_cast<long long>(server_watch_.revision()));
-                         }}},
+                         },
+                     .plan = [this] { return plan_watch(); }}},
+      mirror_client_{loop_, settings_.store},
+      configuration_mirror_{loop_, configuration_watch_},
+      server_mirror_{loop_, server_watch_},
       directory_{settings_.drain_time},
       fleet_{loop_,
              settings_,
@@ -175,6 +227,7 @@
     fleet_.start();
     duties_.start();
     loop_.every(housekeeping_interval, [this] { housekeeping(); });
+    loop_.every(settings_interval, [this] { check_settings_file(); });
     loop_.run();
     base::log_line{base::log_level::info, "daemon", "Stopped."}.field(
         "open_requests", static_cast<long long>(router_.open_requests()));
@@ -197,6 +250,13 @@
 }
 
 void edge_daemon::accept_caller(const Poco::Net::StreamSocket& socket) {
+    if (callers_.size() >= caller_limit_) {
+        // Nothing was read: the caller may try another daemon at once.
+        ++callers_turned_away_;
+        base::log_line{base::log_level::warning, "daemon", "Connection turned away."}.field(
+            "open", static_cast<long long>(callers_.size()));
+        return;
+    }
     auto hooks = service_hooks(callers_, [this](http::server_session& s, http::request&& r) {
         if (stopping_) {
             s.close_after_answer();
@@ -219,17 +279,17 @@
 void edge_daemon::accept_operator(const Poco::Net::StreamSocket& socket) {
     auto hooks = service_hooks(operators_,
                                [this](http::server_session& s, http::request&& r) { answer_operator(s, r); });
+    hooks.closed = [this](http::server_session& s) {
+        configuration_mirror_.closed(s);
+        server_mirror_.closed(s);
+        operators_.erase(s.shared_from_this());
+    };
     operators_.insert(
         http::server_session::start(loop_, socket, {.body_bytes = internal_body_limit}, std::move(hooks)));
 }
 
 void edge_daemon::answer_operator(http::server_session& s, const http::request& r) {
-    if (r.head.target == configuration_path) {
-        s.respond({.status = 200}, configuration_watch_.export_copy());
-        return;
-    }
-    if (r.head.target == servers_path) {
-        s.respond({.status = 200}, server_watch_.export_copy());
+    if (configuration_mirror_.handle(s, r) || server_mirror_.handle(s, r)) {
         return;
     }
     if (r.head.target != "/metrics") {
@@ -237,6 +297,7 @@
         return;
     }
     metrics_->set("open_requests", static_cast<double>(router_.open_requests()));
+    metrics_->set("callers_turned_away", static_cast<double>(callers_turned_away_));
     metrics_->set("connections_opened", static_cast<double>(router_.connections_opened()));
     metrics_->set("live_daemons", static_cast<double>(fleet_.peers().live_count(loop_.now())));
     metrics_->set("lease_term", static_cast<double>(duties_.held_term()));
@@ -299,6 +360,7 @@
     share_retries();
     if (reload_requested.exchange(false)) {
         base::log_line{base::log_level::info, "daemon", "Reload requested."};
+        reload();
     }
     if (stop_requested && !stopping_) {
         begin_stop();
@@ -331,34 +393,49 @@
 }
 
 void edge_daemon::on_beacon(const sharing::beacon& b) {
-    proxy::service_loads loads;
-    for (const auto& [id, load] : b.services) {
-        loads.emplace(id, load);
+    const auto lifetime = sharing::silent_time(fleet_.peers().known_count());
+    if (!b.services.empty()) {
+        router_.set_peer_load(b.vm, {b.services.begin(), b.services.end()}, lifetime);
+    }
+    if (!b.zone_services.empty() && b.zone != settings_.zone) {
+        // One entry a zone, whoever speaks for it.
+        router_.set_peer_load(base::vm_id{"zone " + b.zone.str()},
+                              {b.zone_services.begin(), b.zone_services.end()}, lifetime);
     }
-    router_.set_peer_load(b.vm, loads, sharing::silent_time(fleet_.peers().known_count()));
     for (const auto& [w, counts] : b.windows) {
         meter_.merge({b.vm, b.incarnation}, w, counts);
     }
     const auto version = catalog_ ? catalog_->version : 0;
     if (b.configuration_version > version) {
-        fetch_from_peer(configuration_watch_, b, configuration_path);
+        fetch_from_peer(configuration_watch_, b);
     } else if (b.servers_revision > server_watch_.revision()) {
-        fetch_from_peer(server_watch_, b, servers_path);
+        fetch_from_peer(server_watch_, b);
+    }
+}
+
+platform::watch_plan edge_daemon::plan_watch() {
+    if (!fleet_.zone_has_mirrors()) {
+        return {};
+    }
+    const auto address = fleet_.mirror();
+    if (!address) {
+        return {.mirror = nullptr, .wait = mirrored_wait};
     }
+    mirror_client_.set_address(*address);
+    return {.mirror = &mirror_client_, .wait = mirrored_wait};
 }
 
-void edge_daemon::fetch_from_peer(platform::kind_watch& watch, const sharing::beacon& b,
-                                  const std::string& path) {
+void edge_daemon::fetch_from_peer(platform::kind_watch& watch, const sharing::beacon& b) {
     if (std::exchange(fetching_, true)) {
         return;
     }
     const auto before = watch.revision();
-    loop_.after(behind_time, [this, &watch, before, from = b.operator_address, path] {
+    loop_.after(behind_time, [this, &watch, before, from = b.operator_address] {
         fetching_ = false;
         if (watch.revision() != before) {
             return;  // the store was faster
         }
-        fleet_.fetch(from, path, [&watch, from](const std::string& copy) {
+        fleet_.fetch(from, platform::kind_path(watch.kind()), [&watch, from](const std::string& copy) {
             if (watch.adopt(copy)) {
                 base::log_line{base::log_level::info, "daemon", "Copy taken from a peer."}
                     .field("peer", net::to_string(from))
@@ -388,6 +465,42 @@
          .window = r.window});
 }
 
+void edge_daemon::check_settings_file() {
+    if (write_time(settings_path_) != settings_written_) {
+        reload();
+    }
+}
+
+void edge_daemon::reload() {
+    settings_written_ = write_time(settings_path_);
+    auto next = settings_;
+    try {
+        next = settings::load_edge(settings_path_);
+    } catch (const base::error& e) {
+        base::log_line{base::log_level::error, "daemon", "Settings not taken."}
+            .field("error", e.what())
+            .code(e.code());
+        return;
+    }
+    // Everything else is fixed while the process runs.
+    auto taken = settings_;
+    taken.log_level = next.log_level;
+    taken.retries = next.retries;
+    taken.stop_time = next.stop_time;
+    const bool complete = taken == next;
+    if (taken != settings_) {
+        settings_ = std::move(taken);
+        base::configure_log(settings_.log_level);
+        shared_by_ = 0;
+        share_retries();
+    }
+    base::log_line{base::log_level::info, "daemon", "Settings reloaded."}
+        .field("log_level", static_cast<int>(settings_.log_level))
+        .field("retry_ratio", std::to_string(settings_.retries.ratio))
+        .field("retry_allowance", std::to_string(settings_.retries.allowance))
+        .field("needs_restart", complete ? "no" : "yes");
+}
+
 void edge_daemon::begin_stop() {
     stopping_ = true;
     stop_began_ = loop_.now();
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -13,13 +13,16 @@
 #include "net/listener.h"
 #include "net/loop.h"
 #include "platform/header_dialect.h"
+#include "platform/kind_mirror.h"
 #include "platform/kind_watch.h"
 #include "platform/store_client.h"
 #include "proxy/request_router.h"
 #include "settings/edge_settings.h"
 
+#include <filesystem>
 #include <memory>
 #include <random>
+#include <string>
 #include <unordered_set>
 
 namespace chicorygap::daemon_app {
@@ -31,8 +34,10 @@
 /// Usage: `edge_daemon d{settings}; d.run();` returns after a stop signal, once open requests have ended.
 class edge_daemon {
 public:
+    /// @param s settings.
+    /// @param settings_path file that they came from; it is read again when it changes.
     /// @throws base::error with `settings_invalid` if an address cannot be used.
-    explicit edge_daemon(settings::edge_settings s);
+    edge_daemon(settings::edge_settings s, std::string settings_path);
     ~edge_daemon();
     edge_daemon(const edge_daemon&) = delete;
     edge_daemon& operator=(const edge_daemon&) = delete;
@@ -56,9 +61,12 @@
     void housekeeping();
     void compose_beacon(sharing::beacon& b, bool with_counts);
     void on_beacon(const sharing::beacon& b);
-    void fetch_from_peer(platform::kind_watch& watch, const sharing::beacon& b, const std::string& path);
+    [[nodiscard]] platform::watch_plan plan_watch();
+    void fetch_from_peer(platform::kind_watch& watch, const sharing::beacon& b);
     void count_run(const base::workspace_id& workspace);
     void share_retries();
+    void check_settings_file();
+    void reload();
     void begin_stop();
     void finish_stop_if_idle();
     [[nodiscard]] bool ready() const;
@@ -70,6 +78,10 @@
                                       std::function<void(http::server_session&, http::request&&)> received);
 
     settings::edge_settings settings_;
+    std::string settings_path_;
+    std::filesystem::file_time_type settings_written_;
+    std::size_t caller_limit_;
+    std::size_t callers_turned_away_ = 0;
     std::mt19937_64 generator_;
     net::loop loop_;
     net::line_output log_output_;
@@ -79,6 +91,9 @@
     platform::store_client store_;
     platform::kind_watch configuration_watch_;
     platform::kind_watch server_watch_;
+    platform::store_client mirror_client_;
+    platform::kind_mirror configuration_mirror_;
+    platform::kind_mirror server_mirror_;
     catalog::server_directory directory_;
     fleet_link fleet_;
     metering::meter meter_;
--- a/apps/daemon/src/fleet_link.cpp
+++ b/apps/daemon/src/fleet_link.cpp
@@ -14,12 +14,21 @@
 
 /// Counts go with every so many beacons: what a daemon counted since then is lost when it is killed.
 constexpr std::uint64_t counts_every = 2;
+/// The same for daemons of other zones that do not hold the lease: counts are the largest part of a message.
+constexpr std::uint64_t counts_elsewhere_every = 4;
 /// How often the registered daemons are listed. A new daemon sends to all listed ones itself, so that the
 /// list only repairs what was lost.
 constexpr base::duration list_interval = 20s;
 /// Time before a failed registration or list is repeated.
 constexpr base::duration retry_interval = 500ms;
 constexpr base::duration fetch_time = 500ms;
+/// Daemons of a zone that watch the store for the others; one of them may be cut off from it.
+constexpr std::size_t mirrors_per_zone = 2;
+/// In a smaller zone every daemon watches the store itself.
+constexpr std::size_t least_mirrored = 5;
+/// Time that the message of a zone's speaker to one daemon of another zone may take up: the speaker is the VM
+/// with the most of a core.
+constexpr base::duration time_per_speech = 6ms;
 
 std::uint64_t start_number() {
     return static_cast<std::uint64_t>(base::wall_clock_now().time_since_epoch().count());
@@ -59,33 +68,99 @@
 void fleet_link::schedule_beacon() {
     const auto in_zone = peers_.addresses_in(settings_.zone);
     beacon_timer_ = loop_.after(sharing::beacon_interval(in_zone.size() + 1), [this] {
-        const auto now = loop_.now();
-        const bool to_all = now >= next_to_all_;
-        if (to_all) {
-            next_to_all_ = now + sharing::beacon_interval(peers_.known_count());
-        }
-        send(to_all, to_all || sequence_ % counts_every == 0);
+        send_due();
         schedule_beacon();
     });
 }
 
+void fleet_link::send_due() {
+    peers_.expire(loop_.now());
+    const auto now = loop_.now();
+    const auto daemons = peers_.known_count();
+    const bool general = now >= next_elsewhere_;
+    if (general) {
+        next_elsewhere_ = now + sharing::beacon_interval(daemons);
+    }
+    auto b = make_beacon(general || sequence_ % counts_every == 0);
+    send(b, peers_.addresses_in(settings_.zone));
+    if (!sharing::tells_zone_sums(daemons)) {
+        if (general) {
+            send(b, peers_.addresses_elsewhere(settings_.zone));
+        }
+        return;
+    }
+    tell_elsewhere(std::move(b), general);
+}
+
+void fleet_link::tell_elsewhere(sharing::beacon b, bool general) {
+    const auto now = loop_.now();
+    const auto to = peers_.addresses_elsewhere(settings_.zone);
+    const bool speaks = now >= next_speech_ && peers_.ahead_in_zone(b, now).empty();
+    if (!speaks && !general) {
+        return;
+    }
+    if (speaks) {
+        next_speech_ = now + time_per_speech * static_cast<int>(to.size());
+        b.zone_services = peers_.zone_loads(b, now);
+    }
+    b.services.clear();
+    b.sequence = ++sequence_;
+    // Whoever holds the lease needs the counts at once; the others only when they take it over.
+    const auto* holder = peers_.lease_holder(now);
+    const bool counts_for_all =
+        general && (holder == nullptr || ++general_messages_ % counts_elsewhere_every == 0);
+    if (counts_for_all) {
+        send(b, to);
+        return;
+    }
+    const auto counts = std::exchange(b.windows, {});
+    send(b, to);
+    if (general && holder->zone != settings_.zone) {
+        b.windows = counts;
+        b.sequence = ++sequence_;
+        send(b, {holder->peer_address});
+    }
+}
+
 void fleet_link::send_now() {
-    send(true, true);
+    const auto b = make_beacon(true);
+    send(b, peers_.addresses());
 }
 
-void fleet_link::send(bool to_all, bool with_counts) {
-    peers_.expire(loop_.now());
-    sharing::beacon b{.vm = settings_.vm,
-                      .zone = settings_.zone,
-                      .incarnation = incarnation_,
-                      .sequence = ++sequence_,
-                      .peer_address = settings_.peers,
-                      .operator_address = settings_.operators,
-                      .wall_time = base::wall_clock_now()};
+sharing::beacon fleet_link::make_identity() const {
+    return {.vm = settings_.vm,
+            .zone = settings_.zone,
+            .incarnation = incarnation_,
+            .peer_address = settings_.peers,
+            .operator_address = settings_.operators,
+            .processor_share = static_cast<float>(settings_.processor_share)};
+}
+
+bool fleet_link::zone_has_mirrors() const {
+    return peers_.live_in_zone(settings_.zone, loop_.now()) + 1 >= least_mirrored;
+}
+
+std::optional<net::address> fleet_link::mirror() const {
+    const auto ahead = peers_.ahead_in_zone(make_identity(), loop_.now());
+    if (!zone_has_mirrors() || ahead.size() < mirrors_per_zone) {
+        return std::nullopt;
+    }
+    // The others are spread over the mirrors.
+    return ahead[ahead.size() % mirrors_per_zone]->operator_address;
+}
+
+sharing::beacon fleet_link::make_beacon(bool with_counts) {
+    auto b = make_identity();
+    b.sequence = ++sequence_;
+    b.wall_time = base::wall_clock_now();
     hooks_.compose(b, with_counts);
+    return b;
+}
+
+void fleet_link::send(const sharing::beacon& b, const std::vector<net::address>& to) {
     const auto bytes = sharing::encode(b);
-    for (const auto& to : to_all ? peers_.addresses() : peers_.addresses_in(settings_.zone)) {
-        socket_.send(to, bytes);
+    for (const auto& address : to) {
+        socket_.send(address, bytes);
     }
 }
 
--- a/apps/daemon/src/fleet_link.h
+++ b/apps/daemon/src/fleet_link.h
@@ -13,7 +13,9 @@
 #include "sharing/peer_table.h"
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace chicorygap::daemon_app {
 
@@ -25,6 +27,9 @@
 };
 
 /// Tells peers what they need to know and hears them; finds them through the platform's store.
+///
+/// Daemons of one zone tell each other their loads. In a large fleet the one with the most of a core tells
+/// the sum to the other zones, and the daemons themselves tell other zones only the rest, at a lower rate.
 class fleet_link {
 public:
     fleet_link(net::loop& l, const settings::edge_settings& s, platform::store_client& store,
@@ -40,6 +45,13 @@
     void send_now();
 
     [[nodiscard]] sharing::peer_table& peers() noexcept { return peers_; }
+    /// Daemons of the zone that may watch the store for this one.
+    /// @return nothing if this one watches it for itself, or for others.
+    [[nodiscard]] std::optional<net::address> mirror() const;
+
+    /// @return true if daemons of the zone watch each other instead of the store.
+    [[nodiscard]] bool zone_has_mirrors() const;
+
     [[nodiscard]] std::uint64_t incarnation() const noexcept { return incarnation_; }
 
     /// Fetches a path from a peer's operator address.
@@ -47,7 +59,11 @@
                std::function<void(const std::string&)> done);
 
 private:
-    void send(bool to_all, bool with_counts);
+    [[nodiscard]] sharing::beacon make_identity() const;
+    [[nodiscard]] sharing::beacon make_beacon(bool with_counts);
+    void send(const sharing::beacon& b, const std::vector<net::address>& to);
+    void send_due();
+    void tell_elsewhere(sharing::beacon b, bool general);
     void schedule_beacon();
     void on_datagram(std::string_view bytes);
     void register_self();
@@ -61,12 +77,14 @@
     fleet_link_hooks hooks_;
     std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
+    std::uint64_t general_messages_ = 0;
     sharing::peer_table peers_;
     net::datagram_socket socket_;
     http::async_client client_;
     net::timer_id beacon_timer_ = net::timer_id::none;
     net::timer_id list_timer_ = net::timer_id::none;
-    base::time_point next_to_all_;
+    base::time_point next_elsewhere_;
+    base::time_point next_speech_;
     bool registered_ = false;
 };
 
--- a/apps/daemon/src/main.cpp
+++ b/apps/daemon/src/main.cpp
@@ -80,7 +80,7 @@
         std::signal(SIGTERM, [](int) { daemon_app::edge_daemon::request_stop(); });
         std::signal(SIGINT, [](int) { daemon_app::edge_daemon::request_stop(); });
         std::signal(SIGHUP, [](int) { daemon_app::edge_daemon::request_reload(); });
-        daemon_app::edge_daemon d{std::move(s)};
+        daemon_app::edge_daemon d{std::move(s), o.settings};
         d.run();
         return exit_code::ok;
     });
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -61,7 +61,7 @@
     el::Configurations conf;
     conf.setToDefault();
     conf.setGlobally(el::ConfigurationType::ToFile, "false");
-    conf.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    conf.setGlobally(el::ConfigurationType::ToStandardOutput, current_sink() ? "false" : "true");
     conf.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
     conf.set(el::Level::Debug, el::ConfigurationType::Enabled, level <= log_level::debug ? "true" : "false");
     conf.set(el::Level::Info, el::ConfigurationType::Enabled, level <= log_level::info ? "true" : "false");
--- a/packages/catalog/include/catalog/service.h
+++ b/packages/catalog/include/catalog/service.h
@@ -20,6 +20,13 @@
     std::int64_t memory_tokens = 0;
     /// Tokens in one event of a stream.
     std::uint32_t tokens_per_event = 1;
+    /// Size of the memory of one token; 0 if servers copy no memory from each other.
+    std::int64_t token_bytes = 0;
+    /// Bytes that the link of one server carries in a millisecond; 0 if unknown.
+    double link_bytes_per_ms = 0;
+
+    /// @return true if a server can copy prompt parts from another one instead of reading them.
+    [[nodiscard]] bool copies() const noexcept { return token_bytes > 0 && link_bytes_per_ms > 0; }
 
     bool operator==(const engine_terms&) const = default;
 };
--- a/packages/proxy/include/proxy/dialect.h
+++ b/packages/proxy/include/proxy/dialect.h
@@ -6,6 +6,7 @@
 #include "base/tier.h"
 #include "base/time.h"
 #include "http/message.h"
+#include "net/address.h"
 #include "scheduling/work.h"
 
 #include <cstddef>
@@ -29,9 +30,6 @@
     std::optional<std::string> last_event;
 };
 
-/// Ranks of requests: the tier of the workspace, then that of the route.
-inline constexpr std::uint8_t urgency_count = base::tier_count * base::tier_count;
-
 /// What a request to a server says besides the caller's own fields.
 struct server_terms {
     /// The server refuses the request if it is another one.
@@ -39,11 +37,13 @@
     /// Empty on anonymous routes.
     base::workspace_id workspace;
     base::duration remaining{};
-    /// Rank among the requests of a service; 0 goes first, below `urgency_count`.
+    /// Rank among the requests of a service: the tier of the workspace, then that of the route; 0 goes first.
     std::uint8_t urgency = 0;
     /// The server continues behind this event.
     std::optional<std::string> last_event;
     std::size_t body_bytes = 0;
+    /// Server from which parts of the prompt may be copied.
+    std::optional<net::address> copy_from;
 };
 
 /// What a server's answer says.
--- a/packages/proxy/include/proxy/request_record.h
+++ b/packages/proxy/include/proxy/request_record.h
@@ -33,6 +33,14 @@
     std::optional<base::duration> first_output;
     base::duration total{};
     std::uint64_t events = 0;
+    /// Longest time between two events of the stream.
+    base::duration longest_pause{};
+    /// Tokens of the prompt; 0 for plain requests.
+    std::int64_t prompt_tokens = 0;
+    /// Of these, tokens that the server was expected to read.
+    std::int64_t unread_tokens = 0;
+    /// Place of the server among the homes of the prompt's shared part; absent if it is none of them.
+    std::optional<std::size_t> home_rank;
     /// Version of the configuration that decided, 0 if none was known.
     std::uint64_t catalog_version = 0;
     /// Time since the list of servers last changed; absent before the first one.
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -39,6 +40,8 @@
     base::vm_id self;
     base::zone_id zone;
     retry_share retries;
+    /// Requests that may be open at once; further ones are refused. Absent: no limit.
+    std::optional<std::size_t> open_limit;
 };
 
 struct router_hooks {
--- a/packages/proxy/src/core.cpp
+++ b/packages/proxy/src/core.cpp
@@ -137,7 +137,7 @@
         }
         const auto f = it->second;
         if (const auto* s = std::get_if<scheduling::start>(&a)) {
-            f->send(s->server);
+            f->send(*s);
         } else {
             const auto& r = std::get<scheduling::refuse>(a);
             f->refused(r.code, r.retry_after);
--- a/packages/proxy/src/core.h
+++ b/packages/proxy/src/core.h
@@ -49,8 +49,6 @@
     /// Carries out decisions of a scheduler.
     void carry_out(const base::service_id& id, const std::vector<scheduling::action>& actions);
 
-    void add(const std::shared_ptr<flow>& f, scheduling::ticket id);
-    void detach(http::server_session& session);
     /// The flow has ended.
     void remove(scheduling::ticket id, http::server_session* session);
 
--- a/packages/proxy/src/flow.cpp
+++ b/packages/proxy/src/flow.cpp
@@ -35,9 +35,14 @@
 /// Retry-After while this daemon knows no configuration: it has one within a second of the store's return.
 constexpr base::duration not_ready_retry = 1s;
 
+/// Retry-After while this daemon has as many open requests as it can keep; most of them end within it.
+constexpr base::duration overloaded_retry = 500ms;
+
 /// Retry-After while this daemon stops: another one takes the next try at once.
 constexpr base::duration stopping_retry = 100ms;
 
+constexpr int status_unauthorized = 401;
+constexpr int status_not_found = 404;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
@@ -73,9 +78,14 @@
         return;
     }
     record_.catalog_version = catalog_->version;
+    if (core_.options.open_limit && core_.flows.size() > *core_.options.open_limit) {
+        retry_after_ = overloaded_retry;
+        end(status_unavailable, result_code::queue_full);
+        return;
+    }
     route_ = catalog_->find_route(terms_.host, request_.head.target);
     if (route_ == nullptr) {
-        fail_early(404, result_code::route_unknown);
+        end(status_not_found, result_code::route_unknown);
         return;
     }
     record_.route = route_->name;
@@ -83,7 +93,8 @@
     if (catalog_->keys_required && !route_->anonymous) {
         const auto* w = catalog_->find_workspace(terms_.key);
         if (w == nullptr) {
-            fail_early(401, terms_.key.empty() ? result_code::key_missing : result_code::key_unknown);
+            end(status_unauthorized,
+                terms_.key.empty() ? result_code::key_missing : result_code::key_unknown);
             return;
         }
         workspace_ = w->id;
@@ -100,10 +111,6 @@
     submit();
 }
 
-void flow::fail_early(int status, result_code code) {
-    end(status, code);
-}
-
 void flow::set_limits() {
     const auto allowed = std::min(route_->timeout, terms_.deadline.value_or(route_->timeout));
     ends_at_ = arrived_ + allowed;
@@ -135,6 +142,7 @@
                        .target_at = arrived_ + route_->target,
                        .deadline = ends_at_};
     if (w.terms) {
+        record_.prompt_tokens = w.terms->prompt_tokens;
         w.terms->pause = route_->target_gap;
     }
     core_.carry_out(service_, s.scheduler->submit(std::move(w), core_.loop.now()));
@@ -157,7 +165,8 @@
     return route_->repeatable() ? longest_idle_repeatable : longest_idle_unrepeatable;
 }
 
-void flow::send(const catalog::backend_server& server) {
+void flow::send(const scheduling::start& decision) {
+    const auto& server = decision.server;
     const auto self = shared_from_this();
     if (remaining() <= 0ms) {
         core_.carry_out(service_,
@@ -172,6 +181,8 @@
     attempt_ = ledger_->start(now);
     record_.attempts = ledger_->attempts();
     record_.server = server.id;
+    record_.unread_tokens = decision.unread_tokens;
+    record_.home_rank = decision.home_rank;
     events_.restart();
     body_.clear();
     answer_is_stream_ = false;
@@ -186,7 +197,8 @@
                    .remaining = remaining(),
                    .urgency = urgency(),
                    .last_event = events_.last_id() ? events_.last_id() : terms_.last_event,
-                   .body_bytes = request_.body.size()};
+                   .body_bytes = request_.body.size(),
+                   .copy_from = decision.copy_from};
     const auto message = http::serialize(core_.words.to_server(request_.head, t)) + request_.body;
     arm_attempt_timer();
     connection_->start(
@@ -244,6 +256,7 @@
 void flow::note_pause() {
     const auto now = base::boot_clock::now();
     const auto last = std::exchange(last_event_at_, now);
+    record_.longest_pause = std::max(record_.longest_pause, last ? now - *last : base::duration{});
     if (last && route_->target_gap && now - *last > *route_->target_gap) {
         scheduler().paused_too_long(ticket_, now);
     }
--- a/packages/proxy/src/flow.h
+++ b/packages/proxy/src/flow.h
@@ -36,14 +36,13 @@
     /// Finds route, workspace and service and asks the scheduler for a server.
     void begin();
     /// The scheduler chose a server.
-    void send(const catalog::backend_server& server);
+    void send(const scheduling::start& decision);
     /// The scheduler refused the request.
     void refused(base::result_code code, base::duration retry_after);
     void caller_gone();
     void caller_drained();
 
 private:
-    void fail_early(int status, base::result_code code);
     void submit();
     void set_limits();
     [[nodiscard]] std::uint8_t urgency() const;
--- a/packages/scheduling/include/scheduling/action.h
+++ b/packages/scheduling/include/scheduling/action.h
@@ -5,8 +5,12 @@
 #include "base/result_code.h"
 #include "base/time.h"
 #include "catalog/backend_server.h"
+#include "net/address.h"
 #include "scheduling/work.h"
 
+#include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <variant>
 
 namespace chicorygap::scheduling {
@@ -15,6 +19,12 @@
 struct start {
     ticket id = ticket::none;
     catalog::backend_server server;
+    /// Server from which it copies prompt parts that it does not keep.
+    std::optional<net::address> copy_from;
+    /// Prompt tokens that the server is expected to read.
+    std::int64_t unread_tokens = 0;
+    /// Place of the server among the homes of the prompt's shared part, from 0; absent if it is none of them.
+    std::optional<std::size_t> home_rank;
 };
 
 /// Refuse the request; the scheduler has forgotten it.
--- a/packages/scheduling/include/scheduling/load.h
+++ b/packages/scheduling/include/scheduling/load.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/id.h"
+#include "base/time.h"
 
 #include <cstdint>
 #include <vector>
@@ -17,6 +18,8 @@
     std::int64_t memory_tokens = 0;
     /// Prompt tokens that the server has yet to read.
     std::int64_t unread_tokens = 0;
+    /// Prompt tokens that the server lately had to read for the sender's requests, per second.
+    std::uint32_t prompt_tokens_per_s = 0;
 
     bool operator==(const server_load&) const = default;
 };
@@ -26,10 +29,25 @@
     std::vector<server_load> servers;
     /// Requests that wait for a server.
     std::uint32_t waiting = 0;
-    /// Prompt tokens that servers had to read for this daemon's requests, per second.
-    std::uint32_t prompt_tokens_per_s = 0;
+    /// Running generations with short prompts, whose streams the reading of long ones interrupts.
+    std::uint32_t streams = 0;
+    /// Prompt tokens that servers read in a millisecond, as the sender measured it; 0 if it did not.
+    float tokens_per_ms = 0;
+    /// The sender saw streams that were late for pauses; long prompts are to be kept apart.
+    bool late_pauses = false;
+
+    /// @return prompt tokens a second on all servers.
+    [[nodiscard]] double prompt_tokens_per_s() const;
 
     bool operator==(const load_report&) const = default;
 };
 
+/// @param age time since a queue of prompts was seen.
+/// @return part of the queue that is still there: prompts are read within some hundred milliseconds.
+double queue_freshness(base::duration age);
+
+/// Adds a report to a sum over several daemons.
+/// @param age time since the report was made; its queues count less.
+void add_load(load_report& sum, const load_report& r, base::duration age);
+
 }  // namespace chicorygap::scheduling
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -3,8 +3,11 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <limits>
 #include <map>
+#include <utility>
 
 namespace chicorygap::scheduling {
 
@@ -19,28 +22,71 @@
 constexpr double running_ms = 0.5;
 /// Weight of the load of a plain server against other costs, per slot in use.
 constexpr double plain_slot_ms = 4;
-/// Share of a prompt that the preferred server is expected to keep although this daemon did not send it
-/// there: the others choose the same server for it.
-constexpr double preferred_share = 0.6;
-/// Cost of a server of the other part: a long prompt beside streams, or a stream beside long prompts.
-constexpr double other_part_ms = 60;
+/// Cost of a server of the other part: a long prompt beside streams, or a stream beside long prompts. The
+/// pause that follows makes a stream late, which weighs as much as a late first token.
+constexpr double other_part_ms = 400;
+/// Cost for a stream of a server that is among the next to read long prompts when there are more of them.
+constexpr double border_ms = 4;
 /// Random part of the cost for each other daemon: about the time of the prompts that one of them adds between
-/// two reports.
+/// two reports; at most about the cost of a full server.
 constexpr double spread_per_peer_ms = 0.25;
+constexpr double most_spread_ms = 8;
 /// One place is left for so many other daemons, up to this part of a server's slots.
 constexpr std::size_t peers_per_place = 20;
 constexpr std::uint32_t most_unseen_part = 4;
 /// Cost of a request on a server that may be taken away, when the request could not go on elsewhere.
 constexpr double reclaimable_ms = 15;
+/// Expected presence of a shared part on its home and the home's successors.
+constexpr std::array<double, 3> home_presence{1.0, 0.5, 0.25};
+/// Cost of a shared token that is read once more than needed, relative to the time of reading it: the copy
+/// takes memory from other parts, which are read again later.
+constexpr double repeated_read_weight = 1;
+/// Time to set up a copy between two servers.
+constexpr double copy_setup_ms = 4;
+/// Cost of a copy beyond its time: it takes memory of a second server from parts that are read again later,
+/// and the home may have lost the part.
+constexpr double copy_ms = 60;
+/// A server that is listed for this long has read the parts whose home it is.
+constexpr base::duration settled_time = std::chrono::seconds{8};
+/// With fewer measurements a server counts as fast as the others.
+constexpr int least_speed_samples = 4;
+/// A server counts as at most so busy, so that the expected wait stays finite.
+constexpr double most_utilisation = 0.95;
+/// Cost of a server that reads prompts all the time for a stream whose pauses are bounded.
+constexpr double interruption_ms = 100;
+
+/// Servers that are expected to keep the shared part of a prompt.
+struct homes {
+    /// The home and its successors, null where there are fewer servers.
+    std::array<const server_state*, home_presence.size()> ranked{};
+    /// The home among the servers that had time to read the part; null if there is none.
+    const server_state* settled = nullptr;
+
+    [[nodiscard]] std::optional<std::size_t> rank(const server_state& s) const {
+        const auto it = std::find(ranked.begin(), ranked.end(), &s);
+        return it == ranked.end() ? std::nullopt
+                                  : std::optional{static_cast<std::size_t>(it - ranked.begin())};
+    }
+};
 
 /// Part that decides where a prompt is kept: the last one that other requests may share.
 std::uint64_t shared_part(const std::vector<prefix_part>& parts) {
     return parts.size() >= 2 ? parts[parts.size() - 2].id : parts.empty() ? 0 : parts.front().id;
 }
 
+/// @return tokens of the parts that other requests may share.
+std::int64_t shared_tokens(const std::vector<prefix_part>& parts) {
+    std::int64_t sum = 0;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        sum += parts[i].tokens;
+    }
+    return sum;
+}
+
 /// The same number for every daemon, so that they prefer the same server without talking.
-std::uint64_t preference(std::uint64_t part, const std::string& server) {
-    return XXH64(server.data(), server.size(), part);
+std::uint64_t preference(std::uint64_t part, const server_state& s) {
+    const std::array<std::uint64_t, 2> key{part, s.id_hash};
+    return XXH64(key.data(), sizeof(key), 0);
 }
 
 /// Places that peers may have taken since they last reported.
@@ -53,31 +99,73 @@
 double spread_ms(const placement_context& c) {
     constexpr std::uint64_t steps = 1024;
     const double part = static_cast<double>(c.random() % steps) / static_cast<double>(steps);
-    return part * spread_per_peer_ms * static_cast<double>(c.peers);
-}
-
-bool is_long(const work& w, const placement_context& c) {
-    return c.long_prompt_tokens > 0 && w.terms && w.terms->prompt_tokens >= c.long_prompt_tokens;
+    return part * std::min(spread_per_peer_ms * static_cast<double>(c.peers), most_spread_ms);
 }
 
 bool reads_long_prompts(const server_state& s, const placement_context& c) {
     return s.position < c.long_prompt_share;
 }
 
-const server_state* preferred_server(const work& w, const std::vector<server_state*>& candidates,
-                                     const placement_context& c) {
+homes homes_of(const work& w, const std::vector<server_state*>& candidates, const placement_context& c,
+               base::time_point now) {
+    homes h;
+    std::array<std::uint64_t, home_presence.size()> values{};
+    std::uint64_t settled_value = 0;
     const auto part = shared_part(w.terms->parts);
-    const server_state* best = nullptr;
-    std::uint64_t most = 0;
     for (const auto* s : candidates) {
         const bool own_part = c.long_prompt_share <= 0 || is_long(w, c) == reads_long_prompts(*s, c);
-        const auto value = preference(part, s->info.id.str());
-        if (own_part && !s->info.draining && (best == nullptr || value > most)) {
-            best = s;
-            most = value;
+        if (!own_part || s->health.ejected(now)) {
+            continue;
+        }
+        auto value = preference(part, *s);
+        // A server that is leaving still has what it read.
+        if (now - s->since >= settled_time && (h.settled == nullptr || value > settled_value)) {
+            h.settled = s;
+            settled_value = value;
+        }
+        const auto* here = s->info.draining ? nullptr : s;
+        for (std::size_t i = 0; i < values.size() && here != nullptr; ++i) {
+            if (h.ranked[i] == nullptr || value > values[i]) {
+                std::swap(h.ranked[i], here);
+                std::swap(values[i], value);
+            }
         }
     }
-    return best;
+    return h;
+}
+
+/// @return the server from which another one may copy the shared part, or null.
+const server_state* source_for(const server_state& s, const homes& h, const placement_context& c) {
+    if (!c.engine || !c.engine->copies()) {
+        return nullptr;
+    }
+    const auto* source = h.settled != nullptr ? h.settled : h.ranked.front();
+    return source == &s ? nullptr : source;
+}
+
+/// @return time to copy the tokens to the server.
+double copy_time_ms(const server_state& s, const server_state& source, std::int64_t tokens,
+                    const placement_context& c) {
+    const auto bytes = static_cast<double>(tokens * c.engine->token_bytes);
+    // Zones are connected by slower links.
+    const double distance = s.info.zone == source.info.zone ? 1 : 2;
+    return copy_setup_ms + distance * bytes / c.engine->link_bytes_per_ms;
+}
+
+/// @return tokens of the prompt that the server is expected to keep.
+std::int64_t kept_tokens(const server_state& s, const work& w, const homes& h) {
+    const auto& parts = w.terms->parts;
+    auto kept = s.cache.cached_tokens(parts);
+    // With two shared parts or more the first one is common: requests of many kinds bring it everywhere.
+    if (parts.size() >= 3) {
+        kept = std::max(kept, parts.front().tokens);
+    }
+    if (const auto rank = h.rank(s)) {
+        const double presence = home_presence[*rank];
+        const double expected = presence * static_cast<double>(shared_tokens(parts));
+        kept = std::max(kept, static_cast<std::int64_t>(expected));
+    }
+    return std::min(kept, w.terms->prompt_tokens);
 }
 
 bool has_place(const server_state& s, const work& w, const placement_context& c) {
@@ -93,7 +181,36 @@
     return s.memory_tokens() + w.terms->memory_tokens() <= memory;
 }
 
-double expected_ms(const server_state& s, const work& w, std::int64_t unread, const placement_context& c) {
+/// @return time until the server begins to read a new prompt.
+double expected_wait_ms(const server_state& s, double utilisation, double speed, const placement_context& c) {
+    const double seen = static_cast<double>(s.unread_tokens()) / speed;
+    const double unseen = s.unseen_tokens_per_s / (speed * 1000);
+    return seen + c.tokens_per_prompt / speed * unseen / (1 - utilisation);
+}
+
+/// What a server has to do for a prompt before its first token.
+struct preparation {
+    std::int64_t unread_tokens = 0;    ///< to be read
+    std::int64_t repeated_tokens = 0;  ///< of these, kept by another server
+    std::int64_t copied_tokens = 0;
+    const server_state* source = nullptr;
+};
+
+preparation prepare(const server_state& s, const work& w, const homes& h, const placement_context& c) {
+    const auto kept = kept_tokens(s, w, h);
+    preparation p{.unread_tokens = w.terms->prompt_tokens - kept, .source = source_for(s, h, c)};
+    const auto missing = std::max<std::int64_t>(0, shared_tokens(w.terms->parts) - kept);
+    if (p.source != nullptr) {
+        p.copied_tokens = missing;
+        p.unread_tokens -= missing;
+    } else {
+        p.repeated_tokens = missing;
+    }
+    return p;
+}
+
+double expected_ms(const server_state& s, const work& w, const preparation& p, const placement_context& c,
+                   base::time_point now) {
     double ms = (s.info.zone == c.zone ? 0 : other_zone_ms) + spread_ms(c);
     if (!w.terms) {
         return ms + plain_slot_ms * s.running();
@@ -101,8 +218,16 @@
     if (c.long_prompt_share > 0 && is_long(w, c) != reads_long_prompts(s, c)) {
         ms += other_part_ms;
     }
-    const double speed = s.tokens_per_ms > 0 ? s.tokens_per_ms : c.tokens_per_ms;
-    ms += static_cast<double>(s.unread_tokens() + unread) / speed;
+    ms += c.long_prompt_share > 0 && !is_long(w, c) ? border_ms * (1 - s.position) : 0;
+    const double speed =
+        s.tokens_per_ms.samples() >= least_speed_samples ? s.tokens_per_ms.value() : c.tokens_per_ms;
+    const double utilisation = std::min(s.prompt_tokens_per_s(now) / (speed * 1000), most_utilisation);
+    ms += expected_wait_ms(s, utilisation, speed, c);
+    ms += (static_cast<double>(p.unread_tokens) +
+           repeated_read_weight * static_cast<double>(p.repeated_tokens)) /
+          speed;
+    ms += p.copied_tokens > 0 ? copy_ms + copy_time_ms(s, *p.source, p.copied_tokens, c) : 0;
+    ms += w.terms->pause && !is_long(w, c) ? interruption_ms * utilisation * utilisation : 0;
     ms += running_ms * s.running();
     ms += s.info.reclaimable && !w.repeatable ? reclaimable_ms : 0;
     return ms;
@@ -110,6 +235,10 @@
 
 }  // namespace
 
+bool is_long(const work& w, const placement_context& c) {
+    return c.long_prompt_tokens > 0 && w.terms && w.terms->prompt_tokens >= c.long_prompt_tokens;
+}
+
 void assign_positions(const std::vector<server_state*>& servers) {
     std::map<base::zone_id, std::vector<server_state*>> by_zone;
     for (auto* s : servers) {
@@ -118,9 +247,8 @@
         }
     }
     for (auto& [zone, list] : by_zone) {
-        std::sort(list.begin(), list.end(), [](const auto* a, const auto* b) {
-            return preference(0, a->info.id.str()) < preference(0, b->info.id.str());
-        });
+        std::sort(list.begin(), list.end(),
+                  [](const auto* a, const auto* b) { return preference(0, *a) < preference(0, *b); });
         for (std::size_t i = 0; i < list.size(); ++i) {
             list[i]->position = (static_cast<double>(i) + 0.5) / static_cast<double>(list.size());
         }
@@ -129,26 +257,18 @@
 
 std::optional<placement> choose_server(const work& w, const std::vector<server_state*>& candidates,
                                        const placement_context& c, base::time_point now) {
-    const auto* preferred = w.terms ? preferred_server(w, candidates, c) : nullptr;
+    const auto h = w.terms ? homes_of(w, candidates, c, now) : homes{};
     std::optional<placement> best;
     double best_ms = std::numeric_limits<double>::infinity();
     for (auto* s : candidates) {
         if (s->info.draining || s->health.ejected(now) || !has_place(*s, w, c)) {
             continue;
         }
-        std::int64_t unread = 0;
-        if (w.terms) {
-            auto kept = s->cache.cached_tokens(w.terms->parts);
-            if (s == preferred) {
-                const auto likely = preferred_share * static_cast<double>(w.terms->prompt_tokens);
-                kept = std::max(kept, static_cast<std::int64_t>(likely));
-            }
-            unread = std::max<std::int64_t>(0, w.terms->prompt_tokens - kept);
-        }
-        const double ms = expected_ms(*s, w, unread, c);
+        const auto p = w.terms ? prepare(*s, w, h, c) : preparation{};
+        const double ms = expected_ms(*s, w, p, c, now);
         if (ms < best_ms) {
             best_ms = ms;
-            best = placement{s, unread};
+            best = placement{s, p.unread_tokens, p.source, h.rank(*s)};
         }
     }
     return best;
--- a/packages/scheduling/src/reading_speed.h
+++ b/packages/scheduling/src/reading_speed.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "leaning_average.h"
 
 #include <cstdint>
 
@@ -21,14 +22,12 @@
     double observe(std::int64_t unread, base::duration taken);
 
     /// @return tokens a millisecond over all servers, 0 until a long prompt was seen.
-    [[nodiscard]] double tokens_per_ms() const noexcept { return tokens_per_ms_; }
-
-    /// Mixes a new observation into an average; the first one is taken as it is.
-    static void mix(double& average, double seen);
+    [[nodiscard]] double tokens_per_ms() const noexcept { return tokens_per_ms_.value(); }
 
 private:
-    double tokens_per_ms_ = 0;
-    double first_token_ms_ = 0;  ///< time of a first token beside reading, 0 until one was seen
+    leaning_average tokens_per_ms_{leaning_average::side::high};
+    /// Time of a first token beside reading.
+    leaning_average first_token_ms_{leaning_average::side::low};
 };
 
 }  // namespace chicorygap::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -6,9 +6,13 @@
 #include "server_state.h"
 #include "wait_queue.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <deque>
+#include <numeric>
 #include <unordered_map>
 #include <utility>
 
@@ -32,11 +36,11 @@
 /// A prompt that takes this part of the shortest pause to read is long: a few of them in a row between two
 /// events make the streams beside them late.
 constexpr double pause_share_reading = 0.25;
-/// Servers for long prompts read for this part of the time.
-constexpr double long_prompt_utilisation = 0.5;
-/// Bounds of their part of the servers.
-constexpr double least_share = 0.25;
-constexpr double most_share = 0.75;
+/// Part of their slots that servers for streams use: the next burst must fit before the share follows it.
+constexpr double stream_utilisation = 0.5;
+/// Bounds of their part of the servers. The others keep the shared parts of long prompts, which need memory.
+constexpr double least_stream_share = 0.15;
+constexpr double most_stream_share = 0.6;
 /// Bounds of the time after which a refused caller is told to return.
 constexpr base::duration shortest_retry = 250ms;
 constexpr base::duration longest_retry = 3s;
@@ -44,6 +48,12 @@
 constexpr double retry_spread = 0.5;
 /// Waiting requests that are looked at for one free place; a large request must not block small ones.
 constexpr int lookahead = 8;
+/// Share of a new prompt in the usual number of tokens that a request adds to a queue.
+constexpr double new_prompt_share = 0.05;
+/// Servers of the first list were there before this daemon.
+constexpr base::duration settled_at_start = 1h;
+/// Prompt tokens a second below which a server is left out of a report.
+constexpr double least_rate = 50;
 
 double to_ms(base::duration d) {
     return std::chrono::duration<double, std::milli>{d}.count();
@@ -63,6 +73,7 @@
         base::time_point started;
         std::vector<base::backend_server_id> tried;
         bool answered = false;  ///< the attempt's answer has begun
+        bool stream = false;    ///< counted as a generation with a short prompt
         bool paused = false;    ///< counted as a stream with a pause that is too long
     };
 
@@ -76,12 +87,15 @@
     }
 
     void set_servers(const std::vector<catalog::backend_server>& list, base::time_point now) {
+        const bool first_list = servers_.empty();
         for (const auto& info : list) {
             auto& s = servers_[info.id];
             if (!s || s->info.incarnation != info.incarnation) {
                 retire(s);
                 s = std::make_unique<server_state>();
                 s->cache.set_capacity(engine_ ? engine_->memory_tokens : 0);
+                s->since = first_list ? now - settled_at_start : now;
+                s->id_hash = XXH64(info.id.str().data(), info.id.str().size(), 0);
             }
             s->info = info;
         }
@@ -105,7 +119,7 @@
 
     void set_peer_load(const base::vm_id& peer, const load_report& r, base::time_point valid_until,
                        base::time_point now) {
-        peers_[peer] = {r, valid_until};
+        peers_[peer] = {r, now, valid_until};
         sum_peers(now);
         start_waiting(now);
     }
@@ -153,6 +167,9 @@
             return;
         }
         auto& e = it->second;
+        if (e.w.terms && e.w.terms->pause) {
+            pauses_.note_stream(now);
+        }
         learn_speed(e, now);
         e.server->own.unread_tokens -= std::exchange(e.unread, 0);
     }
@@ -190,19 +207,23 @@
     [[nodiscard]] load_report own_load(base::time_point now) const {
         load_report r;
         for (const auto* s : usable_) {
-            if (s->own.running > 0) {
+            const double rate = s->reading.per_second(now);
+            if (s->own.running > 0 || rate >= least_rate) {
                 r.servers.push_back(s->own);
                 r.servers.back().server = s->info.id;
+                r.servers.back().prompt_tokens_per_s = static_cast<std::uint32_t>(rate);
             }
         }
         r.waiting = static_cast<std::uint32_t>(queue_.size());
-        r.prompt_tokens_per_s = static_cast<std::uint32_t>(own_tokens_per_s(now));
+        r.streams = own_streams_;
+        r.tokens_per_ms = static_cast<float>(speed_.tokens_per_ms());
+        r.late_pauses = pauses_.late(now);
         return r;
     }
 
     [[nodiscard]] scheduler_status status(base::time_point now) const {
         scheduler_status st;
-        st.tokens_per_ms = speed_.tokens_per_ms();
+        st.tokens_per_ms = fleet_speed_;
         st.prompt_tokens_per_s = fleet_tokens_per_s(now);
         st.servers = usable_.size();
         st.waiting = queue_.size();
@@ -222,14 +243,10 @@
 private:
     struct peer_report {
         load_report load;
+        base::time_point heard;
         base::time_point valid_until;
     };
 
-    struct start_record {
-        base::time_point at;
-        std::int64_t unread_tokens = 0;
-    };
-
     /// Attempts on a server that is gone end by themselves; they must not touch its state.
     void retire(std::unique_ptr<server_state>& s) {
         if (!s) {
@@ -238,6 +255,7 @@
         for (auto& [id, e] : entries_) {
             if (e.server == s.get()) {
                 e.server = nullptr;
+                own_streams_ -= std::exchange(e.stream, false) ? 1 : 0;
             }
         }
     }
@@ -246,19 +264,48 @@
         std::erase_if(peers_, [&](const auto& p) { return now > p.second.valid_until; });
         for (auto* s : usable_) {
             s->peers = {};
+            s->unseen_tokens_per_s = 0;
         }
+        agree_on_speed();
+        peers_late_ = false;
         for (const auto& [peer, report] : peers_) {
+            peers_late_ = peers_late_ || report.load.late_pauses;
+            const double fresh = queue_freshness(now - report.heard);
             for (const auto& l : report.load.servers) {
                 const auto it = servers_.find(l.server);
                 if (it != servers_.end()) {
-                    it->second->peers.running += l.running;
-                    it->second->peers.memory_tokens += l.memory_tokens;
-                    it->second->peers.unread_tokens += l.unread_tokens;
+                    add_peer_load(*it->second, l, fresh);
                 }
             }
         }
     }
 
+    /// The median of what all daemons measured: in a large fleet each of them sees few first tokens of a
+    /// server.
+    void agree_on_speed() {
+        std::vector<double> speeds;
+        if (speed_.tokens_per_ms() > 0) {
+            speeds.push_back(speed_.tokens_per_ms());
+        }
+        for (const auto& [peer, report] : peers_) {
+            if (report.load.tokens_per_ms > 0) {
+                speeds.push_back(report.load.tokens_per_ms);
+            }
+        }
+        const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+        std::nth_element(speeds.begin(), middle, speeds.end());
+        fleet_speed_ = speeds.empty() ? 0 : *middle;
+    }
+
+    /// @param fresh part of the reported queue that is still there.
+    static void add_peer_load(server_state& s, const server_load& l, double fresh) {
+        s.peers.running += l.running;
+        s.peers.memory_tokens += l.memory_tokens;
+        s.peers.unread_tokens += static_cast<std::int64_t>(fresh * static_cast<double>(l.unread_tokens));
+        s.peers.prompt_tokens_per_s += l.prompt_tokens_per_s;
+        s.unseen_tokens_per_s += (1 - fresh) * l.prompt_tokens_per_s;
+    }
+
     /// Share over all requests, so that a server with few of them counts little.
     [[nodiscard]] double usual_failures() const {
         double failures = 0;
@@ -271,29 +318,35 @@
     }
 
     [[nodiscard]] placement_context context(base::time_point now) {
-        placement_context c{
-            .zone = options_.zone,
-            .engine = engine_,
-            .tokens_per_ms = speed_.tokens_per_ms() > 0 ? speed_.tokens_per_ms() : initial_tokens_per_ms,
-            .peers = peers_.size(),
-            .random = random_};
-        if (const auto pause = pauses_.pause_to_keep(now)) {
+        placement_context c{.zone = options_.zone,
+                            .engine = engine_,
+                            .tokens_per_ms = fleet_speed_ > 0 ? fleet_speed_ : initial_tokens_per_ms,
+                            .tokens_per_prompt = tokens_per_prompt_,
+                            .peers = peers_.size(),
+                            .random = random_};
+        if (const auto pause = pauses_.pause_to_keep(peers_late_, now)) {
             c.long_prompt_tokens =
                 static_cast<std::int64_t>(c.tokens_per_ms * to_ms(*pause) * pause_share_reading);
-            const double capacity =
-                c.tokens_per_ms * 1000 * long_prompt_utilisation * static_cast<double>(usable_.size());
-            c.long_prompt_share =
-                capacity > 0 ? std::clamp(fleet_tokens_per_s(now) / capacity, least_share, most_share) : 0;
+            c.long_prompt_share = 1 - stream_share();
         }
         return c;
     }
 
-    [[nodiscard]] double fleet_tokens_per_s(base::time_point now) const {
-        double tokens = own_tokens_per_s(now);
+    /// @return part of the servers that is kept for streams which long prompts would interrupt.
+    [[nodiscard]] double stream_share() const {
+        const auto slots = engine_ ? engine_->slots : 1;
+        std::uint32_t streams = own_streams_;
         for (const auto& [peer, report] : peers_) {
-            tokens += report.load.prompt_tokens_per_s;
+            streams += report.load.streams;
         }
-        return tokens;
+        const double places = slots * stream_utilisation * static_cast<double>(usable_.size());
+        return std::clamp(places > 0 ? streams / places : 0, least_stream_share, most_stream_share);
+    }
+
+    [[nodiscard]] double fleet_tokens_per_s(base::time_point now) const {
+        return std::accumulate(usable_.begin(), usable_.end(), 0.0, [now](double sum, const auto* s) {
+            return sum + s->prompt_tokens_per_s(now);
+        });
     }
 
     std::optional<placement> place(const entry& e, base::time_point now) {
@@ -321,16 +374,27 @@
         e.unread = p->unread_tokens;
         e.started = now;
         e.answered = false;
+        e.stream = e.w.terms && !is_long(e.w, context(now));
+        own_streams_ += e.stream ? 1 : 0;
         auto& own = p->server->own;
         own.running++;
         if (e.w.terms) {
             own.memory_tokens += e.w.terms->memory_tokens();
             own.unread_tokens += e.unread;
+            const auto unread = static_cast<double>(e.unread);
+            p->server->reading.add(unread, now);
+            tokens_per_prompt_ += new_prompt_share * (unread - tokens_per_prompt_);
             p->server->cache.insert(e.w.terms->parts);
         }
-        starts_.push_back({now, e.unread});
+        starts_.push_back(now);
         drop_old_starts(now);
-        actions_.emplace_back(start{e.w.id, p->server->info});
+        start decision{.id = e.w.id, .server = p->server->info};
+        decision.unread_tokens = p->unread_tokens;
+        decision.home_rank = p->home_rank;
+        if (p->source != nullptr) {
+            decision.copy_from = p->source->info.address;
+        }
+        actions_.emplace_back(std::move(decision));
         return true;
     }
 
@@ -340,6 +404,7 @@
             return;
         }
         s->own.running--;
+        own_streams_ -= std::exchange(e.stream, false) ? 1 : 0;
         if (e.w.terms) {
             s->own.memory_tokens -= e.w.terms->memory_tokens();
             s->own.unread_tokens -= std::exchange(e.unread, 0);
@@ -394,19 +459,11 @@
     }
 
     void drop_old_starts(base::time_point now) {
-        while (!starts_.empty() && now - starts_.front().at > rate_window) {
+        while (!starts_.empty() && now - starts_.front() > rate_window) {
             starts_.pop_front();
         }
     }
 
-    [[nodiscard]] double own_tokens_per_s(base::time_point now) const {
-        double tokens = 0;
-        for (const auto& s : starts_) {
-            tokens += now - s.at <= rate_window ? static_cast<double>(s.unread_tokens) : 0;
-        }
-        return tokens / std::chrono::duration<double>{rate_window}.count();
-    }
-
     void refuse_entry(entry& e, result_code code, base::time_point now) {
         const auto wait = expected_wait(e.w.urgency, now);
         const double spread =
@@ -423,7 +480,8 @@
             return;  // other prompts were read at the same time
         }
         if (const double seen = speed_.observe(e.unread, now - e.started); seen > 0) {
-            reading_speed::mix(e.server->tokens_per_ms, seen);
+            e.server->tokens_per_ms.add(seen);
+            agree_on_speed();
         }
     }
 
@@ -435,9 +493,13 @@
     std::unordered_map<base::vm_id, peer_report> peers_;
     std::unordered_map<ticket, entry> entries_;
     wait_queue queue_;
-    std::deque<start_record> starts_;
+    std::deque<base::time_point> starts_;
     pause_watch pauses_;
     reading_speed speed_;
+    std::uint32_t own_streams_ = 0;
+    double fleet_speed_ = 0;
+    double tokens_per_prompt_ = 0;
+    bool peers_late_ = false;  ///< a peer says that streams were late for pauses
     std::vector<action> actions_;
 };
 
--- a/packages/scheduling/src/server_state.h
+++ b/packages/scheduling/src/server_state.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "catalog/backend_server.h"
+#include "decaying_rate.h"
+#include "leaning_average.h"
 #include "prefix_cache.h"
 #include "scheduling/load.h"
 #include "server_health.h"
@@ -15,13 +17,21 @@
 struct server_state {
     catalog::backend_server info;
     server_load own;
-    server_load peers;  ///< sum over all peers
+    /// Sum over all peers. Their unread tokens count less the older the report is.
+    server_load peers;
+    /// Prompt tokens a second that peers send beyond what their unread tokens show.
+    double unseen_tokens_per_s = 0;
+    decaying_rate reading;  ///< prompt tokens that it had to read for this daemon
+    /// It is in the list since then.
+    base::time_point since;
+    /// Hash of its id, for orders of servers that all daemons share.
+    std::uint64_t id_hash = 0;
     prefix_cache cache;
     server_health health;
     /// Position from 0 to 1 among the servers of its zone, in an order that all daemons share.
     double position = 0;
-    /// Prompt tokens that it reads in a millisecond, learned from first tokens; 0 until one was seen.
-    double tokens_per_ms = 0;
+    /// Prompt tokens that it reads in a millisecond, learned from first tokens.
+    leaning_average tokens_per_ms{leaning_average::side::high};
 
     [[nodiscard]] std::uint32_t running() const noexcept { return own.running + peers.running; }
     [[nodiscard]] std::int64_t memory_tokens() const noexcept {
@@ -30,6 +40,10 @@
     [[nodiscard]] std::int64_t unread_tokens() const noexcept {
         return own.unread_tokens + peers.unread_tokens;
     }
+    /// @return prompt tokens a second that all daemons send it.
+    [[nodiscard]] double prompt_tokens_per_s(base::time_point now) const {
+        return reading.per_second(now) + peers.prompt_tokens_per_s;
+    }
 };
 
 }  // namespace chicorygap::scheduling
--- a/packages/settings/include/settings/edge_settings.h
+++ b/packages/settings/include/settings/edge_settings.h
@@ -46,6 +46,7 @@
     std::vector<net::address> seeds;  ///< operator addresses of other daemons; may be stale
     net::address store;
     std::optional<net::address> orders;  ///< usage reports and server orders; absent if there are none
+    double processor_share = 1;          ///< part of a core that this VM has
     std::size_t memory_bytes = 0;
     std::size_t descriptors = 0;
     base::duration stop_time{};   ///< from SIGTERM until the process is killed
--- a/packages/settings/src/edge_parser.cpp
+++ b/packages/settings/src/edge_parser.cpp
@@ -76,6 +76,7 @@
 }
 
 void read_limits(section_reader& r, edge_settings& s) {
+    s.processor_share = r.real("processor_share", {0.01, 1024}, 1);
     s.memory_bytes = r.number("memory_mib", {16, 1'048'576}) * bytes_per_mib;
     s.descriptors = r.number("descriptors", {64, 10'000'000});
 }
--- /dev/null
+++ b/packages/settings/tests/edge_settings_test.cpp
@@ -0,0 +1,99 @@
+#include "settings/edge_settings.h"
+
+#include "base/error.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+namespace chicorygap::settings {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string sample = R"([daemon]
+vm = edge-1
+zone = a
+[listen]
+callers = 10.1.0.2:8740
+readiness = 10.1.0.2:8749
+operators = 10.1.0.2:8748
+peers = 10.1.0.2:7200
+[fleet]
+seeds = 10.1.0.3:8748,10.1.0.4:8748
+[platform]
+store = 10.2.0.1:8742
+orders = 10.2.0.2:8742
+[limits]
+processor_share = 0.25
+memory_mib = 110
+descriptors = 4100
+[times]
+stop_seconds = 8
+drain_milliseconds = 2000
+[retries]
+ratio = 0.2
+allowance = 54
+window_seconds = 10
+[duties]
+lease_milliseconds = 3000
+usage_window_seconds = 5
+usage_due_seconds = 10
+calls_per_second = 50
+held = usage,autoscale
+)";
+
+std::string with(const std::string& from, const std::string& to) {
+    auto text = sample;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+std::string faults(const std::string& text) {
+    return document::to_string(parse_edge(text, "e.ini").faults);
+}
+
+TEST(edge_settings, every_key_is_read) {
+    const auto r = parse_edge(sample, "e.ini");
+    ASSERT_TRUE(r.settings) << document::to_string(r.faults);
+    const auto& s = *r.settings;
+    EXPECT_EQ(s.vm.str(), "edge-1");
+    EXPECT_EQ(net::to_string(s.readiness), "10.1.0.2:8749");
+    EXPECT_EQ(s.seeds.size(), 2U);
+    EXPECT_EQ(s.processor_share, 0.25);
+    EXPECT_EQ(s.memory_bytes, std::size_t{110} * 1024 * 1024);
+    EXPECT_EQ(s.drain_time, base::duration{2s});
+    EXPECT_EQ(s.retries.window, base::duration{10s});
+    EXPECT_EQ(s.duties.lease_length, base::duration{3s});
+    EXPECT_TRUE(s.orders_servers);
+    EXPECT_TRUE(s.reports_usage);
+}
+
+// A deployment without duties names no address and no holder.
+TEST(edge_settings, duties_may_be_absent) {
+    const auto r = parse_edge(with("orders = 10.2.0.2:8742\n", ""), "e.ini");
+    ASSERT_TRUE(r.settings);
+    EXPECT_FALSE(r.settings->orders);
+}
+
+// Guards against a daemon that starts with a value that nobody set.
+TEST(edge_settings, faults_name_line_and_reason) {
+    EXPECT_NE(faults(with("store = 10.2.0.1:8742", "store = store.example:80")).find("IP address and port"),
+              std::string::npos);
+    EXPECT_NE(faults(with("store = 10.2.0.1:8742", "store = 10.2.0.1:0")).find("is not an address"),
+              std::string::npos);
+    EXPECT_NE(faults(with("memory_mib = 110\n", "")).find("memory_mib"), std::string::npos);
+    EXPECT_NE(faults(with("ratio = 0.2", "ratio = much")).find("ratio"), std::string::npos);
+    EXPECT_NE(faults(with("zone = a", "colour = red")).find("colour: unknown key"), std::string::npos);
+    EXPECT_NE(faults(with("processor_share = 0.25", "processor_share = 0")).find("processor_share"),
+              std::string::npos);
+}
+
+TEST(edge_settings, unreadable_file_is_an_error) {
+    EXPECT_THROW(load_edge("/nowhere/edge.ini"), base::error);
+}
+
+}  // namespace
+}  // namespace chicorygap::settings
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -16,6 +16,8 @@
 
 namespace chicorygap::sharing {
 
+using service_loads = std::map<base::service_id, scheduling::load_report>;
+
 /// What a daemon tells its peers several times a second.
 struct beacon {
     base::vm_id vm;
@@ -32,7 +34,12 @@
     bool stopping = false;
     /// Fencing token of the lease that the sender holds; 0 if it holds none.
     std::uint64_t lease_term = 0;
-    std::map<base::service_id, scheduling::load_report> services;
+    /// Part of a core that the sender's VM has.
+    float processor_share = 1;
+    /// The sender's own loads; only daemons of its zone get them in a large fleet.
+    service_loads services;
+    /// Sums over the daemons of the sender's zone; only from the daemon that speaks for it.
+    service_loads zone_services;
     std::map<metering::window_number, metering::workspace_counts> windows;
 
     bool operator==(const beacon&) const = default;
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -23,6 +23,11 @@
 /// @return a daemon that was not heard for this long is taken for dead: several messages in a row were lost.
 base::duration silent_time(std::size_t daemons);
 
+/// @param daemons size of the fleet.
+/// @return true if daemons of different zones tell each other the sums of their zones instead of their own
+/// loads: what a daemon hears, and what crosses zones, then grows with the zones and not with the fleet.
+bool tells_zone_sums(std::size_t daemons);
+
 /// The other daemons, as they last reported.
 ///
 /// Usage: `if (t.observe(b, wall, now)) { ... }` for each beacon; the questions below need the current time.
@@ -45,6 +50,22 @@
     /// @return addresses of the daemons heard of in a zone.
     [[nodiscard]] std::vector<net::address> addresses_in(const base::zone_id& zone) const;
 
+    /// @return addresses outside a zone, and those of listed daemons that were not heard yet.
+    [[nodiscard]] std::vector<net::address> addresses_elsewhere(const base::zone_id& zone) const;
+
+    /// Daemons of a zone that others rely on are those with the most of a core; all daemons agree on their
+    /// order.
+    /// @param self what this daemon says of itself.
+    /// @return live daemons of its zone that come before it, in order.
+    [[nodiscard]] std::vector<const beacon*> ahead_in_zone(const beacon& self, base::time_point now) const;
+
+    /// @return live daemons of a zone, this one not included.
+    [[nodiscard]] std::size_t live_in_zone(const base::zone_id& zone, base::time_point now) const;
+
+    /// @param self what this daemon says of itself.
+    /// @return loads of its zone, its own included; queues of prompts count less the older they are.
+    [[nodiscard]] service_loads zone_loads(const beacon& self, base::time_point now) const;
+
     /// @return daemons known, this one included, whether alive or not.
     [[nodiscard]] std::size_t known_count() const noexcept { return peers_.size() + 1; }
 
@@ -74,6 +95,7 @@
     };
 
     [[nodiscard]] bool alive(const peer& p, base::time_point now) const;
+    [[nodiscard]] std::vector<const peer*> live_in(const base::zone_id& zone, base::time_point now) const;
 
     base::vm_id self_;
     std::map<base::vm_id, peer> peers_;
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -22,14 +22,22 @@
   leaseTerm @10 :UInt64;
   services @11 :List(ServiceLoad);
   windows @12 :List(WindowCounts);
+  # Part of a core that the sender's VM has.
+  processorShare @13 :Float32;
+  # Sums over the daemons of the sender's zone, from the daemon that speaks for it.
+  zoneServices @14 :List(ServiceLoad);
 }
 
 struct ServiceLoad {
   service @0 :Text;
   waiting @1 :UInt32;
   servers @2 :List(ServerLoad);
-  # Prompt tokens that servers had to read for the sender's requests, per second.
-  promptTokensPerS @3 :UInt32;
+  # The sender saw streams that were late for pauses.
+  latePauses @3 :Bool;
+  # Running generations with short prompts.
+  streams @4 :UInt32;
+  # Prompt tokens that servers read in a millisecond, as the sender measured it; 0 if it did not.
+  tokensPerMs @5 :Float32;
 }
 
 struct ServerLoad {
@@ -37,6 +45,8 @@
   running @1 :UInt32;
   memoryTokens @2 :UInt64;
   unreadTokens @3 :UInt64;
+  # Prompt tokens that the server lately had to read for the sender's requests, per second.
+  promptTokensPerS @4 :UInt32;
 }
 
 # Requests that began to run in one usage window, by workspace.
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -17,14 +17,15 @@
 /// Largest message that is decoded, in words of eight bytes. A datagram cannot hold more when packed well.
 constexpr std::uint64_t most_words = std::uint64_t{64} * 1024;
 
-void write_loads(const beacon& b, wire::Beacon::Builder& out) {
-    auto services = out.initServices(static_cast<unsigned>(b.services.size()));
+void write_loads(const service_loads& loads, capnp::List<wire::ServiceLoad>::Builder services) {
     unsigned i = 0;
-    for (const auto& [id, load] : b.services) {
+    for (const auto& [id, load] : loads) {
         auto service = services[i++];
         service.setService(id.str().c_str());
         service.setWaiting(load.waiting);
-        service.setPromptTokensPerS(load.prompt_tokens_per_s);
+        service.setLatePauses(load.late_pauses);
+        service.setStreams(load.streams);
+        service.setTokensPerMs(load.tokens_per_ms);
         auto servers = service.initServers(static_cast<unsigned>(load.servers.size()));
         unsigned k = 0;
         for (const auto& s : load.servers) {
@@ -33,6 +34,7 @@
             server.setRunning(s.running);
             server.setMemoryTokens(static_cast<std::uint64_t>(std::max<std::int64_t>(0, s.memory_tokens)));
             server.setUnreadTokens(static_cast<std::uint64_t>(std::max<std::int64_t>(0, s.unread_tokens)));
+            server.setPromptTokensPerS(s.prompt_tokens_per_s);
         }
     }
 }
@@ -53,18 +55,23 @@
     }
 }
 
-void read_loads(wire::Beacon::Reader in, beacon& b) {
-    for (const auto service : in.getServices()) {
-        auto& load = b.services[base::service_id{service.getService().cStr()}];
+service_loads read_loads(capnp::List<wire::ServiceLoad>::Reader in) {
+    service_loads out;
+    for (const auto service : in) {
+        auto& load = out[base::service_id{service.getService().cStr()}];
         load.waiting = service.getWaiting();
-        load.prompt_tokens_per_s = service.getPromptTokensPerS();
+        load.late_pauses = service.getLatePauses();
+        load.streams = service.getStreams();
+        load.tokens_per_ms = service.getTokensPerMs();
         for (const auto s : service.getServers()) {
             load.servers.push_back({.server = base::backend_server_id{s.getServer().cStr()},
                                     .running = s.getRunning(),
                                     .memory_tokens = static_cast<std::int64_t>(s.getMemoryTokens()),
-                                    .unread_tokens = static_cast<std::int64_t>(s.getUnreadTokens())});
+                                    .unread_tokens = static_cast<std::int64_t>(s.getUnreadTokens()),
+                                    .prompt_tokens_per_s = s.getPromptTokensPerS()});
         }
     }
+    return out;
 }
 
 void read_windows(wire::Beacon::Reader in, beacon& b) {
@@ -89,7 +96,9 @@
     b.servers_revision = in.getServersRevision();
     b.stopping = in.getStopping();
     b.lease_term = in.getLeaseTerm();
-    read_loads(in, b);
+    b.processor_share = in.getProcessorShare();
+    b.services = read_loads(in.getServices());
+    b.zone_services = read_loads(in.getZoneServices());
     read_windows(in, b);
     return b;
 }
@@ -110,7 +119,9 @@
     out.setServersRevision(b.servers_revision);
     out.setStopping(b.stopping);
     out.setLeaseTerm(b.lease_term);
-    write_loads(b, out);
+    out.setProcessorShare(b.processor_share);
+    write_loads(b.services, out.initServices(static_cast<unsigned>(b.services.size())));
+    write_loads(b.zone_services, out.initZoneServices(static_cast<unsigned>(b.zone_services.size())));
     write_windows(b, out);
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, message);
--- a/packages/sharing/src/peer_table.cpp
+++ b/packages/sharing/src/peer_table.cpp
@@ -15,11 +15,17 @@
 constexpr base::duration longest_interval = 2s;
 /// Time that one message may take up: about seventy a second are a few parts in a thousand of a core.
 constexpr base::duration time_per_message = 15ms;
+/// Up to so many daemons each one hears all others at the shortest interval.
+constexpr std::size_t most_daemons_in_full = 12;
 constexpr int silent_intervals = 5;
 constexpr base::duration silent_margin = 450ms;
 
 }  // namespace
 
+bool tells_zone_sums(std::size_t daemons) {
+    return daemons > most_daemons_in_full;
+}
+
 base::duration beacon_interval(std::size_t daemons) {
     return std::clamp<base::duration>(time_per_message * static_cast<int>(daemons), shortest_interval,
                                       longest_interval);
@@ -78,6 +84,61 @@
     return out;
 }
 
+std::vector<net::address> peer_table::addresses_elsewhere(const base::zone_id& zone) const {
+    std::vector<net::address> out{listed_.begin(), listed_.end()};
+    for (const auto& [vm, p] : peers_) {
+        if (p.last.zone != zone) {
+            out.push_back(p.last.peer_address);
+        }
+    }
+    return out;
+}
+
+std::vector<const peer_table::peer*> peer_table::live_in(const base::zone_id& zone,
+                                                         base::time_point now) const {
+    const auto in_zone = static_cast<std::size_t>(std::count_if(
+        peers_.begin(), peers_.end(), [&](const auto& p) { return p.second.last.zone == zone; }));
+    std::vector<const peer*> out;
+    for (const auto& [vm, p] : peers_) {
+        if (p.last.zone == zone && now - p.heard <= silent_time(in_zone + 1)) {
+            out.push_back(&p);
+        }
+    }
+    return out;
+}
+
+std::vector<const beacon*> peer_table::ahead_in_zone(const beacon& self, base::time_point now) const {
+    const auto before = [](const beacon& a, const beacon& b) {
+        return a.processor_share != b.processor_share ? a.processor_share > b.processor_share : a.vm < b.vm;
+    };
+    std::vector<const beacon*> out;
+    for (const auto* p : live_in(self.zone, now)) {
+        if (!p->last.stopping && before(p->last, self)) {
+            out.push_back(&p->last);
+        }
+    }
+    std::sort(out.begin(), out.end(), [&](const auto* a, const auto* b) { return before(*a, *b); });
+    return out;
+}
+
+std::size_t peer_table::live_in_zone(const base::zone_id& zone, base::time_point now) const {
+    return live_in(zone, now).size();
+}
+
+service_loads peer_table::zone_loads(const beacon& self, base::time_point now) const {
+    auto sum = self.services;
+    for (auto& [id, load] : sum) {
+        std::sort(load.servers.begin(), load.servers.end(),
+                  [](const auto& a, const auto& b) { return a.server < b.server; });
+    }
+    for (const auto* p : live_in(self.zone, now)) {
+        for (const auto& [id, load] : p->last.services) {
+            scheduling::add_load(sum[id], load, now - p->heard);
+        }
+    }
+    return sum;
+}
+
 void peer_table::expire(base::time_point now) {
     std::erase_if(peers_, [&](const auto& p) { return now - p.second.heard > forget_time; });
 }
--- /dev/null
+++ b/testing/soak/src/fault_plan.cpp
@@ -0,0 +1,331 @@
+#include "fault_plan.h"
+
+#include "promises.h"
+#include "site.h"
+#include "standin/configuration.h"
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+namespace chicorygap::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+using standin::link_fault;
+using standin::server_fault;
+using standin::store_fault;
+
+/// Time between two faults and its random part: several faults overlap most of the time.
+constexpr base::duration shortest_gap = 150ms;
+constexpr std::uint64_t gap_spread_ms = 900;
+constexpr base::duration check_interval = 50ms;
+/// A daemon that was told to stop is replaced once it has ended; it ends within its time to stop.
+constexpr base::duration longest_stop = 8s;
+/// A leaving server gets nothing new after the drain time, and some time for its news to arrive.
+constexpr base::duration drain_bound = 3s;
+/// Least number of servers of a service.
+constexpr std::size_t least_servers = 2;
+
+}  // namespace
+
+fault_plan::fault_plan(net::loop& l, site& s, promises& p, base::random_function random)
+    : loop_{l}, site_{s}, promises_{p}, random_{std::move(random)} {}
+
+fault_plan::~fault_plan() {
+    loop_.cancel(draw_timer_);
+    loop_.cancel(check_timer_);
+    for (auto& [number, timer] : timers_) {
+        loop_.cancel(timer);
+    }
+}
+
+void fault_plan::start() {
+    check_timer_ = loop_.every(check_interval, [this] { check_processes(); });
+    draw();
+}
+
+void fault_plan::stop() {
+    stopped_ = true;
+    loop_.cancel(draw_timer_);
+    for (auto& [number, timer] : timers_) {
+        loop_.cancel(timer);
+    }
+    for (const auto& [number, revert] : std::exchange(reverts_, {})) {
+        revert();
+    }
+}
+
+void fault_plan::draw() {
+    static constexpr std::array faults{
+        &fault_plan::kill_daemon,      &fault_plan::kill_daemon,      &fault_plan::pause_daemon,
+        &fault_plan::pause_daemon,     &fault_plan::stop_daemon,      &fault_plan::stop_daemon,
+        &fault_plan::reload_daemon,    &fault_plan::harm_store,       &fault_plan::harm_store,
+        &fault_plan::forget_history,   &fault_plan::harm_store_link,  &fault_plan::harm_store_link,
+        &fault_plan::harm_caller_link, &fault_plan::harm_caller_link, &fault_plan::harm_server,
+        &fault_plan::harm_server,      &fault_plan::harm_server_link, &fault_plan::harm_server_link,
+        &fault_plan::crash_server,     &fault_plan::replace_server,   &fault_plan::change_configuration,
+        &fault_plan::withdraw_key,     &fault_plan::harm_duties,      &fault_plan::kill_all};
+    const auto f = faults[pick(faults.size())];
+    // A kill of all daemons at once is rarer than the other faults.
+    if (f != &fault_plan::kill_all || pick(3) == 0) {
+        (this->*f)();
+    }
+    draw_timer_ =
+        loop_.after(shortest_gap + std::chrono::milliseconds{random_() % gap_spread_ms}, [this] { draw(); });
+}
+
+void fault_plan::note(const std::string& name, const std::string& where) {
+    ++applied_[name];
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now().time_since_epoch()).count();
+    std::cout << ms << " fault " << name << ' ' << where << '\n';
+}
+
+base::duration fault_plan::length(base::duration shortest, base::duration longest) {
+    const auto spread = std::chrono::duration_cast<std::chrono::milliseconds>(longest - shortest).count();
+    return shortest + std::chrono::milliseconds{random_() % static_cast<std::uint64_t>(spread + 1)};
+}
+
+void fault_plan::revert_after(base::duration d, std::function<void()> revert) {
+    const auto number = next_revert_++;
+    reverts_[number] = std::move(revert);
+    timers_[number] = loop_.after(d, [this, number] {
+        timers_.erase(number);
+        const auto it = reverts_.find(number);
+        if (it != reverts_.end()) {
+            const auto f = std::move(it->second);
+            reverts_.erase(it);
+            f();
+        }
+    });
+}
+
+void fault_plan::begin_daemon_fault(std::size_t daemon) {
+    ++site_.daemons()[daemon].faults;
+}
+
+void fault_plan::end_daemon_fault(std::size_t daemon) {
+    --site_.daemons()[daemon].faults;
+    site_.daemons()[daemon].calm_since = loop_.now();
+}
+
+void fault_plan::check_processes() {
+    for (auto& d : site_.daemons()) {
+        if (d.stopping && !d.process->running()) {
+            d.stopping = false;
+            d.calm_since = loop_.now();
+            d.process->start();
+        } else if (d.stopping && loop_.now() - d.stop_sent > longest_stop && d.faults == 0) {
+            promises_.report(d.process->options().vm + " did not end after SIGTERM");
+            d.process->kill();
+        } else if (!d.stopping && d.faults == 0 && !d.process->running()) {
+            promises_.report(d.process->options().vm + " ended by itself, status " +
+                             std::to_string(d.process->last_status()));
+            d.process->start();
+            d.calm_since = loop_.now();
+        }
+    }
+}
+
+void fault_plan::kill_daemon() {
+    const auto i = pick(site_.daemons().size());
+    auto& d = site_.daemons()[i];
+    if (d.stopping) {
+        return;
+    }
+    note("kill", d.process->options().vm);
+    begin_daemon_fault(i);
+    d.process->kill();
+    revert_after(length(200ms, 2s), [this, i] {
+        if (!site_.daemons()[i].process->running()) {
+            site_.daemons()[i].process->start();
+        }
+        end_daemon_fault(i);
+    });
+}
+
+void fault_plan::kill_all() {
+    note("kill-all", "");
+    for (std::size_t i = 0; i < site_.daemons().size(); ++i) {
+        auto& d = site_.daemons()[i];
+        d.stopping = false;
+        begin_daemon_fault(i);
+        d.process->kill();
+        revert_after(length(200ms, 1s), [this, i] {
+            if (!site_.daemons()[i].process->running()) {
+                site_.daemons()[i].process->start();
+            }
+            end_daemon_fault(i);
+        });
+    }
+}
+
+void fault_plan::pause_daemon() {
+    const auto i = pick(site_.daemons().size());
+    note("pause", site_.daemons()[i].process->options().vm);
+    begin_daemon_fault(i);
+    site_.daemons()[i].process->signal(SIGSTOP);
+    revert_after(length(300ms, 4s), [this, i] {
+        site_.daemons()[i].process->signal(SIGCONT);
+        end_daemon_fault(i);
+    });
+}
+
+void fault_plan::stop_daemon() {
+    auto& d = site_.daemons()[pick(site_.daemons().size())];
+    if (d.stopping || d.faults > 0 || !d.process->running()) {
+        return;
+    }
+    note("stop", d.process->options().vm);
+    d.stopping = true;
+    d.stop_sent = loop_.now();
+    d.process->signal(SIGTERM);
+}
+
+void fault_plan::reload_daemon() {
+    const auto& d = site_.daemons()[pick(site_.daemons().size())];
+    note("reload", d.process->options().vm);
+    d.process->signal(SIGHUP);
+}
+
+void fault_plan::harm_store() {
+    static constexpr std::array faults{store_fault::refuses, store_fault::silent, store_fault::loses_answers};
+    note("store", "");
+    ++site_.store_faults;
+    site_.store().set_fault(faults[pick(faults.size())]);
+    revert_after(length(300ms, 3s), [this] {
+        if (--site_.store_faults == 0) {
+            site_.store().set_fault(store_fault::none);
+            site_.store_calm_since = loop_.now();
+        }
+    });
+}
+
+void fault_plan::forget_history() {
+    note("history", "");
+    site_.store().forget_history();
+}
+
+void fault_plan::harm_store_link() {
+    static constexpr std::array faults{link_fault::delayed, link_fault::cut_forward, link_fault::cut_back,
+                                       link_fault::silent, link_fault::refused};
+    const auto i = pick(site_.daemons().size());
+    auto& link = *site_.daemons()[i].to_store;
+    note("store-link", site_.daemons()[i].process->options().vm);
+    begin_daemon_fault(i);
+    link.set_delay(length(10ms, 400ms));
+    link.set_fault(faults[pick(faults.size())]);
+    revert_after(length(300ms, 4s), [this, i] {
+        site_.daemons()[i].to_store->set_fault(link_fault::none);
+        end_daemon_fault(i);
+    });
+}
+
+void fault_plan::harm_caller_link() {
+    static constexpr std::array faults{link_fault::delayed, link_fault::cut_forward, link_fault::cut_back,
+                                       link_fault::silent};
+    const auto i = pick(site_.daemons().size());
+    auto& link = *site_.daemons()[i].from_callers;
+    note("caller-link", site_.daemons()[i].process->options().vm);
+    begin_daemon_fault(i);
+    if (pick(2) == 0) {
+        link.reset_all();
+    } else {
+        link.set_delay(length(5ms, 100ms));
+        link.set_fault(faults[pick(faults.size())]);
+    }
+    revert_after(length(200ms, 2s), [this, i] {
+        site_.daemons()[i].from_callers->set_fault(link_fault::none);
+        end_daemon_fault(i);
+    });
+}
+
+void fault_plan::harm_server() {
+    static constexpr std::array faults{server_fault::fails, server_fault::full, server_fault::silent,
+                                       server_fault::breaks_off, server_fault::loses_answers};
+    const auto id = site_.servers()[pick(site_.servers().size())].server->options().id;
+    note("server", id);
+    const auto set = [this, id](server_fault f) {
+        for (auto& s : site_.servers()) {
+            if (s.server->options().id == id) {
+                s.server->set_fault(f);
+            }
+        }
+    };
+    set(faults[pick(faults.size())]);
+    revert_after(length(300ms, 3s), [set] { set(server_fault::none); });
+}
+
+void fault_plan::harm_server_link() {
+    static constexpr std::array faults{link_fault::delayed, link_fault::cut_forward, link_fault::cut_back,
+                                       link_fault::silent, link_fault::refused};
+    const auto id = site_.servers()[pick(site_.servers().size())].server->options().id;
+    note("server-link", id);
+    const auto set = [this, id](link_fault f, base::duration delay) {
+        for (auto& s : site_.servers()) {
+            if (s.server->options().id == id) {
+                s.link->set_delay(delay);
+                s.link->set_fault(f);
+            }
+        }
+    };
+    set(faults[pick(faults.size())], length(10ms, 200ms));
+    revert_after(length(300ms, 3s), [set] { set(link_fault::none, {}); });
+}
+
+void fault_plan::crash_server() {
+    auto& s = site_.servers()[pick(site_.servers().size())];
+    note("crash", s.server->options().id);
+    s.server->crash();
+    s.link->reset_all();
+}
+
+void fault_plan::replace_server() {
+    const auto i = pick(site_.servers().size());
+    auto& old = site_.servers()[i];
+    const auto service = old.server->options().service;
+    const auto id = old.server->options().id;
+    std::size_t staying = 0;
+    for (const auto& s : site_.servers()) {
+        staying += s.server->options().service == service && !s.drained ? 1 : 0;
+    }
+    if (old.drained || staying <= least_servers) {
+        return;
+    }
+    note("replace", id);
+    old.drained = loop_.now();
+    old.server->drain();
+    site_.add_server(service);
+    revert_after(drain_bound + 2s, [this, id] {
+        for (std::size_t k = 0; k < site_.servers().size(); ++k) {
+            if (site_.servers()[k].server->options().id == id) {
+                site_.servers()[k].server->leave();
+                site_.remove_server(k);
+                return;
+            }
+        }
+    });
+}
+
+void fault_plan::change_configuration() {
+    note("configuration", "");
+    site_.configure();
+}
+
+void fault_plan::withdraw_key() {
+    note("key", "west");
+    site_.set_key("west", !site_.key_granted("west"));
+    site_.configure();
+}
+
+void fault_plan::harm_duties() {
+    note("duties", "");
+    site_.duties().lose_answers(true);
+    revert_after(length(300ms, 3s), [this] { site_.duties().lose_answers(false); });
+}
+
+}  // namespace chicorygap::soak
