--- a/scripts/model-check.sh
+++ b/scripts/model-check.sh
@@ -64,6 +64,11 @@
 faulty configuration_versions -DNO_COMPARE
 faulty configuration_versions -DNO_PEER_CHECK
 faulty configuration_versions -DNO_GOSSIP
+holds mirrored_watch
+holds mirrored_watch -DBOTH
+faulty mirrored_watch -DNO_FRESH
+faulty mirrored_watch -DNO_TIMEOUT
+faulty mirrored_watch -DNO_LIMIT
 LIST
 }
 
