Heed queues of generations only

Ruled out: a higher bound for plain servers, whose queues are over before a report arrives. Conclusion: the flag stays where a queue lasts longer than a message.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -362,7 +362,7 @@
     }
     share_retries();
     if (reload_requested.exchange(false)) {
-        base::log_line{base::log_level::info, "daemon", "Reload requested."};
+        base::log_line{base::log_level::info, "daemon", "Reload requested."}.field("file", settings_path_);
         reload();
     }
     if (stop_requested && !stopping_) {
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -182,7 +182,8 @@
 
     void server_reported(ticket id, std::uint32_t waiting, base::time_point now) {
         const auto it = entries_.find(id);
-        if (it == entries_.end() || it->second.server == nullptr) {
+        // Plain requests are short: their queue is gone before a report of it arrives.
+        if (it == entries_.end() || it->second.server == nullptr || !it->second.w.terms) {
             return;
         }
         auto& s = *it->second.server;
