--- a/packages/duties/src/server_planner.cpp
+++ b/packages/duties/src/server_planner.cpp
@@ -33,9 +33,6 @@
 /// An accepted order is repeated when its servers are missing this long after they should have started: a
 /// late older order may have been carried out after it.
 constexpr base::duration repeat_margin = 3s;
-/// Lasting servers that take the place of one reclaimable one: they cost several times as much and are used
-/// more.
-constexpr double replacing_part = 0.6;
 /// Part of a zone's lasting servers that is exchanged at a time when the zone is full.
 constexpr std::uint32_t exchange_part = 5;
 /// Servers that stay, in each zone.
@@ -127,11 +124,7 @@
             std::min(spare, load) > reclaimable_now ? std::min(spare, load) - reclaimable_now : 0;
         // Where there are no reclaimable servers now, those that stay are ordered in their place.
         const bool replaced = states_[{zone, true}].unavailable;
-        const auto replacing = static_cast<std::uint32_t>(std::ceil(needed() * replacing_part / zones));
-        auto kept = std::min(lasting_now, lasting + missing);
-        if (replaced) {
-            kept = std::max(kept, std::min(lasting + missing, replacing));
-        }
+        auto kept = replaced ? lasting + missing : std::min(lasting_now, lasting + missing);
         if (!replaced && lasting_now + reclaimable_now >= most && kept > lasting) {
             // Both kinds share the zone's bound: the next reclaimable ones need their room.
             kept -= std::min(kept - lasting, std::max(1U, kept / exchange_part));
