--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -57,6 +57,10 @@
     for (const auto& [number, revert] : std::exchange(reverts_, {})) {
         revert();
     }
+    // Requests with a withdrawn key are refused rightly; whether the service is whole again shows with all
+    // keys.
+    site_.set_key("west", true);
+    site_.configure();
 }
 
 void fault_plan::draw() {
