--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -135,36 +135,31 @@
     }
 }
 
+void fault_plan::kill_for(std::size_t daemon, base::duration d) {
+    begin_daemon_fault(daemon);
+    site_.daemons()[daemon].process->kill();
+    revert_after(d, [this, daemon] {
+        if (!site_.daemons()[daemon].process->running()) {
+            site_.daemons()[daemon].process->start();
+        }
+        end_daemon_fault(daemon);
+    });
+}
+
 void fault_plan::kill_daemon() {
     const auto i = pick(site_.daemons().size());
-    auto& d = site_.daemons()[i];
-    if (d.stopping) {
+    if (site_.daemons()[i].stopping) {
         return;
     }
-    note("kill", d.process->options().vm);
-    begin_daemon_fault(i);
-    d.process->kill();
-    revert_after(length(200ms, 2s), [this, i] {
-        if (!site_.daemons()[i].process->running()) {
-            site_.daemons()[i].process->start();
-        }
-        end_daemon_fault(i);
-    });
+    note("kill", site_.daemons()[i].process->options().vm);
+    kill_for(i, length(200ms, 2s));
 }
 
 void fault_plan::kill_all() {
     note("kill-all", "");
     for (std::size_t i = 0; i < site_.daemons().size(); ++i) {
-        auto& d = site_.daemons()[i];
-        d.stopping = false;
-        begin_daemon_fault(i);
-        d.process->kill();
-        revert_after(length(200ms, 1s), [this, i] {
-            if (!site_.daemons()[i].process->running()) {
-                site_.daemons()[i].process->start();
-            }
-            end_daemon_fault(i);
-        });
+        site_.daemons()[i].stopping = false;
+        kill_for(i, length(200ms, 1s));
     }
 }
 
--- a/testing/soak/src/fault_plan.h
+++ b/testing/soak/src/fault_plan.h
@@ -47,6 +47,9 @@
     void begin_daemon_fault(std::size_t daemon);
     void end_daemon_fault(std::size_t daemon);
 
+    /// Kills a daemon and starts it again after the time.
+    void kill_for(std::size_t daemon, base::duration d);
+
     void kill_daemon();
     void kill_all();
     void pause_daemon();
