Start where the platform's template leaves seeds, duties or their rate empty

A deployment without seeds or duties would have had no daemon. Ruled out: leaving the lines out in the template, since other templates may be written. Conclusion: what a template leaves empty counts as absent.

--- a/packages/settings/src/edge_parser.cpp
+++ b/packages/settings/src/edge_parser.cpp
@@ -7,7 +7,9 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace chicorygap::settings {
 
@@ -29,6 +31,16 @@
     return a.value_or(net::address{});
 }
 
+/// @return true if the key has no value: a template leaves it empty where the platform gives nothing.
+bool left_empty(section_reader& r, const std::string& key) {
+    const auto lines = r.lines(key);
+    return std::all_of(lines.begin(), lines.end(), [](const auto& e) { return e.value.empty(); });
+}
+
+std::vector<std::string> read_list(section_reader& r, const std::string& key) {
+    return left_empty(r, key) ? std::vector<std::string>{} : r.list(key);
+}
+
 /// Reads a time that is written as a number of seconds.
 base::duration read_seconds(section_reader& r, const std::string& key) {
     return std::chrono::duration_cast<base::duration>(
@@ -58,7 +70,7 @@
 }
 
 void read_fleet(section_reader& r, edge_settings& s) {
-    for (const auto& text : r.list("seeds")) {
+    for (const auto& text : read_list(r, "seeds")) {
         if (const auto a = net::parse_address(text); a && a->port != 0) {
             s.seeds.push_back(*a);
         } else {
@@ -96,8 +108,8 @@
     s.duties.lease_length = read_milliseconds(r, "lease_milliseconds");
     s.duties.usage_window = read_seconds(r, "usage_window_seconds");
     s.duties.usage_due = read_seconds(r, "usage_due_seconds");
-    s.duties.calls_per_s = r.real("calls_per_second", {0, 1'000'000}, 0);
-    const auto held = r.list("held");
+    s.duties.calls_per_s = left_empty(r, "calls_per_second") ? 0 : r.real("calls_per_second", {0, 1'000'000});
+    const auto held = read_list(r, "held");
     const auto holds = [&held](const char* name) {
         return std::find(held.begin(), held.end(), name) != held.end();
     };
--- a/packages/settings/tests/edge_settings_test.cpp
+++ b/packages/settings/tests/edge_settings_test.cpp
@@ -78,6 +78,17 @@
     EXPECT_FALSE(r.settings->orders);
 }
 
+// Guards against a daemon that does not start where the platform's template has nothing to fill in: no seeds,
+// no duties.
+TEST(edge_settings, values_that_a_template_left_empty_are_absent) {
+    EXPECT_EQ(faults(with("seeds = 10.1.0.3:8748,10.1.0.4:8748", "seeds =")), "");
+    EXPECT_EQ(faults(with("held = usage,autoscale", "held =")), "");
+    EXPECT_EQ(faults(with("calls_per_second = 50", "calls_per_second =")), "");
+    EXPECT_NE(
+        faults(with("seeds = 10.1.0.3:8748,10.1.0.4:8748", "seeds = 10.1.0.3:8748,,")).find("empty item"),
+        std::string::npos);
+}
+
 // Guards against a daemon that starts with a value that nobody set.
 TEST(edge_settings, faults_name_line_and_reason) {
     EXPECT_NE(faults(with("store = 10.2.0.1:8742", "store = store.example:80")).find("IP address and port"),
