Exchange zone digests between representatives instead of beacons between all daemons

Daemons that lost their mirror called the store at once and every daemon competed for the lease while no holder was seen, so the calls to the store grew with the fleet as well.

A digest holds the sums of the loads, the number of live daemons and the lease holder. Usage counts go to the lease holder only, at once to a new one. Registrations hold zone and CPU share; addresses of other zones get no regular beacons. Mirrors are the two highest ranked daemons that reach the store; after a failure another mirror is tried before the store, and retries at the store are spread over the daemons of the zone. Only representatives that reach the store compete for the lease. The retry budget is divided by an assumed fleet size until the peers are known: before, one daemon could use the whole of it in its first 100 ms. The number of live daemons that usage windows wait for falls when the fleet shrinks. Peer loads are summed when a request uses them and not for each report.

--- a/apps/daemon/src/duty_agent.cpp
+++ b/apps/daemon/src/duty_agent.cpp
@@ -51,7 +51,8 @@
       lease_{lease_options(s, incarnation)},
       lease_records_{store, platform::lease_kind},
       reporter_{{s.duties.usage_window, s.duties.usage_report_deadline},
-                [this](metering::window_number w) { return meter_.fleet_counts(w); }} {
+                [this](metering::window_number w) { return meter_.fleet_counts(w); }},
+      live_daemons_{s.duties.usage_window + s.duties.usage_report_deadline} {
     if (s.cloud_api) {
         cloud_.emplace(l, *s.cloud_api, s.vm);
     }
@@ -94,9 +95,10 @@
     if (!servers_known_since_ && !queries_.servers().empty()) {
         servers_known_since_ = now;
     }
-    max_live_daemons_ = std::max(max_live_daemons_, peers_.live_count(now));
+    live_daemons_.observe(peers_.live_count(now), now);
     // Competing for the lease takes store calls, which are unnecessary while a live peer holds the lease.
-    const bool candidate = !stopping_ && (lease_.held() || peers_.lease_holder(now) == nullptr);
+    const bool candidate =
+        !stopping_ && (lease_.held() || (!peers_.lease_holder(now) && queries_.may_compete()));
     if (candidate != std::exchange(candidate_, candidate)) {
         handle(lease::candidacy_changed{candidate});
     }
@@ -142,7 +144,7 @@
 }
 
 void duty_agent::report_usage() {
-    const bool all_peers_live = peers_.live_count(loop_.now()) >= max_live_daemons_;
+    const bool all_peers_live = peers_.live_count(loop_.now()) >= live_daemons_.value();
     const auto settle_time = settle_margin + settle_beacons * sharing::beacon_interval(peers_.known_count());
     for (const auto& a : reporter_.tick(median_wall_time(), settle_time, all_peers_live, loop_.now())) {
         if (const auto* w = std::get_if<duties::store_window>(&a)) {
--- a/apps/daemon/src/duty_agent.h
+++ b/apps/daemon/src/duty_agent.h
@@ -6,6 +6,7 @@
 #include "catalog/backend_server.h"
 #include "catalog/snapshot.h"
 #include "duties/autoscaler.h"
+#include "duties/recent_maximum.h"
 #include "duties/usage_reporter.h"
 #include "lease/role_lease.h"
 #include "metering/meter.h"
@@ -32,6 +33,8 @@
     std::function<std::shared_ptr<const catalog::snapshot>()> catalog;
     std::function<std::vector<catalog::backend_server>()> servers;
     std::function<std::unordered_map<base::service_id, scheduling::scheduler_status>()> load;
+    /// @return true if this daemon competes for the lease while no peer holds it.
+    std::function<bool()> may_compete;
 };
 
 /// Competes for the fleet's lease. While holding it, reports usage and requests servers from the platform.
@@ -88,7 +91,8 @@
     base::time_point acquired_at_;
     bool candidate_ = false;
     bool stopping_ = false;
-    std::size_t max_live_daemons_ = 1;  ///< largest number of live daemons seen since the start
+    /// Number of live daemons. One that is lost for good sends no counts, which are waited for only so long.
+    duties::recent_maximum live_daemons_;
 };
 
 }  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -42,6 +42,16 @@
 /// watch delivers the change earlier.
 constexpr base::duration peer_fetch_delay = 250ms;
 
+/// The same for a peer in another zone of a large fleet: the time in which the change reaches this zone.
+constexpr base::duration other_zone_fetch_delay = 1500ms;
+/// Delay between two failed calls to the store, multiplied by the number of daemons in the zone: together
+/// these make at most 25 calls a second for each kind of object.
+constexpr base::duration store_retry_delay_per_daemon = 40ms;
+/// Number of daemons that is assumed after the start, until the peers are known. A smaller one would let each
+/// of many daemons that start together use the retry budget of the whole fleet.
+constexpr std::size_t assumed_fleet_size = 50;
+constexpr base::duration fleet_discovery_time = 3s;
+
 /// Changes of the server list are batched for a time that grows with the fleet, because the store calls of
 /// each daemon are charged and a larger fleet has more servers. The maximum is well below the drain time.
 constexpr base::duration server_batch_delay_per_daemon = 6ms;
@@ -123,8 +133,7 @@
 }
 
 proxy::router_options router_options(const settings::edge_settings& s) {
-    // The fleet size is estimated from the seeds until beacons of peers arrive.
-    const auto daemons = static_cast<double>(s.seeds.size() + 1);
+    const auto daemons = static_cast<double>(assumed_fleet_size);
     return {.self = s.vm,
             .zone = s.zone,
             .retries = {.ratio = s.retries.ratio,
@@ -172,7 +181,7 @@
                                     configuration_mirror_.notify_changed();
                                 },
                             .reachable = nullptr,
-                            .next_watch = [this] { return next_watch_options(); }}},
+                            .next_watch = [this](int n) { return next_watch_options(n); }}},
       server_cache_{loop_,
                     store_,
                     platform::server_kind,
@@ -189,7 +198,7 @@
                                             value ? "Store is reachable." : "Store is unreachable."}
                                  .field("revision", static_cast<long long>(server_cache_.revision()));
                          },
-                     .next_watch = [this] { return next_watch_options(); }}},
+                     .next_watch = [this](int n) { return next_watch_options(n); }}},
       mirror_client_{loop_, settings_.store},
       configuration_mirror_{loop_, configuration_cache_},
       server_mirror_{loop_, server_cache_},
@@ -200,7 +209,8 @@
           store_,
           random(),
           {.compose = [this](sharing::beacon& b, bool with_counts) { compose_beacon(b, with_counts); },
-           .received = [this](const sharing::beacon& b) { on_beacon(b); }}},
+           .received = [this](const sharing::beacon& b) { on_beacon(b); },
+           .store_unreachable = [this] { return store_unreachable(); }}},
       meter_{{settings_.vm, peer_exchange_.incarnation()}},
       duties_{loop_,
               settings_,
@@ -210,7 +220,8 @@
               peer_exchange_.incarnation(),
               {.catalog = [this] { return catalog_; },
                .servers = [this] { return directory_.servers(); },
-               .load = [this] { return router_.status(); }}},
+               .load = [this] { return router_.status(); },
+               .may_compete = [this] { return may_compete_for_lease(); }}},
       caller_listener_{loop_, settings_.callers,
                        [this](const Poco::Net::StreamSocket& x) { accept_caller(x); }},
       readiness_listener_{loop_, settings_.readiness,
@@ -387,6 +398,7 @@
     b.configuration_version = catalog_ ? catalog_->version : 0;
     b.servers_revision = server_cache_.last_changed_revision();
     b.stopping = stopping_;
+    b.store_unreachable = store_unreachable();
     b.lease_term = duties_.held_term();
     for (auto& [id, load] : router_.local_loads()) {
         b.services.emplace(id, std::move(load));
@@ -426,16 +438,30 @@
     }
 }
 
-platform::watch_options edge_daemon::next_watch_options() {
+platform::watch_options edge_daemon::next_watch_options(int mirror_failures) {
     if (!peer_exchange_.zone_has_mirrors()) {
         return {};
     }
-    const auto address = peer_exchange_.mirror();
-    if (!address) {
-        return {.mirror = nullptr, .max_wait = max_mirrored_watch_wait};
+    const auto zone_size = peer_exchange_.peers().live_peer_count_in_zone(settings_.zone, loop_.now()) + 1;
+    platform::watch_options options{
+        .mirror = nullptr,
+        .max_wait = max_mirrored_watch_wait,
+        .min_retry_delay = store_retry_delay_per_daemon * static_cast<int>(zone_size)};
+    if (const auto address = peer_exchange_.mirror(mirror_failures)) {
+        mirror_client_.set_address(*address);
+        options.mirror = &mirror_client_;
     }
-    mirror_client_.set_address(*address);
-    return {.mirror = &mirror_client_, .max_wait = max_mirrored_watch_wait};
+    return options;
+}
+
+bool edge_daemon::store_unreachable() const {
+    return configuration_cache_.store_failing() || server_cache_.store_failing();
+}
+
+bool edge_daemon::may_compete_for_lease() const {
+    const auto fleet_size = peer_exchange_.peers().fleet_size(settings_.zone, loop_.now());
+    return !sharing::uses_zone_digests(fleet_size) ||
+           (peer_exchange_.is_representative() && !store_unreachable());
 }
 
 void edge_daemon::fetch_from_peer(platform::object_cache& cache, const sharing::beacon& b) {
@@ -443,21 +469,25 @@
         return;
     }
     const auto before = cache.revision();
-    loop_.after(peer_fetch_delay, [this, &cache, before, from = b.operator_address] {
-        peer_fetch_pending_ = false;
-        if (cache.revision() != before) {
-            return;  // the watch has delivered the change
-        }
-        peer_exchange_.fetch(from, platform::kind_path(cache.kind()),
-                             [&cache, from](const std::string& copy) {
-                                 if (cache.replace_if_newer(copy)) {
-                                     base::log_line{base::log_level::info, "daemon",
-                                                    "Fetched newer store objects from a peer."}
-                                         .field("peer", net::to_string(from))
-                                         .field("revision", static_cast<long long>(cache.revision()));
-                                 }
-                             });
-    });
+    // In a large fleet the representatives fetch from other zones, and the other daemons from them.
+    const bool waits_for_zone =
+        b.zone != settings_.zone && b.zone_daemons > 0 && !peer_exchange_.is_representative();
+    loop_.after(waits_for_zone ? other_zone_fetch_delay : peer_fetch_delay,
+                [this, &cache, before, from = b.operator_address] {
+                    peer_fetch_pending_ = false;
+                    if (cache.revision() != before) {
+                        return;  // the watch has delivered the change
+                    }
+                    peer_exchange_.fetch(
+                        from, platform::kind_path(cache.kind()), [&cache, from](const std::string& copy) {
+                            if (cache.replace_if_newer(copy)) {
+                                base::log_line{base::log_level::info, "daemon",
+                                               "Fetched newer store objects from a peer."}
+                                    .field("peer", net::to_string(from))
+                                    .field("revision", static_cast<long long>(cache.revision()));
+                            }
+                        });
+                });
 }
 
 void edge_daemon::count_started_request(const base::workspace_id& workspace) {
@@ -466,7 +496,9 @@
 }
 
 void edge_daemon::apply_fleet_size() {
-    const auto daemons = peer_exchange_.peers().live_count(loop_.now());
+    const auto live = peer_exchange_.peers().live_count(loop_.now());
+    const bool discovering = loop_.now() - started_at_ < fleet_discovery_time;
+    const auto daemons = discovering ? std::max(live, assumed_fleet_size) : live;
     if (std::exchange(applied_fleet_size_, daemons) == daemons) {
         return;
     }
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -72,7 +72,11 @@
     void compose_beacon(sharing::beacon& b, bool with_counts);
     void on_beacon(const sharing::beacon& b);
     /// @return source of the next watch, which is the store or a mirror, and its longest wait.
-    [[nodiscard]] platform::watch_options next_watch_options();
+    [[nodiscard]] platform::watch_options next_watch_options(int mirror_failures);
+    /// @return true if recent calls to the store failed.
+    [[nodiscard]] bool store_unreachable() const;
+    /// In a large fleet few daemons compete for the lease, because each attempt takes calls to the store.
+    [[nodiscard]] bool may_compete_for_lease() const;
     /// Fetches the objects of a cache from a peer that has newer ones, unless a watch delivers a change
     /// first.
     /// @param b beacon of the peer.
@@ -127,6 +131,7 @@
     bool peer_fetch_pending_ = false;
     /// Number of live daemons that `apply_fleet_size` was last called for; 0 makes its next call take effect.
     std::size_t applied_fleet_size_ = 0;
+    base::time_point started_at_ = base::boot_clock::now();
     bool stopping_ = false;
     base::time_point stop_started_at_;
 };
--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "platform/object_codec.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -15,9 +16,6 @@
 /// Every n-th beacon carries usage counts. A daemon that is killed loses the requests that it has counted
 /// since.
 constexpr std::uint64_t beacons_per_usage_counts = 2;
-/// Every n-th regular beacon to other zones carries usage counts, which are the largest part of a beacon. The
-/// lease holder receives the counts with each of them.
-constexpr std::uint64_t fleet_beacons_per_usage_counts = 4;
 /// Interval of the requests for the list of registered daemons. A new daemon sends beacons to all listed ones
 /// itself, so the list is needed only if these beacons were lost.
 constexpr base::duration daemon_list_interval = 20s;
@@ -29,9 +27,16 @@
 constexpr std::size_t mirrors_per_zone = 2;
 /// Size of a zone from which it uses mirrors. In a smaller zone every daemon watches the store itself.
 constexpr std::size_t min_daemons_for_mirrors = 5;
-/// The interval between two beacons with zone loads is this time multiplied by the number of receivers, which
-/// bounds the CPU time of the zone representative. The representative is the VM with the largest CPU share.
-constexpr base::duration zone_beacon_interval_per_receiver = 6ms;
+/// Representatives of each zone, which exchange zone digests with other zones and forward those that they
+/// receive.
+constexpr std::size_t representatives_per_zone = 2;
+/// Longest delay of the counts that a new lease holder gets; spreads those of a large fleet.
+constexpr base::duration max_new_holder_delay = 500ms;
+/// Addresses that a peer from another zone is told of its own zone.
+constexpr std::size_t max_contacts = 64;
+/// In a large fleet, daemons that are not representatives discover their peers from beacons, and list the
+/// registered daemons at this multiple of the interval only against lost datagrams.
+constexpr int list_interval_factor = 6;
 
 std::uint64_t new_incarnation() {
     return static_cast<std::uint64_t>(base::wall_clock_now().time_since_epoch().count());
@@ -54,6 +59,7 @@
 peer_exchange::~peer_exchange() {
     loop_.cancel(beacon_timer_);
     loop_.cancel(list_timer_);
+    loop_.cancel(counts_timer_);
 }
 
 void peer_exchange::start() {
@@ -78,53 +84,69 @@
 }
 
 void peer_exchange::send_due_beacons() {
-    peers_.expire(loop_.now());
     const auto now = loop_.now();
-    const auto daemons = peers_.known_count();
+    peers_.expire(now);
+    const auto fleet_size = peers_.fleet_size(settings_.zone, now);
     const bool fleet_beacon_due = now >= next_fleet_beacon_;
     if (fleet_beacon_due) {
-        next_fleet_beacon_ = now + sharing::beacon_interval(daemons);
+        next_fleet_beacon_ = now + sharing::beacon_interval(fleet_size);
     }
-    auto b = make_beacon(fleet_beacon_due || sequence_ % beacons_per_usage_counts == 0);
+    const bool digests = sharing::uses_zone_digests(fleet_size);
+    const bool mesh_beacon_due = fleet_beacon_due && !digests;
+    const auto b = make_beacon(mesh_beacon_due || sequence_ % beacons_per_usage_counts == 0);
     send(b, peers_.addresses_in_zone(settings_.zone));
-    if (!sharing::aggregates_loads_by_zone(daemons)) {
-        if (fleet_beacon_due) {
-            send(b, peers_.addresses_outside_zone(settings_.zone));
-        }
+    if (mesh_beacon_due) {
+        send(b, peers_.addresses_outside_zone(settings_.zone));
+    }
+    if (!digests) {
         return;
     }
-    send_to_other_zones(std::move(b), fleet_beacon_due);
+    if (fleet_beacon_due) {
+        send(make_identity_beacon_with_state(), peers_.unlocated_addresses());
+        send_counts_to_lease_holder();
+    }
+    if (now >= next_digest_ && is_representative()) {
+        const auto zone_size = peers_.addresses_in_zone(settings_.zone).size() + 1;
+        next_digest_ = now + sharing::digest_interval(zone_size);
+        send_digest();
+    }
+    check_for_new_lease_holder();
 }
 
-void peer_exchange::send_to_other_zones(sharing::beacon b, bool fleet_beacon_due) {
-    const auto now = loop_.now();
-    const auto to = peers_.addresses_outside_zone(settings_.zone);
-    const bool zone_beacon_due = now >= next_zone_beacon_ && peers_.higher_ranked_in_zone(b, now).empty();
-    if (!zone_beacon_due && !fleet_beacon_due) {
-        return;
-    }
-    if (zone_beacon_due) {
-        next_zone_beacon_ = now + zone_beacon_interval_per_receiver * static_cast<int>(to.size());
-        b.zone_services = peers_.zone_loads(b, now);
+bool peer_exchange::is_representative() const {
+    return peers_.higher_ranked_in_zone(make_identity_beacon(), loop_.now()).size() <
+           representatives_per_zone;
+}
+
+void peer_exchange::send_digest() {
+    auto b = make_beacon(false);
+    peers_.add_zone_summary(b, loop_.now());
+    b.services.clear();
+    send(b, peers_.representatives_outside_zone(settings_.zone, loop_.now()));
+}
+
+void peer_exchange::send_counts_to_lease_holder() {
+    const auto holder = peers_.lease_holder(loop_.now());
+    if (!holder || holder->zone == settings_.zone) {
+        return;  // daemons of the zone send each other their counts regularly
     }
+    auto b = make_beacon(true);
     b.services.clear();
-    b.sequence = ++sequence_;
-    // The lease holder needs the counts at once; other daemons need them only after they acquire the lease.
-    const auto* holder = peers_.lease_holder(now);
-    const bool counts_for_all =
-        fleet_beacon_due &&
-        (holder == nullptr || ++fleet_beacon_count_ % fleet_beacons_per_usage_counts == 0);
-    if (counts_for_all) {
-        send(b, to);
+    send(b, {holder->peer_address});
+}
+
+void peer_exchange::check_for_new_lease_holder() {
+    const auto holder = peers_.lease_holder(loop_.now());
+    if (!holder || std::exchange(last_holder_term_, holder->term) == holder->term ||
+        counts_timer_ != net::timer_id::none) {
         return;
     }
-    const auto counts = std::exchange(b.windows, {});
-    send(b, to);
-    if (fleet_beacon_due && holder->zone != settings_.zone) {
-        b.windows = counts;
-        b.sequence = ++sequence_;
-        send(b, {holder->peer_address});
-    }
+    // The previous holder may have been lost with the counts of this daemon.
+    const auto delay = max_new_holder_delay * static_cast<int>(random_() % 64) / 64;
+    counts_timer_ = loop_.after(delay, [this] {
+        counts_timer_ = net::timer_id::none;
+        send_counts_to_lease_holder();
+    });
 }
 
 void peer_exchange::send_now() {
@@ -141,17 +163,31 @@
             .processor_share = static_cast<float>(settings_.processor_share)};
 }
 
+sharing::beacon peer_exchange::make_identity_beacon_with_state() {
+    auto b = make_beacon(false);
+    b.services.clear();
+    return b;
+}
+
 bool peer_exchange::zone_has_mirrors() const {
     return peers_.live_peer_count_in_zone(settings_.zone, loop_.now()) + 1 >= min_daemons_for_mirrors;
 }
 
-std::optional<net::address> peer_exchange::mirror() const {
-    const auto higher_ranked = peers_.higher_ranked_in_zone(make_identity_beacon(), loop_.now());
-    if (!zone_has_mirrors() || higher_ranked.size() < mirrors_per_zone) {
+std::optional<net::address> peer_exchange::mirror(int failures) const {
+    if (!zone_has_mirrors()) {
         return std::nullopt;
     }
-    // Distributes the other daemons of the zone evenly among the mirrors.
-    return higher_ranked[higher_ranked.size() % mirrors_per_zone]->operator_address;
+    auto self = make_identity_beacon();
+    self.store_unreachable = hooks_.store_unreachable && hooks_.store_unreachable();
+    const auto mirrors = peers_.store_mirrors(self, mirrors_per_zone, loop_.now());
+    const bool is_mirror =
+        std::any_of(mirrors.begin(), mirrors.end(), [&](const auto& m) { return m.vm == settings_.vm; });
+    if (is_mirror || mirrors.empty()) {
+        return std::nullopt;
+    }
+    // The start time distributes the other daemons of the zone among the mirrors; after a failure the next
+    // one is tried.
+    return mirrors[(incarnation_ + static_cast<std::uint64_t>(failures)) % mirrors.size()].operator_address;
 }
 
 sharing::beacon peer_exchange::make_beacon(bool with_counts) {
@@ -171,13 +207,52 @@
 
 void peer_exchange::on_datagram(std::string_view bytes) {
     const auto b = sharing::decode(bytes);
-    if (b && peers_.observe(*b, base::wall_clock_now(), loop_.now())) {
-        hooks_.received(*b);
+    if (!b) {
+        return;
+    }
+    const bool known = peers_.knows(b->vm, b->incarnation);
+    if (!peers_.observe(*b, base::wall_clock_now(), loop_.now())) {
+        return;
+    }
+    for (const auto& contact : b->contacts) {
+        if (contact != settings_.peers) {
+            peers_.add_address(contact, settings_.zone);
+        }
     }
+    if (b->zone != settings_.zone &&
+        sharing::uses_zone_digests(peers_.fleet_size(settings_.zone, loop_.now()))) {
+        if (!known) {
+            send_contacts(*b);
+        }
+        if (b->zone_daemons > 0 && is_representative()) {
+            // Unchanged, so that a daemon that receives it from both representatives uses it once.
+            for (const auto& address : peers_.addresses_in_zone(settings_.zone)) {
+                socket_.send(address, bytes);
+            }
+        }
+    }
+    hooks_.received(*b);
+}
+
+// A daemon that restarts while the store is unreachable knows only the seeds, which may all be in other
+// zones.
+void peer_exchange::send_contacts(const sharing::beacon& to) {
+    auto b = make_identity_beacon_with_state();
+    b.contacts = peers_.addresses_in_zone(to.zone);
+    std::erase(b.contacts, to.peer_address);
+    b.contacts.resize(std::min(b.contacts.size(), max_contacts));
+    send(b, {to.peer_address});
+}
+
+sharing::registered_daemon peer_exchange::registration() const {
+    return {.vm = settings_.vm,
+            .peer_address = settings_.peers,
+            .zone = settings_.zone,
+            .processor_share = static_cast<float>(settings_.processor_share)};
 }
 
 void peer_exchange::register_self() {
-    store_.create(platform::daemon_kind, settings_.vm.str(), platform::encode_daemon(settings_.peers),
+    store_.create(platform::daemon_kind, settings_.vm.str(), platform::encode_daemon(registration()),
                   [this](const platform::store_result<platform::stored_item>& r) {
                       if (r.status != platform::store_status::conflict || !r.value) {
                           registration_done(r.status);
@@ -185,7 +260,7 @@
                       }
                       // An earlier run of this daemon has created the object.
                       store_.replace(platform::daemon_kind, settings_.vm.str(),
-                                     platform::encode_daemon(settings_.peers), r.value->revision,
+                                     platform::encode_daemon(registration()), r.value->revision,
                                      [this](const auto& second) { registration_done(second.status); });
                   });
 }
@@ -200,24 +275,33 @@
 }
 
 void peer_exchange::list_daemons(const std::string& after) {
+    if (after.empty()) {
+        listed_daemons_.clear();
+    }
     store_.list(platform::daemon_kind, after, [this](const platform::store_result<platform::listing>& r) {
         const bool ok = r.status == platform::store_status::ok;
         for (const auto& item : ok ? r.value->items : std::vector<platform::stored_item>{}) {
-            const auto a = platform::decode_daemon(item.spec);
-            if (a && *a != settings_.peers) {
-                peers_.add_address(*a);
+            if (auto d = platform::decode_daemon(item.name, item.spec)) {
+                listed_daemons_.push_back(*std::move(d));
             }
         }
         if (ok && r.value->has_more && !r.value->items.empty()) {
             list_daemons(r.value->items.back().name);
             return;
         }
-        const auto jitter = daemon_list_interval / 8 * static_cast<int>(random_() % 8) / 8;
-        list_timer_ =
-            loop_.after(ok ? daemon_list_interval + jitter : retry_delay, [this] { list_daemons({}); });
+        if (ok) {
+            peers_.add_registered(std::exchange(listed_daemons_, {}), settings_.zone);
+        }
+        list_timer_ = loop_.after(ok ? next_list_delay() : retry_delay, [this] { list_daemons({}); });
     });
 }
 
+base::duration peer_exchange::next_list_delay() {
+    const bool large = sharing::uses_zone_digests(peers_.fleet_size(settings_.zone, loop_.now()));
+    const auto interval = daemon_list_interval * (large && !is_representative() ? list_interval_factor : 1);
+    return interval + interval / 8 * static_cast<int>(random_() % 8) / 8;
+}
+
 void peer_exchange::fetch(const net::address& from, const std::string& path,
                           std::function<void(const std::string&)> done) {
     http::call c{.to = from, .head = {.method = "GET", .target = path}, .body = {}, .timeout = fetch_timeout};
--- a/apps/daemon/src/peer_exchange.h
+++ b/apps/daemon/src/peer_exchange.h
@@ -25,13 +25,16 @@
     std::function<void(sharing::beacon&, bool with_counts)> compose;
     /// Called for each new beacon of a peer.
     std::function<void(const sharing::beacon&)> received;
+    /// @return true if recent calls to the store failed, so that this daemon cannot mirror it for others.
+    std::function<bool()> store_unreachable;
 };
 
 /// Exchanges beacons with the other daemons of the fleet and discovers them through the platform's store.
 ///
-/// Concept: daemons of one zone send each other their loads. In a large fleet, the zone representative, which
-/// is the daemon with the largest CPU share, sends the sum of the loads to the other zones. The other daemons
-/// send beacons without loads to other zones, at a lower rate.
+/// Concept: daemons of one zone send each other their loads. In a large fleet, the representatives of each
+/// zone, which are the daemons with the largest CPU shares, exchange digests of their zones and forward those
+/// of other zones within their own. Other daemons send beacons to another zone only with usage counts for the
+/// lease holder, and to addresses of unknown daemons.
 ///
 /// Usage: `peer_exchange x{loop, settings, store, random, hooks}; x.start();`
 class peer_exchange {
@@ -49,10 +52,16 @@
     void send_now();
 
     [[nodiscard]] sharing::peer_table& peers() noexcept { return peers_; }
+    [[nodiscard]] const sharing::peer_table& peers() const noexcept { return peers_; }
 
+    /// @param failures number of consecutive failures of mirrors; another one is used after each.
     /// @return operator address of the daemon that mirrors the store for this one; nothing if this daemon
     /// watches the store itself.
-    [[nodiscard]] std::optional<net::address> mirror() const;
+    [[nodiscard]] std::optional<net::address> mirror(int failures) const;
+
+    /// @return true if this daemon is one of the few of its zone that compete for the lease and exchange
+    /// digests.
+    [[nodiscard]] bool is_representative() const;
 
     /// @return true if the zone is large enough that most of its daemons watch a mirror instead of the store.
     [[nodiscard]] bool zone_has_mirrors() const;
@@ -69,11 +78,20 @@
     /// @return a beacon with only the identity, addresses and CPU share of this daemon.
     [[nodiscard]] sharing::beacon make_identity_beacon() const;
     [[nodiscard]] sharing::beacon make_beacon(bool with_counts);
+    /// @return a beacon without loads and counts.
+    [[nodiscard]] sharing::beacon make_identity_beacon_with_state();
+    [[nodiscard]] sharing::registered_daemon registration() const;
+    [[nodiscard]] base::duration next_list_delay();
     void send(const sharing::beacon& b, const std::vector<net::address>& to);
     void send_due_beacons();
-    /// Sends a beacon to daemons outside the zone, without the loads of this daemon.
-    /// @param fleet_beacon_due true if this daemon's own beacon to other zones is due.
-    void send_to_other_zones(sharing::beacon b, bool fleet_beacon_due);
+    /// Sends the digest of this zone to the representatives of the other zones.
+    void send_digest();
+    /// Sends the usage counts to a lease holder in another zone.
+    void send_counts_to_lease_holder();
+    /// Sends the usage counts early to a new lease holder.
+    void check_for_new_lease_holder();
+    /// Tells a newly found daemon of another zone the daemons of its zone.
+    void send_contacts(const sharing::beacon& to);
     void schedule_beacon();
     void on_datagram(std::string_view bytes);
     void register_self();
@@ -87,15 +105,16 @@
     peer_exchange_hooks hooks_;
     std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
-    /// Beacons to other zones that were due while a peer held the lease.
-    std::uint64_t fleet_beacon_count_ = 0;
     sharing::peer_table peers_;
     net::datagram_socket socket_;
     http::async_client client_;
     net::timer_id beacon_timer_ = net::timer_id::none;
     net::timer_id list_timer_ = net::timer_id::none;
     base::time_point next_fleet_beacon_;  ///< next beacon of this daemon to other zones
-    base::time_point next_zone_beacon_;   ///< earliest next beacon with zone loads
+    base::time_point next_digest_;        ///< earliest next zone digest
+    net::timer_id counts_timer_ = net::timer_id::none;
+    std::uint64_t last_holder_term_ = 0;
+    std::vector<sharing::registered_daemon> listed_daemons_;  ///< pages received so far of the running list
     bool registered_ = false;
 };
 
--- a/fuzz/platform_documents_fuzz.cpp
+++ b/fuzz/platform_documents_fuzz.cpp
@@ -18,7 +18,7 @@
     const std::string text{reinterpret_cast<const char*>(data), size};
     decode_configuration(text);
     decode_server("i-1", text);
-    decode_daemon(text);
+    decode_daemon("vm-1", text);
     decode_counts(text);
     decode_listing(text);
     return 0;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -133,8 +133,11 @@
     void set_peer_load(const base::vm_id& peer, const load_report& r, base::time_point valid_until,
                        base::time_point now) {
         peer_loads_.set(peer, r, valid_until, now);
-        peer_loads_.update_servers(sorted_servers_, now);
-        start_waiting_requests(now);
+        // The loads are summed when they are used: in a large fleet reports are more frequent than requests.
+        if (!queue_.empty()) {
+            peer_loads_.update_servers(sorted_servers_, now);
+            start_waiting_requests(now);
+        }
     }
 
     void submit(scheduled_request request, base::time_point now) {
@@ -145,6 +148,7 @@
             token_gap_monitor_.add_gap_limit(*e.request.generation->max_token_gap);
         }
         if (queue_.empty() || queue_.count_ahead(e.request.priority_rank) == 0) {
+            peer_loads_.update_servers(sorted_servers_, now);
             if (try_start(e, now)) {
                 return;
             }
@@ -157,6 +161,7 @@
         if (it == entries_.end()) {
             return;
         }
+        peer_loads_.update_servers(sorted_servers_, now);
         // The request has already waited, so that it does not wait behind others again.
         if (!try_start(it->second, now)) {
             enqueue_or_reject(it->second, now);
@@ -247,7 +252,8 @@
         return r;
     }
 
-    [[nodiscard]] scheduler_status status(base::time_point now) const {
+    [[nodiscard]] scheduler_status status(base::time_point now) {
+        peer_loads_.update_servers(sorted_servers_, now);
         scheduler_status st;
         st.prefill_tokens_per_ms = fleet_prefill_tokens_per_ms();
         st.prefill_tokens_per_s = fleet_prefill_tokens_per_s(now);
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chicorygap::sharing {
 
@@ -42,8 +43,19 @@
     float processor_share = 1;
     /// Loads from the sender's own requests. In a large fleet they are sent only within the sender's zone.
     service_loads services;
-    /// Loads summed over the daemons of the sender's zone; sent only by the zone representative.
+    /// Loads summed over the daemons of the sender's zone; sent only by zone representatives.
     service_loads zone_services;
+    /// Number of live daemons in the sender's zone. Not 0 marks the beacon as a zone digest, which
+    /// representatives send to other zones.
+    std::uint32_t zone_daemons = 0;
+    /// Fencing token of the lease holder if it is in the sender's zone, else 0; only in zone digests.
+    std::uint64_t zone_lease_term = 0;
+    /// Address of that lease holder.
+    net::address zone_lease_address;
+    /// Recent calls of the sender to the store failed.
+    bool store_unreachable = false;
+    /// Peer addresses of daemons in the receiver's zone, for a receiver that the sender did not know.
+    std::vector<net::address> contacts;
     /// Requests that the sender counted in recent usage windows.
     std::map<metering::window_number, metering::workspace_counts> windows;
 
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -24,8 +24,17 @@
   windows @12 :List(WindowCounts);
   # CPU share of the sender's VM, as a fraction of one core.
   processorShare @13 :Float32;
-  # Loads summed over the daemons of the sender's zone; sent only by the zone representative.
+  # Loads summed over the daemons of the sender's zone; sent only by zone representatives.
   zoneServices @14 :List(ServiceLoad);
+  # Number of live daemons in the sender's zone; 0 in beacons that are not zone digests.
+  zoneDaemons @15 :UInt32;
+  # Fencing token and peer address of the lease holder if it is in the sender's zone; only in zone digests.
+  zoneLeaseTerm @16 :UInt64;
+  zoneLeaseAddress @17 :Text;
+  # Recent calls of the sender to the store failed.
+  storeUnreachable @18 :Bool;
+  # Peer addresses of daemons in the receiver's zone; sent to a daemon that was unknown.
+  contacts @19 :List(Text);
 }
 
 struct ServiceLoad {
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -103,6 +103,15 @@
     b.processor_share = in.getProcessorShare();
     b.services = read_loads(in.getServices());
     b.zone_services = read_loads(in.getZoneServices());
+    b.zone_daemons = in.getZoneDaemons();
+    b.zone_lease_term = in.getZoneLeaseTerm();
+    b.zone_lease_address = net::parse_address(in.getZoneLeaseAddress().cStr()).value_or(net::address{});
+    b.store_unreachable = in.getStoreUnreachable();
+    for (const auto contact : in.getContacts()) {
+        if (auto a = net::parse_address(contact.cStr())) {
+            b.contacts.push_back(*std::move(a));
+        }
+    }
     read_windows(in, b);
     return b;
 }
@@ -126,6 +135,16 @@
     out.setProcessorShare(b.processor_share);
     write_loads(b.services, out.initServices(static_cast<unsigned>(b.services.size())));
     write_loads(b.zone_services, out.initZoneServices(static_cast<unsigned>(b.zone_services.size())));
+    out.setZoneDaemons(b.zone_daemons);
+    out.setZoneLeaseTerm(b.zone_lease_term);
+    if (b.zone_lease_term != 0) {
+        out.setZoneLeaseAddress(net::to_string(b.zone_lease_address).c_str());
+    }
+    out.setStoreUnreachable(b.store_unreachable);
+    auto contacts = out.initContacts(static_cast<unsigned>(b.contacts.size()));
+    for (unsigned i = 0; i < contacts.size(); ++i) {
+        contacts.set(i, net::to_string(b.contacts[i]).c_str());
+    }
     write_windows(b, out);
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, message);
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -37,6 +37,11 @@
     load.servers = {{base::backend_server_id{"i-1"}, 4, 30'000, 900, 12'000, true}};
     b.processor_share = 0.25F;
     b.zone_services[base::service_id{"s"}].servers = {{base::backend_server_id{"i-2"}, 9, 1, 2, 3}};
+    b.zone_daemons = 60;
+    b.zone_lease_term = 4;
+    b.zone_lease_address = {"10.0.0.9", 7200};
+    b.store_unreachable = true;
+    b.contacts = {{"10.0.0.7", 7200}, {"10.0.0.8", 7200}};
     b.windows[metering::window_number{12}] = {{base::workspace_id{"north"}, 8}};
     EXPECT_EQ(decode(encode(b)), b);
 }
@@ -157,12 +162,144 @@
 
 TEST(peer_table, lease_holder_is_found_until_it_times_out) {
     peer_table t{base::vm_id{"0"}};
-    EXPECT_EQ(t.lease_holder(start), nullptr);
+    EXPECT_EQ(t.lease_holder(start), std::nullopt);
     auto b = make_beacon("1");
     b.lease_term = 4;
     t.observe(b, wall, start);
-    ASSERT_NE(t.lease_holder(start), nullptr);
-    EXPECT_EQ(t.lease_holder(start + 5s), nullptr);
+    ASSERT_NE(t.lease_holder(start), std::nullopt);
+    EXPECT_EQ(t.lease_holder(start + 5s), std::nullopt);
+}
+
+/// Table of the daemon "z-001" of zone z, and the daemons of a fleet of 295 in five zones that it may learn
+/// of.
+struct large_fleet_test : testing::Test {
+    static constexpr int zone_size = 59;
+    peer_table table{base::vm_id{"z-001"}};
+    std::vector<registered_daemon> registered;
+
+    static std::string name(const std::string& zone, int i) {
+        auto n = std::to_string(i);
+        return zone + '-' + std::string(3 - n.size(), '0') + n;
+    }
+    static net::address address_of(const std::string& vm) {
+        return {
+            "10." + std::to_string(static_cast<int>(vm[0])) + ".0." + std::to_string(std::stoi(vm.substr(2))),
+            7200};
+    }
+    static beacon beacon_of(const std::string& vm, std::uint64_t sequence = 1) {
+        beacon b = make_beacon(vm, 1, sequence);
+        b.zone = base::zone_id{vm.substr(0, 1)};
+        b.peer_address = address_of(vm);
+        b.processor_share = vm.substr(2) < "003" ? 0.5F : 0.12F;
+        return b;
+    }
+    static beacon digest_of(const std::string& vm, std::uint64_t sequence = 1) {
+        auto b = beacon_of(vm, sequence);
+        b.zone_daemons = zone_size;
+        return b;
+    }
+
+    void SetUp() override {
+        for (const auto* zone : {"v", "w", "x", "y", "z"}) {
+            for (int i = 1; i <= zone_size; ++i) {
+                const auto b = beacon_of(name(zone, i));
+                registered.push_back({b.vm, b.peer_address, b.zone, b.processor_share});
+            }
+        }
+        table.add_registered(registered, base::zone_id{"z"});
+    }
+};
+
+// Load: 295 daemons, of which only 59 in this zone know this one. Guards against beacons from every daemon to
+// every daemon of the other zones, which made most of the traffic between zones.
+TEST_F(large_fleet_test, regular_beacons_stay_in_the_zone) {
+    EXPECT_TRUE(uses_zone_digests(table.fleet_size(base::zone_id{"z"}, start)));
+    EXPECT_EQ(table.addresses_in_zone(base::zone_id{"z"}).size(), zone_size - 1U);
+    EXPECT_TRUE(table.addresses_outside_zone(base::zone_id{"z"}).empty());
+    EXPECT_TRUE(table.unlocated_addresses().empty());
+}
+
+TEST_F(large_fleet_test, digests_go_to_two_daemons_of_each_other_zone) {
+    const auto initial = table.representatives_outside_zone(base::zone_id{"z"}, start);
+    ASSERT_EQ(initial.size(), 8U);
+    EXPECT_EQ(initial[0], address_of("v-001"));
+    EXPECT_EQ(initial[1], address_of("v-002"));
+    // Both representatives of zone v are lost, and two other daemons of the zone take over.
+    table.observe(digest_of("v-007"), wall, start);
+    table.observe(digest_of("v-008"), wall, start);
+    const auto later = table.representatives_outside_zone(base::zone_id{"z"}, start);
+    ASSERT_EQ(later.size(), 8U);
+    EXPECT_EQ(later[0], address_of("v-007"));
+    EXPECT_EQ(later[1], address_of("v-008"));
+}
+
+// Guards against retry budgets that are divided by the known daemons only, and usage windows that do not wait
+// for the others.
+TEST_F(large_fleet_test, live_daemons_of_other_zones_are_counted_from_digests) {
+    for (int i = 2; i <= zone_size; ++i) {
+        table.observe(beacon_of(name("z", i)), wall, start);
+    }
+    for (const auto* zone : {"v", "w", "x", "y"}) {
+        table.observe(digest_of(name(zone, 1)), wall, start);
+        table.observe(digest_of(name(zone, 2)), wall, start);
+    }
+    EXPECT_EQ(table.live_count(start), 295U);
+    // The counts that a representative sends to the lease holder are no digest and change nothing.
+    table.observe(beacon_of("v-001", 2), wall, start);
+    EXPECT_EQ(table.live_count(start), 295U);
+    EXPECT_EQ(table.live_count(start + 30s), 1U);
+}
+
+// Guards against daemons of all zones that compete for the lease although another zone has a holder, and
+// against representatives that keep a lost holder alive by repeating each other.
+TEST_F(large_fleet_test, lease_holder_of_another_zone_is_known_from_digests) {
+    auto d = digest_of("v-001");
+    d.zone_lease_term = 9;
+    d.zone_lease_address = address_of("v-020");
+    table.observe(d, wall, start);
+    EXPECT_EQ(table.lease_holder(start), (lease_location{9, base::zone_id{"v"}, address_of("v-020")}));
+    EXPECT_EQ(table.lease_holder(start + 6s), std::nullopt);
+
+    auto own_zone_digest = digest_of("z-002");
+    own_zone_digest.zone_lease_term = 10;
+    own_zone_digest.zone_lease_address = address_of("z-030");
+    table.observe(own_zone_digest, wall, start);
+    auto self = beacon_of("z-001");
+    table.add_zone_summary(self, start);
+    EXPECT_EQ(self.zone_lease_term, 0U) << "only a beacon of the holder itself counts";
+    auto holder = beacon_of("z-030");
+    holder.lease_term = 10;
+    table.observe(holder, wall, start);
+    table.add_zone_summary(self, start);
+    EXPECT_EQ(self.zone_lease_term, 10U);
+    EXPECT_EQ(self.zone_lease_address, address_of("z-030"));
+}
+
+// Failure: the store turns the mirrors of a zone away. Guards against every daemon of the zone calling the
+// store.
+TEST_F(large_fleet_test, daemons_that_cannot_reach_the_store_are_no_mirrors) {
+    for (int i = 2; i <= 5; ++i) {
+        auto b = beacon_of(name("z", i));
+        b.store_unreachable = i == 2;
+        table.observe(b, wall, start);
+    }
+    auto self = beacon_of("z-001");
+    const auto mirrors = table.store_mirrors(self, 2, start);
+    ASSERT_EQ(mirrors.size(), 2U);
+    EXPECT_EQ(mirrors[0].vm.str(), "z-001");
+    EXPECT_EQ(mirrors[1].vm.str(), "z-003");
+    self.store_unreachable = true;
+    EXPECT_EQ(table.store_mirrors(self, 2, start)[0].vm.str(), "z-003");
+}
+
+// A small fleet is a full mesh, also while some registrations name no zone.
+TEST(peer_table, small_fleet_sends_beacons_to_all_registered_daemons) {
+    peer_table t{base::vm_id{"0"}};
+    t.add_registered({{base::vm_id{"1"}, {"10.0.0.1", 7200}, base::zone_id{"y"}, 0.25F},
+                      {base::vm_id{"2"}, {"10.0.0.2", 7200}, {}, 0}},
+                     base::zone_id{"z"});
+    EXPECT_EQ(t.addresses().size(), 2U);
+    EXPECT_EQ(t.addresses_outside_zone(base::zone_id{"z"}).size(), 2U);
 }
 
 }  // namespace
