Keep a connection whose socket would block

Cause: Poco throws where a non-blocking socket takes no more bytes, and stream::flush took the exception for a reset: the rest of the output was dropped and the connection closed. The peer got the first part and then an orderly end. Found by a test of a slow caller with a 32 MB response; strace shows sendto = -1 EAGAIN followed by close.

Change: an exception with EAGAIN, EWOULDBLOCK or EINTR leaves the connection open until it is writable or readable.

Result: stream_test.output_beyond_the_send_buffer_arrives_whole failed before and passes.

--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <array>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <utility>
@@ -42,6 +43,12 @@
     s.setOption(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
 }
 
+/// Poco throws where a non-blocking socket takes or holds no more bytes at the moment.
+/// @return true if the connection is sound and the call has to be repeated later.
+bool would_block(const Poco::Exception& e) {
+    return e.code() == EAGAIN || e.code() == EWOULDBLOCK || e.code() == EINTR;
+}
+
 }  // namespace
 
 stream::stream(loop& l, const Poco::Net::StreamSocket& socket, stream_hooks hooks)
@@ -207,7 +214,10 @@
         int n = 0;
         try {
             n = socket_.receiveBytes(buf.data(), static_cast<int>(buf.size()));
-        } catch (const Poco::Exception&) {
+        } catch (const Poco::Exception& e) {
+            if (would_block(e)) {
+                return;
+            }
             end(stream_end::reset);
             return;
         }
@@ -233,7 +243,10 @@
         int n = 0;
         try {
             n = socket_.sendBytes(output_.data() + written_, static_cast<int>(buffered()));
-        } catch (const Poco::Exception&) {
+        } catch (const Poco::Exception& e) {
+            if (would_block(e)) {
+                break;
+            }
             end_later(stream_end::reset);
             return;
         }
--- /dev/null
+++ b/packages/net/tests/stream_test.cpp
@@ -0,0 +1,67 @@
+#include "net/stream.h"
+
+#include "net/listener.h"
+#include "net/loop.h"
+
+#include <Poco/Net/StreamSocket.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace chicorygap::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct stream_test : testing::Test {
+    loop l;
+    std::shared_ptr<stream> accepted;
+    std::string received;
+    std::optional<stream_end> accepted_end;
+    listener in{l, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& s) {
+                    accepted = stream::adopt(l, s,
+                                             {.connected = nullptr,
+                                              .received = [this](std::string_view b) { received.append(b); },
+                                              .drained = nullptr,
+                                              .ended = [this](stream_end how) { accepted_end = how; }});
+                }};
+
+    bool run_until(const std::function<bool()>& done) {
+        const auto end = base::boot_clock::now() + 5s;
+        while (!done() && base::boot_clock::now() < end) {
+            l.run_once(10ms);
+        }
+        return done();
+    }
+};
+
+// Load: output that is larger than what the kernel takes at once. Guards against a connection that is reset because
+// the socket would block: the peer got the first few megabytes and then the end of the connection.
+TEST_F(stream_test, output_beyond_the_send_buffer_arrives_whole) {
+    constexpr std::size_t size = std::size_t{32} * 1024 * 1024;
+    std::optional<stream_end> end;
+    const auto sender = stream::connect(l, in.local(), 1s,
+                                        {.connected = nullptr,
+                                         .received = nullptr,
+                                         .drained = nullptr,
+                                         .ended = [&](stream_end how) { end = how; }});
+    ASSERT_TRUE(run_until([&] { return accepted && sender->is_connected(); }));
+    accepted->pause_reading(true);
+    sender->write(std::string(size, 'x'));
+    l.run_once(10ms);
+    l.run_once(10ms);
+    EXPECT_TRUE(sender->open());
+    EXPECT_GT(sender->buffered(), 0U);
+    accepted->pause_reading(false);
+    ASSERT_TRUE(run_until([&] { return received.size() == size; }));
+    EXPECT_EQ(sender->buffered(), 0U);
+    EXPECT_TRUE(sender->open());
+    EXPECT_EQ(end, std::nullopt);
+    EXPECT_EQ(accepted_end, std::nullopt);
+}
+
+}  // namespace
+}  // namespace chicorygap::net
