Bound what is read of responses that answer nothing, and drop connections on which one came

Cause, shown by tests of scripted servers that fail on: a response without an id on a reused connection was taken for the answer in flight; a connection went on being used after a late copy; comments counted as progress of a stalled stream; an event without end was kept and scanned again for each piece; bodies in place of the rest of a stream, and of responses whose caller had left, were read without limit or reached a null session; interim responses and dropped responses without end were read until the request ended; a slow caller's response was held in memory.

Change: a response without an id is accepted on a fresh connection only. A connection that carried a mismatched response, or a response to HEAD, serves no further exchange. Reading from the server pauses while the caller is behind, also for large plain responses.

--- a/packages/http/include/http/client_connection.h
+++ b/packages/http/include/http/client_connection.h
@@ -41,8 +41,9 @@
 
 /// One connection to a server, with one exchange at a time.
 ///
-/// Concept: a byte that arrives while no exchange is in flight makes the connection unusable, so that a
-/// response is never taken for the answer to a later request.
+/// Concept: a byte that arrives while no exchange is in flight, or a response that answers another exchange,
+/// makes the connection unusable for further exchanges, so that a response is never taken for the answer to a
+/// later request. Bytes that are no part of the answer are read up to a limit.
 ///
 /// Usage: `auto c = client_connection::connect(l, address, 300ms); c->start(bytes, no_body, match, hooks);`
 /// `abort` ends an exchange; the connection is closed with it.
@@ -95,6 +96,7 @@
     base::time_point idle_since_;
     int exchanges_ = 0;
     int dropped_responses_ = 0;
+    std::size_t dropped_bytes_ = 0;  ///< body bytes of dropped responses in this exchange
     bool in_flight_ = false;
     bool dropping_ = false;
     bool keep_alive_ = true;
--- a/packages/http/src/async_client.cpp
+++ b/packages/http/src/async_client.cpp
@@ -10,6 +10,8 @@
 
 /// Idle connections to a called service are used again within this time.
 constexpr base::duration longest_idle = 3s;
+/// Largest response. A page of the store has about 1 MB, the list of a peer a few of them.
+constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
 
 }  // namespace
 
@@ -55,8 +57,15 @@
         {.head = [with_pending](
                      response_head&& h) { with_pending([&](pending& x) { x.answer.head = std::move(h); }); },
          .body =
-             [with_pending](std::string_view part) {
-                 with_pending([&](pending& x) { x.answer.body.append(part); });
+             [with_pending, this, number](std::string_view part) {
+                 with_pending([&](pending& x) {
+                     if (x.answer.body.size() + part.size() > max_response_bytes) {
+                         x.connection->abort();
+                         finish(number, call_failure{exchange_failure::malformed, true});
+                         return;
+                     }
+                     x.answer.body.append(part);
+                 });
              },
          .complete = [with_pending, this,
                       number] { with_pending([&](pending& x) { finish(number, std::move(x.answer)); }); },
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t head_limit = std::size_t{32} * 1024;
 /// Responses to other requests that are dropped before the connection counts as broken.
 constexpr int dropped_response_limit = 3;
+/// Body bytes of such responses that are read during one exchange before the connection counts as broken.
+constexpr std::size_t max_dropped_bytes = std::size_t{256} * 1024;
 
 std::optional<base::duration> keep_alive_time(const header_list& headers) {
     const auto* value = headers.find("Keep-Alive");
@@ -55,8 +57,12 @@
                .response = [this](response_head&& h) { on_head(std::move(h)); },
                .body =
                    [this](std::string_view part) {
+                       if (dropping_) {
+                           dropped_bytes_ += part.size();
+                           return;
+                       }
                        const auto hooks = hooks_;
-                       if (in_flight_ && !dropping_ && hooks->body) {
+                       if (in_flight_ && hooks->body) {
                            hooks->body(part);
                        }
                    }},
@@ -94,7 +100,11 @@
     dropping_ = false;
     keep_alive_ = true;
     dropped_responses_ = 0;
+    dropped_bytes_ = 0;
     ++exchanges_;
+    // A late copy of the response would have a length and no body, like the original. Behind a request with a
+    // response body, it would take the bytes of that response for its own body.
+    broken_ = broken_ || no_body;
     reader_.expect_no_body(no_body);
     if (!stream_->open()) {
         fail(exchange_failure::connect_failed);
@@ -128,7 +138,8 @@
             return;  // a hook aborted the exchange
         }
         bytes.remove_prefix(r.consumed);
-        if (r.state == read_state::invalid) {
+        if (r.state == read_state::invalid || dropped_responses_ > dropped_response_limit ||
+            dropped_bytes_ > max_dropped_bytes) {
             fail(exchange_failure::malformed);
             return;
         }
@@ -151,10 +162,10 @@
     }
     keep_alive_ = h.keep_alive;
     if (match_ && !match_(h)) {
+        // Where one unexpected response came, another may follow: the connection serves this exchange only.
         dropping_ = true;
-        if (!h.keep_alive || ++dropped_responses_ > dropped_response_limit) {
-            broken_ = true;
-        }
+        broken_ = true;
+        ++dropped_responses_;
         return;
     }
     idle_time_ = keep_alive_time(h.headers);
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -7,6 +7,13 @@
 
 namespace chicorygap::http {
 
+namespace {
+
+/// Interim responses (1xx) before a final one; more of them are no progress.
+constexpr int max_interim_responses = 8;
+
+}  // namespace
+
 class message_reader::impl {
 public:
     impl(kind k, reader_hooks h, std::size_t head_limit)
@@ -46,9 +53,14 @@
             if (ec == HPE_PAUSED && done_) {
                 http_parser_pause(&parser_, 0);
                 if (std::exchange(interim_, false)) {
+                    if (++interim_responses_ > max_interim_responses) {
+                        failed_ = true;
+                        return {read_state::invalid, consumed};
+                    }
                     restart();
                     continue;
                 }
+                interim_responses_ = 0;
                 restart();
                 return {read_state::complete, consumed};
             }
@@ -193,6 +205,7 @@
     bool in_value_ = false;
     bool done_ = false;
     bool interim_ = false;
+    int interim_responses_ = 0;  ///< since the last final response
     bool failed_ = false;
     bool bad_field_ = false;
 };
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -20,6 +20,9 @@
 constexpr base::duration max_idle_repeatable = 4s;
 /// Responses up to this size that are not streams are buffered before they are sent to the caller.
 constexpr std::size_t max_buffered_response_bytes = std::size_t{1024} * 1024;
+/// Bytes that are read of a response which is not forwarded: an error instead of the rest of a stream, or the
+/// response to a request whose caller has left.
+constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
 /// Unsent output for the caller above which reading from the server pauses.
 constexpr std::size_t max_pending_output_bytes = std::size_t{256} * 1024;
 /// Delay of the request timer after the deadline, within which the server's own timeout response may arrive.
@@ -194,6 +197,7 @@
     record_.affinity_rank = decision.affinity_rank;
     events_.discard_partial();
     response_body_.clear();
+    discarded_bytes_ = 0;
     response_is_stream_ = false;
     response_status_ = 0;
     if (!response_started_) {
@@ -222,7 +226,8 @@
 
 bool proxied_request::matches_request(const http::response_head& head) const {
     const auto id = router_.codec.decode(head).request_id;
-    return id.empty() || id == metadata_.id.str();
+    // Without an id, a response on a connection that was used before may be a late copy of an earlier one.
+    return id.empty() ? connection_ && connection_->fresh() : id == metadata_.id.str();
 }
 
 http::exchange_hooks proxied_request::attempt_hooks() {
@@ -311,10 +316,13 @@
 void proxied_request::on_stream_body(std::string_view data) {
     const auto events_before = events_.event_count();
     const auto complete_events = events_.feed(data);
+    const auto self = shared_from_this();
     if (complete_events.empty()) {
+        if (events_.event_too_long()) {
+            fail_attempt_with_invalid_response("event_too_long");
+        }
         return;
     }
-    const auto self = shared_from_this();
     if (!attempt_tracker_->record_output(current_attempt_, events_.event_count() - events_before)) {
         return;
     }
@@ -330,22 +338,46 @@
         session_->begin(std::move(head));
     }
     session_->send(complete_events);
-    if (session_->buffered() > max_pending_output_bytes) {
-        connection_->pause_reading(true);
+    if (events_.event_too_long()) {
+        fail_attempt_with_invalid_response("event_too_long");
+        return;
     }
+    pause_if_caller_is_slow();
     arm_attempt_timer();
 }
 
+void proxied_request::pause_if_caller_is_slow() {
+    if (connection_ && session_->buffered() > max_pending_output_bytes) {
+        connection_->pause_reading(true);
+    }
+}
+
+void proxied_request::fail_attempt_with_invalid_response(const char* cause) {
+    router_.loop.cancel(attempt_timer_);
+    abort_attempt();
+    on_attempt_failed({result_code::answer_mismatched, true}, scheduling::outcome::failed, cause);
+}
+
 void proxied_request::on_non_stream_body(std::string_view data) {
-    if (response_started_ && !forwarding_unbuffered_) {
-        return;  // an error response instead of the rest of a stream must not reach the caller
+    const auto self = shared_from_this();
+    const bool discarded = !session_ || (response_started_ && !forwarding_unbuffered_);
+    if (discarded) {
+        // An error response instead of the rest of a stream must not reach the caller; a caller that has left
+        // needs none.
+        response_body_.clear();
+        discarded_bytes_ += data.size();
+        if (discarded_bytes_ > max_discarded_bytes) {
+            fail_attempt_with_invalid_response("body_too_long");
+        }
+        return;
     }
-    response_body_.append(data);
     if (forwarding_unbuffered_) {
-        session_->send(std::exchange(response_body_, {}));
+        session_->send(data);
+        pause_if_caller_is_slow();
         return;
     }
-    if (response_body_.size() <= max_buffered_response_bytes || !session_) {
+    response_body_.append(data);
+    if (response_body_.size() <= max_buffered_response_bytes) {
         return;
     }
     // The response exceeds the buffer limit: from here on a failure aborts the response.
@@ -354,6 +386,7 @@
     router_.loop.cancel(attempt_timer_);
     session_->begin({.status = response_head_.status, .headers = http::end_to_end(response_head_.headers)});
     session_->send(std::exchange(response_body_, {}));
+    pause_if_caller_is_slow();
 }
 
 void proxied_request::on_response_complete() {
@@ -378,6 +411,7 @@
     attempt_tracker_->finish(current_attempt_, {result_code::ok, true});
     router_.apply_decisions(
         service_, scheduler().attempt_finished(id_, scheduling::outcome::success, router_.loop.now()));
+    session_->send(events_.take_comments());
     session_->finish();
     end(response_head_.status, result_code::ok);
 }
@@ -423,7 +457,7 @@
     connection_.reset();
     router_.pool.drop(connection_key_);
     const bool sent = failure != http::exchange_failure::connect_failed;
-    const bool has_output = response_started_ || !response_body_.empty();
+    const bool has_output = response_started_ || !response_body_.empty() || discarded_bytes_ > 0;
     const auto code = !sent        ? result_code::connect_failed
                       : has_output ? result_code::answer_truncated
                                    : result_code::answer_mismatched;
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -61,6 +61,11 @@
     void on_response_body(std::string_view data);
     void on_stream_body(std::string_view data);
     void on_non_stream_body(std::string_view data);
+    /// Stops reading from the server until the caller has taken the output.
+    void pause_if_caller_is_slow();
+    /// Ends the attempt because the server sends bytes that are no valid response, and closes its connection.
+    /// @param cause for the log.
+    void fail_attempt_with_invalid_response(const char* cause);
     void on_response_complete();
     void on_exchange_failed(http::exchange_failure failure);
     void on_attempt_timeout();
@@ -111,6 +116,7 @@
     bool response_started_ = false;  ///< part of the response has been sent to the caller
     bool forwarding_unbuffered_ =
         false;  ///< the response exceeds the buffer limit and is forwarded as it arrives
+    std::size_t discarded_bytes_ = 0;  ///< of the current attempt, read and not forwarded
     bool run_reported_ = false;
     bool ended_ = false;
     base::duration retry_after_{};
