Let fewer daemons of small zones watch the store, and mirrors for longer

Mirrors ended a watch every 0.8 s.

Change: above 12 daemons a zone of two or more has one mirror, of ten or more two. A mirror waits up to 2.5 s for changes; a daemon whose mirror silently lost the store hears of newer versions from beacons within about a second. The bound after which a pending watch of a stale mirror ends is a parameter, unchanged in its test.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -60,9 +60,14 @@
 /// Log output that is buffered while its reader stalls: a few seconds of output on the day of highest load.
 constexpr std::size_t max_log_buffer_bytes = std::size_t{256} * 1024;
 
-/// Longest wait of a watch in a zone with mirrors. A mirror that hangs or has lost its connection to the
-/// store is detected after this time, and the changes that it missed must still be applied in time.
+/// Longest wait of a watch of a mirror. A mirror that hangs is detected after this time, and the changes that it
+/// missed must still be applied in time.
 constexpr base::duration max_mirrored_watch_wait = 800ms;
+/// Longest wait of a mirror's watch of the store. Longer, because these calls are charged; daemons whose mirror has
+/// silently lost the store hear of changes from the beacons of others.
+constexpr base::duration max_mirror_store_wait = 2500ms;
+/// Time after the last response of the store within which a mirror answers that nothing has changed.
+constexpr base::duration max_mirror_confirmation_age = max_mirror_store_wait + 800ms;
 
 long long to_ms(base::duration d) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
@@ -200,8 +205,8 @@
                          },
                      .next_watch = [this](int n) { return next_watch_options(n); }}},
       mirror_client_{loop_, settings_.store},
-      configuration_mirror_{loop_, configuration_cache_},
-      server_mirror_{loop_, server_cache_},
+      configuration_mirror_{loop_, configuration_cache_, max_mirror_confirmation_age},
+      server_mirror_{loop_, server_cache_, max_mirror_confirmation_age},
       directory_{settings_.drain_time},
       peer_exchange_{
           loop_,
@@ -445,11 +450,12 @@
     const auto zone_size = peer_exchange_.peers().live_peer_count_in_zone(settings_.zone, loop_.now()) + 1;
     platform::watch_options options{
         .mirror = nullptr,
-        .max_wait = max_mirrored_watch_wait,
+        .max_wait = max_mirror_store_wait,
         .min_retry_delay = store_retry_delay_per_daemon * static_cast<int>(zone_size)};
     if (const auto address = peer_exchange_.mirror(mirror_failures)) {
         mirror_client_.set_address(*address);
         options.mirror = &mirror_client_;
+        options.max_wait = max_mirrored_watch_wait;
     }
     return options;
 }
--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -23,11 +23,11 @@
 constexpr base::duration retry_delay = 500ms;
 constexpr base::duration fetch_timeout = 500ms;
 /// Number of daemons of a zone that watch the store for the others. The second one covers for a mirror that
-/// cannot reach the store.
+/// cannot reach the store; a small zone does without, because its few daemons may call the store for a while.
 constexpr std::size_t mirrors_per_zone = 2;
-/// Size of a zone from which it uses mirrors in a large fleet. Elsewhere every daemon watches the store
-/// itself.
-constexpr std::size_t min_daemons_for_mirrors = 5;
+constexpr std::size_t min_daemons_for_second_mirror = 10;
+/// Size of a zone from which it uses mirrors in a large fleet. Elsewhere every daemon watches the store itself.
+constexpr std::size_t min_daemons_for_mirrors = 2;
 /// Representatives of each zone, which exchange zone digests with other zones and forward those that they
 /// receive.
 constexpr std::size_t representatives_per_zone = 2;
@@ -182,7 +182,9 @@
     }
     auto self = make_identity_beacon();
     self.store_unreachable = hooks_.store_unreachable && hooks_.store_unreachable();
-    const auto mirrors = peers_.store_mirrors(self, mirrors_per_zone, loop_.now());
+    const auto zone_size = peers_.live_peer_count_in_zone(settings_.zone, loop_.now()) + 1;
+    const auto mirrors = peers_.store_mirrors(
+        self, zone_size < min_daemons_for_second_mirror ? 1 : mirrors_per_zone, loop_.now());
     const bool is_mirror =
         std::any_of(mirrors.begin(), mirrors.end(), [&](const auto& m) { return m.vm == settings_.vm; });
     if (is_mirror || mirrors.empty()) {
