Keep reserved servers in the cheapest zones only

Cause: each zone kept one reserved server whatever the load.

Change: one reserved server stays in each of the cheapest zones, half of the zones, at least one. Every zone keeps at least one server, reclaimable where there is no reserved one; while the platform has no reclaimable ones, reserved ones are requested as before.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -60,11 +60,11 @@
 /// Log output that is buffered while its reader stalls: a few seconds of output on the day of highest load.
 constexpr std::size_t max_log_buffer_bytes = std::size_t{256} * 1024;
 
-/// Longest wait of a watch of a mirror. A mirror that hangs is detected after this time, and the changes that it
-/// missed must still be applied in time.
+/// Longest wait of a watch of a mirror. A mirror that hangs is detected after this time, and the changes that
+/// it missed must still be applied in time.
 constexpr base::duration max_mirrored_watch_wait = 800ms;
-/// Longest wait of a mirror's watch of the store. Longer, because these calls are charged; daemons whose mirror has
-/// silently lost the store hear of changes from the beacons of others.
+/// Longest wait of a mirror's watch of the store. Longer, because these calls are charged; daemons whose
+/// mirror has silently lost the store hear of changes from the beacons of others.
 constexpr base::duration max_mirror_store_wait = 2500ms;
 /// Time after the last response of the store within which a mirror answers that nothing has changed.
 constexpr base::duration max_mirror_confirmation_age = max_mirror_store_wait + 800ms;
--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -26,7 +26,8 @@
 /// cannot reach the store; a small zone does without, because its few daemons may call the store for a while.
 constexpr std::size_t mirrors_per_zone = 2;
 constexpr std::size_t min_daemons_for_second_mirror = 10;
-/// Size of a zone from which it uses mirrors in a large fleet. Elsewhere every daemon watches the store itself.
+/// Size of a zone from which it uses mirrors in a large fleet. Elsewhere every daemon watches the store
+/// itself.
 constexpr std::size_t min_daemons_for_mirrors = 2;
 /// Representatives of each zone, which exchange zone digests with other zones and forward those that they
 /// receive.
--- a/packages/duties/include/duties/autoscaler.h
+++ b/packages/duties/include/duties/autoscaler.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -93,6 +94,8 @@
     };
 
     void plan();
+    /// @return the zones that keep a reserved server whatever the load.
+    [[nodiscard]] std::set<base::zone_id> zones_with_reserved_server() const;
     [[nodiscard]] std::uint32_t active_count(const base::zone_id& zone, bool reclaimable) const;
 
     catalog::scaling_parameters parameters_;
--- a/packages/duties/src/autoscaler.cpp
+++ b/packages/duties/src/autoscaler.cpp
@@ -38,8 +38,9 @@
 constexpr base::duration startup_margin = 3s;
 /// In a full zone, the reserved servers divided by this number are replaced by reclaimable ones at a time.
 constexpr std::uint32_t replacement_divisor = 5;
-/// Reserved servers that each zone keeps.
-constexpr std::uint32_t min_reserved_per_zone = 1;
+/// One reserved server is kept in each of the cheapest zones, whose number is that of all zones divided by
+/// this divisor, at least one. They serve while the reclaimable servers of several zones are lost.
+constexpr std::size_t zones_per_reserved_server = 2;
 
 }  // namespace
 
@@ -102,6 +103,21 @@
     return it == active_counts_.end() ? 0 : it->second;
 }
 
+std::set<base::zone_id> autoscaler::zones_with_reserved_server() const {
+    std::vector<std::pair<double, base::zone_id>> by_price;
+    for (const auto& [zone, price] : parameters_.zone_prices) {
+        by_price.emplace_back(price, zone);
+    }
+    std::sort(by_price.begin(), by_price.end());
+    by_price.resize(
+        std::min(by_price.size(), std::max<std::size_t>(1, by_price.size() / zones_per_reserved_server)));
+    std::set<base::zone_id> out;
+    for (const auto& [price, zone] : by_price) {
+        out.insert(zone);
+    }
+    return out;
+}
+
 void autoscaler::plan() {
     const auto zones = static_cast<double>(parameters_.zone_prices.size());
     if (zones == 0) {
@@ -115,6 +131,7 @@
     const auto max_servers = parameters_.max_servers_per_zone;
     const auto desired = std::clamp<std::uint32_t>(static_cast<std::uint32_t>(std::ceil(per_zone)) + 1,
                                                    parameters_.min_servers_per_zone, max_servers);
+    const auto reserved_zones = zones_with_reserved_server();
     for (const auto& [zone, price] : parameters_.zone_prices) {
         const auto active_reserved = active_count(zone, false);
         const auto active_reclaimable = active_count(zone, true);
@@ -122,7 +139,7 @@
             pools_[{zone, false}].desired = desired;
             continue;
         }
-        const auto reserved_floor = std::max(min_reserved_per_zone, parameters_.min_servers_per_zone);
+        const std::uint32_t reserved_floor = reserved_zones.contains(zone) ? 1 : 0;
         const auto reclaimable_target = desired > reserved_floor ? desired - reserved_floor : 0;
         // Reserved servers are released as reclaimable ones start.
         const auto servers_for_zone_load =
@@ -142,8 +159,8 @@
             reserved_target -= std::min(reserved_target - reserved_floor,
                                         std::max(1U, reserved_target / replacement_divisor));
         }
-        pools_[{zone, false}].desired = std::clamp(std::max(reserved_floor, reserved_target),
-                                                   parameters_.min_servers_per_zone, max_servers);
+        // The limits of a zone hold for both kinds together, and at least one server of a zone is wanted.
+        pools_[{zone, false}].desired = std::min(std::max(reserved_floor, reserved_target), max_servers);
         pools_[{zone, true}].desired =
             std::min(reclaimable_target, max_servers - std::min(max_servers, pools_[{zone, false}].desired));
     }
--- a/packages/duties/tests/autoscaler_test.cpp
+++ b/packages/duties/tests/autoscaler_test.cpp
@@ -146,6 +146,90 @@
     EXPECT_GE(2 * (requests.at({"a", true}) + 1) + 1, 6U);
 }
 
+/// Parameters with four zones of different prices, as on skeo-gravering.
+catalog::scaling_parameters make_four_zones() {
+    auto t = make_parameters(0.18);
+    t.zone_prices = {{base::zone_id{"a"}, 1.0},
+                     {base::zone_id{"b"}, 0.8},
+                     {base::zone_id{"c"}, 1.25},
+                     {base::zone_id{"d"}, 0.9}};
+    return t;
+}
+
+/// Carries out all due requests at once: afterwards the servers are those that were requested.
+/// @return price of the servers per second.
+double apply_requests(autoscaler& p, std::vector<catalog::backend_server>& servers,
+                      const catalog::scaling_parameters& t, base::time_point now) {
+    for (const auto& [key, count] : send_due_requests(p, now)) {
+        const auto& [zone, reclaimable] = key;
+        std::erase_if(servers, [&, &zone = zone, &reclaimable = reclaimable](const auto& s) {
+            return s.zone.str() == zone && s.reclaimable == reclaimable;
+        });
+        for (std::uint32_t i = 0; i < count; ++i) {
+            catalog::backend_server s;
+            s.zone = base::zone_id{zone};
+            s.reclaimable = reclaimable;
+            servers.push_back(s);
+        }
+    }
+    double price = 0;
+    for (const auto& s : servers) {
+        price += t.zone_prices.at(s.zone) * (s.reclaimable ? *t.reclaimable_price_ratio : 1);
+    }
+    return price;
+}
+
+// Load: few requests, steadily. Guards against reserved servers that are kept in every zone: they were two
+// thirds of what the servers of quiet days cost, and served little.
+TEST(autoscaler, steady_light_load_is_served_by_reclaimable_servers_of_each_zone_and_few_reserved_ones) {
+    const auto t = make_four_zones();
+    autoscaler p{t, 64, registration_start};
+    std::vector<catalog::backend_server> servers = make_servers(2, 0);
+    p.observe({}, servers, registration_start);
+    double price = 0;
+    for (int i = 0; i < 80; ++i) {
+        p.observe({.requests = 40}, servers, start + i * 500ms);
+        price = apply_requests(p, servers, t, start + i * 500ms);
+    }
+    std::map<std::string, int> by_zone;
+    int reserved = 0;
+    for (const auto& s : servers) {
+        ++by_zone[s.zone.str()];
+        reserved += s.reclaimable ? 0 : 1;
+    }
+    EXPECT_EQ(by_zone.size(), 4U) << "each zone has at least one server";
+    EXPECT_EQ(reserved, 2) << "in the two cheapest zones";
+    EXPECT_LT(price, 0.8 + 0.9 + 0.18 * 8);
+}
+
+// Load: reclaimable servers of all zones are lost at the same time and are not available again. Guards
+// against a service without servers.
+TEST(autoscaler, every_zone_gets_reserved_servers_when_no_reclaimable_ones_are_available) {
+    const auto t = make_four_zones();
+    autoscaler p{t, 64, registration_start - 1min};
+    std::vector<catalog::backend_server> servers;
+    for (const auto* zone : {"b", "d"}) {
+        catalog::backend_server s;
+        s.zone = base::zone_id{zone};
+        servers.push_back(s);
+    }
+    std::map<std::string, std::uint32_t> reserved;
+    for (int i = 0; i < 4; ++i) {
+        const auto now = start + i * 500ms;
+        p.observe({.requests = 64 * 0.35 * 6}, servers, now);
+        for (const auto& r : p.due_capacity_requests(now)) {
+            if (!r.reclaimable) {
+                reserved[r.zone.str()] = r.count;
+            }
+            p.capacity_request_finished(
+                r, r.reclaimable ? capacity_result::unavailable : capacity_result::accepted, now);
+        }
+    }
+    for (const auto* zone : {"a", "b", "c", "d"}) {
+        EXPECT_GE(reserved[zone], 2U) << zone;
+    }
+}
+
 TEST(autoscaler, without_reclaimable_servers_reserved_ones_follow_the_load_within_limits) {
     autoscaler p{make_parameters(std::nullopt), 64, registration_start};
     p.observe({}, make_servers(3, 0), registration_start);
