--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -65,7 +65,7 @@
 constexpr base::duration max_mirrored_watch_wait = 800ms;
 /// Longest wait of a mirror's watch of the store. Longer, because these calls are charged; daemons whose
 /// mirror has silently lost the store hear of changes from the beacons of others.
-constexpr base::duration max_mirror_store_wait = 2500ms;
+constexpr base::duration max_mirror_store_wait = 1500ms;
 /// Time after the last response of the store within which a mirror answers that nothing has changed.
 constexpr base::duration max_mirror_confirmation_age = max_mirror_store_wait + 800ms;
 
