Count peer loads up to 250 ms old as recent

Small fleets send beacons every 150 ms and medium ones every 300 ms: their requests go by the cost alone again, as before the spread over servers.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -65,10 +65,10 @@
 /// Time for which a server's own report of its queue to this daemon counts.
 constexpr base::duration server_queue_report_lifetime = 300ms;
 /// Age of peer loads up to which they count as recent.
-constexpr base::duration recent_load_age = 100ms;
+constexpr base::duration recent_load_age = 250ms;
 /// Random cost of a server per second by which peer loads are older, and its upper bound. The requests that
 /// other daemons start on a server within this time cost the next one about as much.
-constexpr double stale_load_spread_ms_per_s = 40;
+constexpr double stale_load_spread_ms_per_s = 80;
 constexpr double max_stale_load_spread_ms = 20;
 /// Servers with a lower rate, no running requests and no reported queue are omitted from load reports.
 constexpr double min_reported_prefill_tokens_per_s = 50;
