Name the number of representatives once

The constant stood in two files; a beacon without loads is named after what it lacks. No change of behaviour; sharing_test and scheduling_test pass.

--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -29,9 +29,6 @@
 /// Size of a zone from which it uses mirrors in a large fleet. Elsewhere every daemon watches the store
 /// itself.
 constexpr std::size_t min_daemons_for_mirrors = 2;
-/// Representatives of each zone, which exchange zone digests with other zones and forward those that they
-/// receive.
-constexpr std::size_t representatives_per_zone = 2;
 /// Longest delay of the counts that a new lease holder gets; spreads those of a large fleet.
 constexpr base::duration max_new_holder_delay = 500ms;
 /// Addresses that a peer from another zone is told of its own zone.
@@ -104,7 +101,7 @@
         return;
     }
     if (fleet_beacon_due) {
-        send(make_identity_beacon_with_state(), peers_.unlocated_addresses());
+        send(make_beacon_without_loads(), peers_.unlocated_addresses());
         send_counts_to_lease_holder();
     }
     if (now >= next_digest_ && is_representative()) {
@@ -117,7 +114,7 @@
 
 bool peer_exchange::is_representative() const {
     return peers_.higher_ranked_in_zone(make_identity_beacon(), loop_.now()).size() <
-           representatives_per_zone;
+           sharing::representatives_per_zone;
 }
 
 void peer_exchange::send_digest() {
@@ -165,7 +162,7 @@
             .processor_share = static_cast<float>(settings_.processor_share)};
 }
 
-sharing::beacon peer_exchange::make_identity_beacon_with_state() {
+sharing::beacon peer_exchange::make_beacon_without_loads() {
     auto b = make_beacon(false);
     b.services.clear();
     return b;
@@ -243,7 +240,7 @@
 // A daemon that restarts while the store is unreachable knows only the seeds, which may all be in other
 // zones.
 void peer_exchange::send_contacts(const sharing::beacon& to) {
-    auto b = make_identity_beacon_with_state();
+    auto b = make_beacon_without_loads();
     b.contacts = peers_.addresses_in_zone(to.zone);
     std::erase(b.contacts, to.peer_address);
     b.contacts.resize(std::min(b.contacts.size(), max_contacts));
--- a/apps/daemon/src/peer_exchange.h
+++ b/apps/daemon/src/peer_exchange.h
@@ -79,7 +79,7 @@
     [[nodiscard]] sharing::beacon make_identity_beacon() const;
     [[nodiscard]] sharing::beacon make_beacon(bool with_counts);
     /// @return a beacon without loads and counts.
-    [[nodiscard]] sharing::beacon make_identity_beacon_with_state();
+    [[nodiscard]] sharing::beacon make_beacon_without_loads();
     [[nodiscard]] sharing::registered_daemon registration() const;
     [[nodiscard]] base::duration next_list_delay();
     void send(const sharing::beacon& b, const std::vector<net::address>& to);
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -72,9 +72,8 @@
 /// - shared prompt parts that every server would process again;
 /// - one part that gets much of the traffic;
 /// - servers whose KV cache is full although they have free slots;
-/// - daemons that select the same server at the same time, also while their reports are old and a server
-/// appears
-///   to be free long after others have filled it;
+/// - daemons that select the same server at the same time;
+/// - servers that appear to be free in old reports, long after other daemons have filled them;
 /// - streams with token gap limits that the prefill of long prompts interrupts: long prompts are restricted
 ///   to a group of the servers.
 /// @param request request to place.
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -25,6 +25,9 @@
 /// @return time without a beacon after which a peer is considered dead.
 base::duration peer_timeout(std::size_t fleet_size);
 
+/// Daemons of each zone that exchange digests with other zones. The second one covers for the first.
+inline constexpr std::size_t representatives_per_zone = 2;
+
 /// With digests, the data that a daemon receives and the traffic between zones grow with the number of zones
 /// instead of the size of the fleet.
 /// @param fleet_size number of daemons.
--- a/packages/sharing/src/peer_table.cpp
+++ b/packages/sharing/src/peer_table.cpp
@@ -25,8 +25,6 @@
 constexpr base::duration digest_interval_per_daemon = 12ms;
 constexpr base::duration min_digest_interval = 300ms;
 constexpr base::duration max_digest_interval = 1s;
-/// Daemons of each zone that exchange digests with other zones. The second one covers for the first.
-constexpr std::size_t representatives_per_zone = 2;
 /// Missed digests after which their content is outdated.
 constexpr int max_missed_digests = 4;
 /// Missed beacons after which a peer is considered dead.
