--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -54,7 +54,7 @@
 
 /// Changes of the server list are batched for a time that grows with the fleet, because the store calls of
 /// each daemon are charged and a larger fleet has more servers. The maximum is well below the drain time.
-constexpr base::duration server_batch_delay_per_daemon = 20ms;
+constexpr base::duration server_batch_delay_per_daemon = 6ms;
 constexpr base::duration max_server_batch_delay = 500ms;
 
 /// Log output that is buffered while its reader stalls: a few seconds of output on the day of highest load.
