Write endless pieces of the scripted server in blocks

The piece is one byte, and the test's own server made one system call for each of the 80 KB that the reader takes before it gives up: 0.056 s on an idle machine, 3.5 s under strace, which delays each call. The router's part did not change.

Change: the server writes the same bytes in blocks of 16 KB; 12 calls of sendto instead of tens of thousands. The bound stays.

--- a/packages/proxy/tests/invalid_responses_test.cpp
+++ b/packages/proxy/tests/invalid_responses_test.cpp
@@ -8,14 +8,20 @@
     std::set<std::shared_ptr<std::function<void()>>> writers;
 
     /// Writes `piece` to the connection again and again until it is closed.
-    void write_without_end(const connection& c, std::string piece) {
+    void write_without_end(const connection& c, const std::string& piece) {
+        // One write for many short pieces: a call for each byte would take longer than what is measured.
+        constexpr std::size_t block_bytes = std::size_t{16} * 1024;
+        std::string block;
+        while (block.size() < block_bytes) {
+            block += piece;
+        }
         auto writer = std::make_shared<std::function<void()>>();
         writers.insert(writer);
-        *writer = [this, c, piece = std::move(piece), weak = std::weak_ptr<std::function<void()>>{writer}] {
+        *writer = [this, c, block = std::move(block), weak = std::weak_ptr<std::function<void()>>{writer}] {
             if (const auto self = weak.lock(); self && c->open()) {
                 constexpr std::size_t bytes_per_round = std::size_t{64} * 1024;
-                for (std::size_t n = c->buffered(); n < bytes_per_round; n += piece.size()) {
-                    c->write(piece);
+                for (std::size_t n = c->buffered(); n < bytes_per_round; n += block.size()) {
+                    c->write(block);
                 }
                 loop.after(1ms, [self] { (*self)(); });
             }
