Log kept servers and the age of the configuration

Nothing told whether a daemon keeps a server whose entry is missing, why, or how long ago the store confirmed the configuration that decided a request. 'Server list updated.' has kept, source and store_reachable; 'Request ended.' has config_age_ms; the gauges servers_kept, servers_age_seconds and configuration_age_seconds are new. No decision changes.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -73,7 +73,18 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
 
-void log_request(const proxy::request_record& r) {
+/// @return time since the store or a mirror last confirmed the cache; nothing before the first list.
+std::optional<base::duration> confirmation_age(const platform::object_cache& cache, base::time_point now) {
+    return cache.last_confirmed() == base::time_point{}
+               ? std::nullopt
+               : std::optional<base::duration>{now - cache.last_confirmed()};
+}
+
+double to_seconds(std::optional<base::duration> d) {
+    return d ? std::chrono::duration<double>{*d}.count() : 0;
+}
+
+void log_request(const proxy::request_record& r, std::optional<base::duration> configuration_age) {
     base::log_line line{base::log_level::info, "proxy", "Request ended."};
     line.field("request", r.id.str())
         .field("route", r.route)
@@ -88,6 +99,9 @@
         .field("total_ms", to_ms(r.total_time))
         .field("version", static_cast<long long>(r.catalog_version))
         .code(r.code);
+    if (configuration_age) {
+        line.field("config_age_ms", to_ms(*configuration_age));
+    }
     if (r.server_list_age) {
         line.field("servers_age_ms", to_ms(*r.server_list_age));
     }
@@ -173,7 +187,7 @@
                .request_ended =
                    [this](const proxy::request_record& r) {
                        metrics_->record(r);
-                       log_request(r);
+                       log_request(r, confirmation_age(configuration_cache_, loop_.now()));
                    }}},
       store_{loop_, settings_.store},
       configuration_cache_{loop_,
@@ -333,6 +347,10 @@
     metrics_->set_gauge("log_lines_dropped", static_cast<double>(log_output_.dropped()));
     metrics_->set_gauge("store_calls", static_cast<double>(store_.call_count()));
     metrics_->set_gauge("configuration_version", catalog_ ? static_cast<double>(catalog_->version) : 0);
+    const auto now = loop_.now();
+    metrics_->set_gauge("configuration_age_seconds", to_seconds(confirmation_age(configuration_cache_, now)));
+    metrics_->set_gauge("servers_age_seconds", to_seconds(confirmation_age(server_cache_, now)));
+    metrics_->set_gauge("servers_kept", static_cast<double>(directory_.kept_count()));
     http::response_head head{.status = 200};
     head.headers.add("Content-Type", "text/plain; version=0.0.4");
     s.respond(std::move(head), metrics_->text());
@@ -379,7 +397,10 @@
     router_.set_servers(servers);
     base::log_line{base::log_level::info, "daemon", "Server list updated."}
         .field("count", static_cast<long long>(servers.size()))
-        .field("revision", static_cast<long long>(server_cache_.revision()));
+        .field("kept", static_cast<long long>(directory_.kept_count()))
+        .field("revision", static_cast<long long>(server_cache_.revision()))
+        .field("source", platform::to_string(server_cache_.source()))
+        .field("store_reachable", server_cache_.reachable() ? "yes" : "no");
 }
 
 void edge_daemon::housekeeping() {
--- a/packages/catalog/include/catalog/server_directory.h
+++ b/packages/catalog/include/catalog/server_directory.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "catalog/backend_server.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <vector>
@@ -38,6 +39,9 @@
     /// @return the known servers, including draining ones.
     [[nodiscard]] std::vector<backend_server> servers() const;
 
+    /// @return number of known servers whose entry is missing in the store.
+    [[nodiscard]] std::size_t kept_count() const;
+
 private:
     struct entry {
         backend_server server;
--- a/packages/catalog/src/server_directory.cpp
+++ b/packages/catalog/src/server_directory.cpp
@@ -55,6 +55,11 @@
     return out;
 }
 
+std::size_t server_directory::kept_count() const {
+    return static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(), [](const auto& e) { return !e.second.listed; }));
+}
+
 bool server_directory::can_remove(base::time_point now) const {
     return reachable_ && (!recovered_at_ || now >= *recovered_at_ + registration_grace_);
 }
