Let the daemon that reads the store judge whether missing servers have left

Callers saw requests reach servers up to 3.5 s after these had left (DRAIN, bound 2 s).

Cause: a daemon that the store turned away got newer lists from its peers, but judged entries that were missing in them by its own path to the store, which was down. It took every removal for an entry that had expired in an outage and kept the servers for the whole outage and 1.8 s beyond it, although the store had been there for its peers all the time. Followers of a mirror had the reverse fault: the mirror's responses counted as their own contact, so they dropped entries at once that the mirror, which had seen the outage, kept.

Change: whether missing entries are final is judged by a daemon in contact with the store and holds for that content of the list. It travels with copies, with responses of mirrors and in beacons, with the revisions between which the list is valid. A daemon says it only after an undisturbed contact of the time servers need to register again, so a peer that noticed little of an outage, or has just started, does not mislead others. Responses of a mirror are no contact. Peers of earlier releases say nothing; then the own contact decides as before.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -200,6 +200,8 @@
                                     configuration_mirror_.notify_changed();
                                 },
                             .reachable = nullptr,
+                            .contact = nullptr,
+                            .removals_final = nullptr,
                             .next_watch = [this](int n) { return next_watch_options(n); }}},
       server_cache_{loop_,
                     store_,
@@ -212,15 +214,17 @@
                          },
                      .reachable =
                          [this](bool value) {
-                             directory_.set_store_reachable(value, loop_.now());
                              base::log_line{base::log_level::info, "platform",
                                             value ? "Store is reachable." : "Store is unreachable."}
                                  .field("revision", static_cast<long long>(server_cache_.revision()));
                          },
+                     .contact = [this](platform::store_contact c) { on_store_contact(c); },
+                     .removals_final = [this] { on_removals_final("mirror"); },
                      .next_watch = [this](int n) { return next_watch_options(n); }}},
       mirror_client_{loop_, settings_.store},
       configuration_mirror_{loop_, configuration_cache_, max_mirror_confirmation_age},
-      server_mirror_{loop_, server_cache_, max_mirror_confirmation_age},
+      server_mirror_{loop_, server_cache_, max_mirror_confirmation_age,
+                     [this] { return directory_.removals_final(loop_.now()); }},
       directory_{settings_.drain_time},
       peer_exchange_{
           loop_,
@@ -388,10 +392,32 @@
         }
     }
     directory_.observe(listed, loop_.now());
+    if (server_cache_.removals_final()) {
+        directory_.confirm_removals();
+    }
     servers_known_ = true;
     apply_servers();
 }
 
+void edge_daemon::on_store_contact(platform::store_contact c) {
+    if (c == platform::store_contact::disturbed) {
+        directory_.record_store_failure(loop_.now());
+    } else {
+        directory_.set_store_reachable(c == platform::store_contact::established, loop_.now());
+    }
+}
+
+void edge_daemon::on_removals_final(const char* source) {
+    if (!directory_.confirm_removals()) {
+        return;
+    }
+    base::log_line{base::log_level::info, "daemon",
+                   "Missing servers removed; a peer knows that they have left."}
+        .field("source", source)
+        .field("revision", static_cast<long long>(server_cache_.revision()));
+    apply_servers();
+}
+
 void edge_daemon::apply_servers() {
     const auto servers = directory_.servers();
     router_.set_servers(servers);
@@ -423,6 +449,7 @@
 void edge_daemon::compose_beacon(sharing::beacon& b, bool with_counts) {
     b.configuration_version = catalog_ ? catalog_->version : 0;
     b.servers_revision = server_cache_.last_changed_revision();
+    b.servers_final_revision = directory_.removals_final(loop_.now()) ? server_cache_.revision() : 0;
     b.stopping = stopping_;
     b.store_unreachable = store_unreachable();
     b.lease_term = duties_.held_term();
@@ -456,6 +483,11 @@
     for (const auto& [w, counts] : b.windows) {
         meter_.merge({b.vm, b.incarnation}, w, counts);
     }
+    // The lists of both daemons are equal if the revisions at which they are valid overlap.
+    if (b.servers_final_revision >= server_cache_.last_changed_revision() &&
+        b.servers_revision <= server_cache_.revision() && b.servers_final_revision != 0) {
+        on_removals_final(b.vm.str().c_str());
+    }
     const auto version = catalog_ ? catalog_->version : 0;
     if (b.configuration_version > version) {
         fetch_from_peer(configuration_cache_, b);
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -60,6 +60,10 @@
     void respond_to_operator(http::server_session& s, const http::request& r);
     void on_configuration_changed();
     void on_servers_changed();
+    void on_store_contact(platform::store_contact c);
+    /// Removes servers whose entries are missing in the current list.
+    /// @param source peer that knows that these servers have left, for the log.
+    void on_removals_final(const char* source);
     /// Passes the server list to the router.
     void apply_servers();
     /// Activates a configuration that is newer than the active one.
--- a/packages/catalog/include/catalog/server_directory.h
+++ b/packages/catalog/include/catalog/server_directory.h
@@ -16,18 +16,25 @@
 ///
 /// Concept: an entry that disappears normally belongs to a server that has shut down. After an outage of the
 /// store, entries may instead be missing because they expired while the servers were unable to renew them.
-/// The directory keeps such entries until the servers have had time to register again.
+/// The directory keeps such entries until the servers have had time to register again. Whether there was an
+/// outage is judged by a daemon that was in contact with the store: this one, or the peer that a list or a
+/// beacon came from. Its judgement holds for the list of that revision, on all daemons.
 ///
-/// Usage: pass each list to `observe` and each change of the store's reachability to `set_store_reachable`,
-/// and call `expire` regularly. `servers` returns the result.
+/// Usage: pass each list to `observe`, each change of the contact to the store to `set_store_reachable` and
+/// `record_store_failure`, and the judgement of a peer to `confirm_removals`; call `expire` regularly.
+/// `servers` returns the result.
 class server_directory {
 public:
     /// @param drain_time longest time for which requests may be sent to a server after its shutdown began.
     explicit server_directory(base::duration drain_time);
 
-    /// Records whether the store responds.
+    /// Records whether the store responds to this daemon. A daemon that reads from a mirror has no contact of
+    /// its own.
     void set_store_reachable(bool reachable, base::time_point now);
 
+    /// Records a failed call or a gap between two responses that may have hidden an outage.
+    void record_store_failure(base::time_point now) { last_failure_ = now; }
+
     /// Updates the directory with the current content of the store.
     /// @param listed all entries of the store.
     void observe(const std::vector<backend_server>& listed, base::time_point now);
@@ -36,6 +43,15 @@
     /// @return true if `servers` has changed.
     bool expire(base::time_point now);
 
+    /// Removes the entries that are missing in the observed list, because a peer has confirmed that their
+    /// servers have left.
+    /// @return true if `servers` has changed.
+    bool confirm_removals();
+
+    /// @return true if the entries that are missing in the observed list certainly belong to servers that
+    /// have left, so that peers may rely on it.
+    [[nodiscard]] bool removals_final(base::time_point now) const;
+
     /// @return the known servers, including draining ones.
     [[nodiscard]] std::vector<backend_server> servers() const;
 
@@ -48,12 +64,19 @@
         bool listed = true;
     };
 
-    /// @return true if an entry that is missing in the store belongs to a removed server.
+    /// @return true if the contact of this daemon to the store shows that missing entries belong to removed
+    /// servers.
     [[nodiscard]] bool can_remove(base::time_point now) const;
+    /// Removes the entries that are missing in the observed list.
+    /// @return true if there were any.
+    bool remove_missing();
 
     base::duration registration_grace_;
     std::map<base::backend_server_id, entry> entries_;
     bool reachable_ = true;
+    bool confirmed_by_peer_ = false;  ///< the removals of the observed list
+    std::optional<base::time_point> first_observed_at_;
+    std::optional<base::time_point> last_failure_;
     /// End of the last outage of the store.
     std::optional<base::time_point> recovered_at_;
 };
--- a/packages/catalog/src/server_directory.cpp
+++ b/packages/catalog/src/server_directory.cpp
@@ -30,6 +30,8 @@
 }
 
 void server_directory::observe(const std::vector<backend_server>& listed, base::time_point now) {
+    first_observed_at_ = first_observed_at_.value_or(now);
+    confirmed_by_peer_ = false;
     for (auto& [id, e] : entries_) {
         e.listed = false;
     }
@@ -43,6 +45,25 @@
     if (!can_remove(now)) {
         return false;
     }
+    return remove_missing();
+}
+
+bool server_directory::confirm_removals() {
+    confirmed_by_peer_ = true;
+    return remove_missing();
+}
+
+// Stricter than the condition for removing entries here: a single failed call may be all that this daemon saw
+// of a short outage, and peers that saw more of it must not be misled.
+bool server_directory::removals_final(base::time_point now) const {
+    const auto undisturbed = [&](const std::optional<base::time_point>& since) {
+        return !since || now >= *since + registration_grace_;
+    };
+    return confirmed_by_peer_ || (first_observed_at_ && can_remove(now) && undisturbed(first_observed_at_) &&
+                                  undisturbed(last_failure_));
+}
+
+bool server_directory::remove_missing() {
     return std::erase_if(entries_, [](const auto& e) { return !e.second.listed; }) > 0;
 }
 
--- a/packages/catalog/tests/server_directory_test.cpp
+++ b/packages/catalog/tests/server_directory_test.cpp
@@ -64,6 +64,47 @@
     EXPECT_EQ(server_count(d), 2U);
 }
 
+// Failure: the store turns this daemon away and serves its peers while a server leaves: hunt-a579-31 of
+// lsra-drainops.
+TEST(server_directory, server_that_left_is_removed_when_a_peer_confirms_it_during_an_outage) {
+    server_directory d{2s};
+    d.observe({make_server("a"), make_server("b")}, start);
+    d.set_store_reachable(false, start + 1s);
+    d.observe({make_server("b")}, start + 8s);
+    EXPECT_EQ(server_count(d), 2U);
+    EXPECT_FALSE(d.removals_final(start + 8s));
+    EXPECT_TRUE(d.confirm_removals());
+    EXPECT_EQ(server_count(d), 1U);
+    EXPECT_TRUE(d.removals_final(start + 8s)) << "what a peer confirmed may be passed on";
+}
+
+// Guards against a confirmation that is applied to a later list.
+TEST(server_directory, confirmation_holds_for_the_observed_list_only) {
+    server_directory d{2s};
+    d.observe({make_server("a"), make_server("b")}, start);
+    d.set_store_reachable(false, start + 1s);
+    d.confirm_removals();
+    d.observe({make_server("b")}, start + 8s);
+    EXPECT_EQ(server_count(d), 2U);
+    EXPECT_FALSE(d.removals_final(start + 8s));
+}
+
+// Guards against a daemon that saw little of an outage and tells its peers that expired entries were removed.
+TEST(server_directory, removals_are_final_only_after_an_undisturbed_contact) {
+    server_directory d{2s};
+    d.observe({make_server("a")}, start);
+    EXPECT_FALSE(d.removals_final(start + 1s)) << "the store may have returned just before the start";
+    EXPECT_TRUE(d.removals_final(start + 2s));
+    d.record_store_failure(start + 3s);
+    EXPECT_FALSE(d.removals_final(start + 4s));
+    EXPECT_TRUE(d.removals_final(start + 5s));
+    d.set_store_reachable(false, start + 6s);
+    EXPECT_FALSE(d.removals_final(start + 9s));
+    d.set_store_reachable(true, start + 10s);
+    EXPECT_FALSE(d.removals_final(start + 11s));
+    EXPECT_TRUE(d.removals_final(start + 12s));
+}
+
 TEST(server_directory, new_incarnation_replaces_the_old_one) {
     server_directory d{2s};
     d.observe({make_server("a")}, start);
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -35,6 +35,9 @@
     std::uint64_t configuration_version = 0;
     /// Store revision of the latest change to the server list that the sender has seen.
     std::uint64_t servers_revision = 0;
+    /// Not 0 if servers that are missing in the sender's list are known to have left. The list is then the
+    /// content of the store from `servers_revision` up to this revision.
+    std::uint64_t servers_final_revision = 0;
     /// The sender is shutting down.
     bool stopping = false;
     /// Fencing token of the lease that the sender holds; 0 if it holds no lease.
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -35,6 +35,9 @@
   storeUnreachable @18 :Bool;
   # Peer addresses of daemons in the receiver's zone; sent to a daemon that was unknown.
   contacts @19 :List(Text);
+  # Servers that are missing in the sender's list have left; the list holds from serversRevision up to this store
+  # revision. 0 if the sender does not know.
+  serversFinalRevision @20 :UInt64;
 }
 
 struct ServiceLoad {
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -98,6 +98,7 @@
     b.wall_time = base::wall_time{std::chrono::milliseconds{in.getWallTimeMs()}};
     b.configuration_version = in.getConfigurationVersion();
     b.servers_revision = in.getServersRevision();
+    b.servers_final_revision = in.getServersFinalRevision();
     b.stopping = in.getStopping();
     b.lease_term = in.getLeaseTerm();
     b.processor_share = in.getProcessorShare();
@@ -130,6 +131,7 @@
     out.setWallTimeMs(b.wall_time.time_since_epoch().count());
     out.setConfigurationVersion(b.configuration_version);
     out.setServersRevision(b.servers_revision);
+    out.setServersFinalRevision(b.servers_final_revision);
     out.setStopping(b.stopping);
     out.setLeaseTerm(b.lease_term);
     out.setProcessorShare(b.processor_share);
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -27,6 +27,7 @@
     auto b = make_beacon("1", 7, 9);
     b.configuration_version = 41;
     b.servers_revision = 77;
+    b.servers_final_revision = 79;
     b.stopping = true;
     b.lease_term = 3;
     auto& load = b.services[base::service_id{"s"}];
