Bound how long a silent watch is believed by the time in which a change must be in force

Callers saw a key that had been revoked work for up to 4 s (CONFIG, bound 2 s): requests were handled as versions 4 to 7 allow while version 11 was in force.

Cause: the store delivered nothing to watches for a second, dropped its history, and the watches of the configuration that were open stayed open without a word. A watch lasted 4 s and 0.6 s more, so silence was believed for longer than a change may take, by all daemons at once; no beacon could tell one of them. Meanwhile the watches of the servers got status 410 and told nobody.

Change: the longest wait of a watch follows from the time in which a change must be in force, a new setting, and for the list of servers from the drain time: 1 s less, the time to notice that a watch does not end and to read the list. A cache that learns that history is gone restarts the pending watch of the other kind, which then responds at once.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -190,19 +190,21 @@
                        log_request(r, confirmation_age(configuration_cache_, loop_.now()));
                    }}},
       store_{loop_, settings_.store},
-      configuration_cache_{loop_,
-                           store_,
-                           platform::configuration_kind,
-                           random(),
-                           {.changed =
-                                [this] {
-                                    on_configuration_changed();
-                                    configuration_mirror_.notify_changed();
-                                },
-                            .reachable = nullptr,
-                            .contact = nullptr,
-                            .removals_final = nullptr,
-                            .next_watch = [this](int n) { return next_watch_options(n); }}},
+      configuration_cache_{
+          loop_,
+          store_,
+          platform::configuration_kind,
+          random(),
+          {.changed =
+               [this] {
+                   on_configuration_changed();
+                   configuration_mirror_.notify_changed();
+               },
+           .reachable = nullptr,
+           .contact = nullptr,
+           .removals_final = nullptr,
+           .history_lost = [this] { server_cache_.restart_watch(); },
+           .next_watch = [this](int n) { return next_watch_options(settings_.configuration_deadline, n); }}},
       server_cache_{loop_,
                     store_,
                     platform::server_kind,
@@ -220,7 +222,8 @@
                          },
                      .contact = [this](platform::store_contact c) { on_store_contact(c); },
                      .removals_final = [this] { on_removals_final("mirror"); },
-                     .next_watch = [this](int n) { return next_watch_options(n); }}},
+                     .history_lost = [this] { configuration_cache_.restart_watch(); },
+                     .next_watch = [this](int n) { return next_watch_options(settings_.drain_time, n); }}},
       mirror_client_{loop_, settings_.store},
       configuration_mirror_{loop_, configuration_cache_, max_mirror_confirmation_age},
       server_mirror_{loop_, server_cache_, max_mirror_confirmation_age,
@@ -496,19 +499,20 @@
     }
 }
 
-platform::watch_options edge_daemon::next_watch_options(int mirror_failures) {
+platform::watch_options edge_daemon::next_watch_options(base::duration deadline, int mirror_failures) {
+    const auto max_wait = platform::watch_wait_for(deadline);
     if (!peer_exchange_.zone_has_mirrors()) {
-        return {};
+        return {.max_wait = max_wait};
     }
     const auto zone_size = peer_exchange_.peers().live_peer_count_in_zone(settings_.zone, loop_.now()) + 1;
     platform::watch_options options{
         .mirror = nullptr,
-        .max_wait = max_mirror_store_wait,
+        .max_wait = std::min(max_mirror_store_wait, max_wait),
         .min_retry_delay = store_retry_delay_per_daemon * static_cast<int>(zone_size)};
     if (const auto address = peer_exchange_.mirror(mirror_failures)) {
         mirror_client_.set_address(*address);
         options.mirror = &mirror_client_;
-        options.max_wait = max_mirrored_watch_wait;
+        options.max_wait = std::min(max_mirrored_watch_wait, max_wait);
     }
     return options;
 }
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -75,8 +75,9 @@
     /// @param with_counts true to add the usage counts.
     void compose_beacon(sharing::beacon& b, bool with_counts);
     void on_beacon(const sharing::beacon& b);
+    /// @param deadline time within which a change must be known.
     /// @return source of the next watch, which is the store or a mirror, and its longest wait.
-    [[nodiscard]] platform::watch_options next_watch_options(int mirror_failures);
+    [[nodiscard]] platform::watch_options next_watch_options(base::duration deadline, int mirror_failures);
     /// @return true if recent calls to the store failed.
     [[nodiscard]] bool store_unreachable() const;
     /// In a large fleet few daemons compete for the lease, because each attempt takes calls to the store.
--- a/packages/settings/include/settings/edge_settings.h
+++ b/packages/settings/include/settings/edge_settings.h
@@ -55,6 +55,8 @@
     base::duration stop_timeout{};    ///< time from SIGTERM until the process is killed
     /// Longest time for which requests may be sent to a server after its shutdown began.
     base::duration drain_time{};
+    /// Time within which a new configuration must be in force.
+    base::duration configuration_deadline{};
     retry_budget retries;
     duty_settings duties;
     bool requests_capacity = false;  ///< performs autoscaling while it holds the lease of the duties
--- a/packages/settings/src/edge_settings.cpp
+++ b/packages/settings/src/edge_settings.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t bytes_per_mib = std::size_t{1024} * 1024;
 /// Upper limit on every time in a settings file.
 constexpr double max_seconds = 86'400;
+constexpr base::duration default_configuration_deadline = std::chrono::seconds{2};
 
 net::address read_address(section_reader& r, const std::string& key) {
     const auto text = r.text(key);
@@ -99,6 +100,9 @@
 void read_times(section_reader& r, edge_settings& s) {
     s.stop_timeout = read_seconds(r, "stop_seconds");
     s.drain_time = read_milliseconds(r, "drain_milliseconds");
+    s.configuration_deadline = has_no_value(r, "configuration_milliseconds")
+                                   ? default_configuration_deadline
+                                   : read_milliseconds(r, "configuration_milliseconds");
 }
 
 void read_retries(section_reader& r, edge_settings& s) {
--- a/packages/settings/tests/edge_settings_test.cpp
+++ b/packages/settings/tests/edge_settings_test.cpp
@@ -33,6 +33,7 @@
 [times]
 stop_seconds = 8
 drain_milliseconds = 2000
+configuration_milliseconds = 4000
 [retries]
 ratio = 0.2
 allowance = 54
@@ -55,6 +56,15 @@
     return document::to_string(parse_edge(text, "e.ini").faults);
 }
 
+// Settings files of earlier releases lack the key, and a template may leave it empty.
+TEST(edge_settings, configuration_deadline_has_a_default) {
+    for (const auto* line : {"", "configuration_milliseconds =\n"}) {
+        const auto r = parse_edge(replace_in_sample("configuration_milliseconds = 4000\n", line), "e.ini");
+        ASSERT_TRUE(r.settings) << document::to_string(r.faults);
+        EXPECT_EQ(r.settings->configuration_deadline, base::duration{2s});
+    }
+}
+
 TEST(edge_settings, reads_all_sections) {
     const auto r = parse_edge(sample, "e.ini");
     ASSERT_TRUE(r.settings) << document::to_string(r.faults);
@@ -65,6 +75,7 @@
     EXPECT_EQ(s.processor_share, 0.25);
     EXPECT_EQ(s.memory_limit_bytes, std::size_t{110} * 1024 * 1024);
     EXPECT_EQ(s.drain_time, base::duration{2s});
+    EXPECT_EQ(s.configuration_deadline, base::duration{4s});
     EXPECT_EQ(s.retries.window, base::duration{10s});
     EXPECT_EQ(s.duties.lease_duration, base::duration{3s});
     EXPECT_TRUE(s.requests_capacity);
--- a/testing/fleet/tests/stale_state_test.cpp
+++ b/testing/fleet/tests/stale_state_test.cpp
@@ -86,5 +86,23 @@
     }
 }
 
+// Failure: the same for the list of servers.
+TEST_F(stale_state, server_that_left_is_not_used_after_its_drain_time_while_watches_are_silent) {
+    for (const auto* id : {"s1", "s2"}) {
+        add_server(id, standin::order_service);
+    }
+    start_daemons();
+    add_server("s3", standin::order_service);  // ends the pending watches; those that follow are silent
+    store.set_watches_silent(true);
+    run_for(700ms);  // longer than changes of the list are batched
+    servers[0]->deregister();
+    store.discard_history();
+    store.set_watches_silent(false);
+    run_for(drain_time);
+    for (std::size_t i = 0; i < daemon_count; ++i) {
+        EXPECT_FALSE(servers_used_by(i, 20).contains("s1")) << "daemon " << i;
+    }
+}
+
 }  // namespace
 }  // namespace chicorygap::testing_fleet
