Fetch the server list from peers also while the configuration is behind

Found while looking for the cause of DRAIN elsewhere: callers of a daemon that the store turns away could reach servers that had left for as long as configurations kept changing.

Cause: a beacon led to a fetch of the server list only if the configuration was not behind, and both kinds shared one pending fetch. With changes more often than the 250 ms that a fetch waits, the server list was never fetched; the same holds for a configuration that a daemon cannot decode.

Change: each kind is fetched on its own. stale_state.server_that_left_is_not_used_while_configurations_change_all_the_time failed before (s1 was used 2 s after its removal) and passes.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -493,9 +493,10 @@
     }
     const auto version = catalog_ ? catalog_->version : 0;
     if (b.configuration_version > version) {
-        fetch_from_peer(configuration_cache_, b);
-    } else if (b.servers_revision > server_cache_.revision()) {
-        fetch_from_peer(server_cache_, b);
+        fetch_from_peer(configuration_cache_, configuration_fetch_pending_, b);
+    }
+    if (b.servers_revision > server_cache_.revision()) {
+        fetch_from_peer(server_cache_, servers_fetch_pending_, b);
     }
 }
 
@@ -527,8 +528,8 @@
            (peer_exchange_.is_representative() && !store_unreachable());
 }
 
-void edge_daemon::fetch_from_peer(platform::object_cache& cache, const sharing::beacon& b) {
-    if (std::exchange(peer_fetch_pending_, true)) {
+void edge_daemon::fetch_from_peer(platform::object_cache& cache, bool& pending, const sharing::beacon& b) {
+    if (std::exchange(pending, true)) {
         return;
     }
     const auto before = cache.revision();
@@ -536,8 +537,8 @@
     const bool waits_for_zone =
         b.zone != settings_.zone && b.zone_daemons > 0 && !peer_exchange_.is_representative();
     loop_.after(waits_for_zone ? other_zone_fetch_delay : peer_fetch_delay,
-                [this, &cache, before, from = b.operator_address] {
-                    peer_fetch_pending_ = false;
+                [this, &cache, &pending, before, from = b.operator_address] {
+                    pending = false;
                     if (cache.revision() != before) {
                         return;  // the watch has delivered the change
                     }
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -84,8 +84,9 @@
     [[nodiscard]] bool may_compete_for_lease() const;
     /// Fetches the objects of a cache from a peer that has newer ones, unless a watch delivers a change
     /// first.
+    /// @param pending true while a fetch of this cache is pending.
     /// @param b beacon of the peer.
-    void fetch_from_peer(platform::object_cache& cache, const sharing::beacon& b);
+    void fetch_from_peer(platform::object_cache& cache, bool& pending, const sharing::beacon& b);
     void count_started_request(const base::workspace_id& workspace);
     /// Adapts the retry budget share and the batching of server changes to the number of live daemons.
     void apply_fleet_size();
@@ -133,7 +134,8 @@
     net::listener readiness_listener_;
     net::listener operator_listener_;
     bool servers_known_ = false;
-    bool peer_fetch_pending_ = false;
+    bool configuration_fetch_pending_ = false;
+    bool servers_fetch_pending_ = false;
     /// Number of live daemons that `apply_fleet_size` was last called for; 0 makes its next call take effect.
     std::size_t applied_fleet_size_ = 0;
     base::time_point started_at_ = base::boot_clock::now();
--- a/testing/fleet/tests/stale_state_test.cpp
+++ b/testing/fleet/tests/stale_state_test.cpp
@@ -39,6 +39,26 @@
     EXPECT_FALSE(servers_used_by(0, 30).contains("s1"));
 }
 
+// Failure: the same while configurations follow each other faster than the daemon can fetch them from peers.
+TEST_F(stale_state, server_that_left_is_not_used_while_configurations_change_all_the_time) {
+    for (const auto* id : {"s1", "s2"}) {
+        add_server(id, standin::order_service);
+    }
+    start_daemons();
+    disconnect_from_store(0);
+    const auto change_configuration_for = [&](base::duration d) {
+        const auto end = base::boot_clock::now() + d;
+        while (base::boot_clock::now() < end) {
+            configure();
+            run_for(50ms);
+        }
+    };
+    change_configuration_for(1s);
+    servers[0]->deregister();
+    change_configuration_for(drain_time);
+    EXPECT_FALSE(servers_used_by(0, 30).contains("s1"));
+}
+
 // Failure: the store is away, entries expire, and one daemon does not reach the store when it is back.
 // Guards against a daemon that drops live servers because a peer's copy lacks them.
 TEST_F(stale_state, entries_that_expire_in_an_outage_are_kept_by_a_daemon_that_was_told_by_peers) {
