--- a/testing/fleet/tests/fleet.h
+++ b/testing/fleet/tests/fleet.h
@@ -82,11 +82,17 @@
             daemons.push_back(std::move(d));
         }
         for (std::size_t i = 0; i < daemon_count; ++i) {
-            ASSERT_TRUE(run_until([&] { return send(i).status == 200; })) << "daemon " << i;
+            ASSERT_TRUE(run_until([&] { return send(i, probe_path()).status == 200; })) << "daemon " << i;
         }
         run_for(std::chrono::milliseconds{600});  // the daemons discover each other
     }
 
+    /// @return path of a service that has servers.
+    [[nodiscard]] const char* probe_path() const {
+        return servers.front()->options().service == standin::order_service ? standin::read_path
+                                                                            : standin::chat_path;
+    }
+
     void run_for(base::duration d) {
         run_until([] { return false; }, d);
     }
@@ -105,17 +111,19 @@
     /// Sends one request to a daemon and waits for its outcome.
     standin::call_outcome send(std::size_t i, const std::string& path = standin::read_path,
                                const std::string& api_key = key) {
+        return send_call(i, {.id = "request-" + std::to_string(++last_id_),
+                             .host = standin::site_host,
+                             .path = path,
+                             .api_key = api_key});
+    }
+
+    standin::call_outcome send_call(std::size_t i, const standin::call_options& call) {
         standin::call_outcome out;
         bool ended = false;
-        auto& caller = *daemons.at(i).caller;
-        caller.send({.id = "request-" + std::to_string(++last_id_),
-                     .host = standin::site_host,
-                     .path = path,
-                     .api_key = api_key},
-                    [&](standin::call_outcome o) {
-                        out = std::move(o);
-                        ended = true;
-                    });
+        daemons.at(i).caller->send(call, [&](standin::call_outcome o) {
+            out = std::move(o);
+            ended = true;
+        });
         EXPECT_TRUE(run_until([&] { return ended; }));
         return out;
     }
