Log how far an attempt had come and the shared parts of its prompt

A failed attempt of a generation did not tell whether the server had begun to answer or which parts the prompt had, so that a part that ends servers could not be told from its neighbours. 'Attempt failed.' has response_status, attempt_events and shared_parts. No decision changes.

--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -4,6 +4,8 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <utility>
 
 namespace chicorygap::proxy {
@@ -57,6 +59,20 @@
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
+/// Parts of a prompt that a log line names.
+constexpr std::size_t max_logged_parts = 8;
+
+/// @return the ids of the parts that other requests may share, in hexadecimal, separated by commas.
+std::string shared_parts_text(const scheduling::generation_requirements& g) {
+    std::string out;
+    for (std::size_t i = 0; i + 1 < g.parts.size() && i < max_logged_parts; ++i) {
+        std::array<char, 16> buf{};
+        const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), g.parts[i].id, 16).ptr;
+        out += (i == 0 ? "" : ",") + std::string{buf.data(), end};
+    }
+    return out;
+}
+
 bool is_event_stream(const http::response_head& head) {
     const auto* type = head.headers.find("Content-Type");
     return head.status == 200 && type != nullptr && type->starts_with("text/event-stream");
@@ -196,6 +212,7 @@
     record_.prefill_tokens = decision.prefill_tokens;
     record_.affinity_rank = decision.affinity_rank;
     events_.discard_partial();
+    events_at_attempt_start_ = events_.event_count();
     response_body_.clear();
     discarded_bytes_ = 0;
     response_is_stream_ = false;
@@ -489,13 +506,18 @@
         return;
     }
     const auto next = attempt_tracker_->try_next_attempt(state.budget, router_.loop.now());
-    base::log_line{base::log_level::info, "proxy", "Attempt failed."}
-        .field("request", metadata_.id.str())
+    base::log_line line{base::log_level::info, "proxy", "Attempt failed."};
+    line.field("request", metadata_.id.str())
         .field("server", record_.server.str())
         .field("attempt", record_.attempts)
         .field("cause", record_.failure_cause)
         .field("retry", next.allowed ? "yes" : "no")
         .code(next.reason);
+    if (metadata_.generation) {
+        line.field("response_status", response_status_)
+            .field("attempt_events", static_cast<long long>(events_.event_count() - events_at_attempt_start_))
+            .field("shared_parts", shared_parts_text(*metadata_.generation));
+    }
     if (next.allowed && session_) {
         router_.apply_decisions(service_, state.scheduler->resubmit(id_, router_.loop.now()));
         return;
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -111,6 +111,7 @@
     int response_status_ = 0;
     std::string response_body_;
     event_splitter events_;
+    std::uint64_t events_at_attempt_start_ = 0;
     std::optional<base::time_point> last_event_received_at_;
     bool response_is_stream_ = false;
     bool response_started_ = false;  ///< part of the response has been sent to the caller
