Add a guard that finds prompt parts which end servers

Decision package without I/O, not used yet. Evidence is a server that ended while a request was at the beginning of its answer, weighted by how far it had come; answered requests clear their parts; the part that explains most crashes and is in no success is quarantined, the one behind the others if they occur together, and clears its neighbours. While in doubt, one request at a time. Reports merge in any order and repeatedly, and are bounded; one request in the fleet tries a part after its quarantine.

Tests replay the load patterns: two crashes on one or several daemons, neighbours of a deadly part, servers that end together, servers that end on everything, many random parts, restart of a daemon, release and failed trial.

--- /dev/null
+++ b/packages/crash_guard/include/crash_guard/crash_report.h
@@ -0,0 +1,64 @@
+/// @file
+/// What daemons tell each other about prompt parts that may end servers.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace chicorygap::crash_guard {
+
+/// How far a request had come when its server ended. The value is the weight as evidence: a server that ends
+/// because of a request usually does so when it begins to answer it.
+enum class attempt_progress : std::uint8_t {
+    none = 0,       ///< past the beginning of its answer; no evidence
+    waiting = 1,    ///< no byte of the response had arrived
+    answering = 2,  ///< the first events had just arrived
+    beginning = 3,  ///< the head had arrived, and no event
+};
+
+/// A server ended while a request with the part was at the beginning of its answer there.
+struct crash_record {
+    std::uint64_t part = 0;
+    std::uint64_t server = 0;  ///< hash that identifies the server on all daemons
+    std::uint32_t depth = 0;   ///< position of the part in the prompt
+    attempt_progress progress = attempt_progress::none;
+    base::duration age{};  ///< time since the server ended
+
+    bool operator==(const crash_record&) const = default;
+};
+
+/// A request with a part that is in doubt was answered.
+struct success_record {
+    std::uint64_t part = 0;
+    base::duration age{};
+
+    bool operator==(const success_record&) const = default;
+};
+
+/// Decision on a part. Of two decisions on one part, the one with the higher number counts.
+struct verdict_record {
+    std::uint64_t part = 0;
+    std::uint32_t number = 0;
+    bool quarantined = false;
+    base::duration age{};     ///< time since the decision
+    base::duration period{};  ///< time from the decision until one request may try the part again
+
+    bool operator==(const verdict_record&) const = default;
+};
+
+/// Evidence and decisions of one daemon, which it has observed itself or was told. Merging reports in any
+/// order and any number of times gives the same result.
+struct crash_report {
+    std::vector<crash_record> crashes;
+    std::vector<success_record> successes;
+    std::vector<verdict_record> verdicts;
+
+    [[nodiscard]] bool empty() const noexcept {
+        return crashes.empty() && successes.empty() && verdicts.empty();
+    }
+    bool operator==(const crash_report&) const = default;
+};
+
+}  // namespace chicorygap::crash_guard
--- /dev/null
+++ b/packages/crash_guard/include/crash_guard/prompt_guard.h
@@ -0,0 +1,179 @@
+/// @file
+/// Keeps requests whose prompts end servers away from the servers.
+#pragma once
+
+#include "base/time.h"
+#include "crash_guard/crash_report.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chicorygap::crash_guard {
+
+/// Ids of the parts of one prompt that other prompts may share, in order.
+using part_ids = std::vector<std::uint64_t>;
+
+/// @return the id of a part in hexadecimal, as in requests and logs.
+[[nodiscard]] std::string part_text(std::uint64_t part);
+
+/// Whether a request may be sent to a server.
+struct admission {
+    enum class kind : std::uint8_t {
+        allowed,
+        wait,     ///< a part is in doubt and another request with it is at the beginning of its answer
+        refused,  ///< a part is quarantined
+    };
+    kind decision = kind::allowed;
+    /// The part that decided, if the request is not allowed.
+    std::uint64_t part = 0;
+    /// Time until the part may be tried again, if the request is refused.
+    base::duration retry_after{};
+    /// The request tries a part after its quarantine. It needs no further admission before its first attempt.
+    bool trial = false;
+};
+
+/// State of one part for logs and operators.
+struct part_status {
+    std::uint64_t part = 0;
+    bool quarantined = false;
+    int score = 0;
+    std::size_t servers = 0;  ///< that ended under the part
+    base::duration age{};     ///< since the decision, or since the first evidence
+    base::duration retry_after{};
+};
+
+struct prompt_guard_hooks {
+    /// A part was quarantined or released, here or by a peer.
+    /// @param source "evidence", "trial", "peer" or "operator".
+    std::function<void(const part_status&, const char* source)> decided;
+    /// @return true if this daemon, of all in the fleet, may try a part whose quarantine is over.
+    std::function<bool()> may_try;
+};
+
+/// Finds the parts of prompts that end every server which begins to answer them, and keeps requests with such
+/// a part away from the servers.
+///
+/// Concept: when a server ends, the requests at the beginning of their answers are suspects with all parts
+/// that other requests may share. An answered request clears its parts. What remains is the part that is
+/// common to several crashes and absent from successes; it is quarantined, and it explains these crashes, so
+/// that the other suspects are cleared. While a part is in doubt, this daemon has one request with it at the
+/// beginning of its answer at a time. Daemons exchange evidence and decisions. After its quarantine, one
+/// request in the fleet tries the part; a success releases it.
+///
+/// Usage:
+/// @code
+/// if (g.admit(parts, now).decision == admission::kind::allowed) {
+///     auto running = g.begin(parts);  // until the answer is past its beginning
+///     ...
+///     g.record_crash(parts, server, attempt_progress::beginning, now);  // or g.record_success(parts, now)
+/// }
+/// @endcode
+/// Not thread-safe. Performs no I/O and reads no clock.
+class prompt_guard {
+public:
+    explicit prompt_guard(prompt_guard_hooks hooks = {}) : hooks_{std::move(hooks)} {}
+
+    void set_hooks(prompt_guard_hooks hooks) { hooks_ = std::move(hooks); }
+
+    /// Sets the time within which the fleet learns of a success. Evidence of few crashes is not decided on
+    /// earlier, since servers that end at the same moment accuse the same sound parts.
+    void set_settle_time(base::duration d) { settle_time_ = d; }
+
+    /// Decides on a request. Allowing a request with a quarantined part starts the trial of that part.
+    [[nodiscard]] admission admit(const part_ids& parts, base::time_point now);
+
+    /// Marks a request as being at the beginning of its answer.
+    /// @return a token that ends this state when it is destroyed; it may outlive the guard.
+    [[nodiscard]] std::shared_ptr<void> begin(const part_ids& parts);
+
+    /// Records that the process of a server ended during a request.
+    void record_crash(const part_ids& parts, std::uint64_t server, attempt_progress progress,
+                      base::time_point now);
+
+    /// Records that a request was answered, or that its answer went on well past its beginning.
+    void record_success(const part_ids& parts, base::time_point now);
+
+    /// @return evidence and decisions for peers, of bounded size.
+    [[nodiscard]] crash_report report(base::time_point now) const;
+    /// Adds what a peer has observed or was told.
+    void merge(const crash_report& r, base::time_point now);
+
+    /// Decides on evidence that has settled, and forgets what is old. To be called regularly.
+    void expire(base::time_point now);
+
+    /// Quarantines a part on behalf of an operator.
+    void quarantine(std::uint64_t part, base::time_point now);
+    /// Releases a part on behalf of an operator.
+    void release(std::uint64_t part, base::time_point now);
+
+    /// @return all parts that are in doubt or quarantined.
+    [[nodiscard]] std::vector<part_status> status(base::time_point now) const;
+
+private:
+    struct crash {
+        base::time_point at;
+        std::uint32_t depth = 0;
+        attempt_progress progress = attempt_progress::none;
+    };
+    struct verdict {
+        std::uint32_t number = 0;
+        bool quarantined = false;
+        base::time_point at;
+        base::duration period{};
+    };
+    struct part_state {
+        std::map<std::uint64_t, crash> crashes;  ///< by server
+        std::optional<base::time_point> last_success;
+        std::optional<verdict> decision;
+        /// Request that tries the part after its quarantine; expires with its token.
+        std::optional<base::time_point> trial_started;
+    };
+    struct evidence {
+        int score = 0;
+        int answering_score = 0;  ///< without servers that had not begun to answer
+        std::size_t servers = 0;
+        std::uint32_t depth = 0;
+        base::time_point first;
+    };
+
+    [[nodiscard]] static bool is_quarantined(const part_state& s) {
+        return s.decision && s.decision->quarantined;
+    }
+    [[nodiscard]] static bool counts(const part_state& s, const crash& c);
+    [[nodiscard]] evidence weigh(const part_state& s) const;
+    [[nodiscard]] bool explained(std::uint64_t server, std::uint64_t by_other_than) const;
+    [[nodiscard]] evidence unexplained(std::uint64_t part, const part_state& s) const;
+    /// @return true if no further request with the part may be sent now.
+    [[nodiscard]] bool must_wait(std::uint64_t part, const part_state& s, base::time_point now) const;
+    [[nodiscard]] bool in_doubt(std::uint64_t part, const part_state& s) const;
+    [[nodiscard]] bool sufficient(const evidence& e, base::time_point now) const;
+    [[nodiscard]] part_status status_of(std::uint64_t part, const part_state& s, base::time_point now) const;
+    void add_crash(std::uint64_t part, std::uint64_t server, crash c);
+    void decide(std::uint64_t part, verdict v, const char* source, base::time_point now);
+    void decide_on_evidence(base::time_point now);
+    void limit_size();
+    [[nodiscard]] part_state& state_of(std::uint64_t part) { return parts_[part]; }
+
+    prompt_guard_hooks hooks_;
+    base::duration settle_time_ = std::chrono::milliseconds{400};
+    /// Parts with evidence or a decision.
+    std::map<std::uint64_t, part_state> parts_;
+    /// Latest success of parts without evidence.
+    std::unordered_map<std::uint64_t, base::time_point> recent_successes_;
+    base::time_point next_cleanup_;
+    /// Requests at the beginning of their answers, by part.
+    std::shared_ptr<std::unordered_map<std::uint64_t, int>> beginning_ =
+        std::make_shared<std::unordered_map<std::uint64_t, int>>();
+    /// Latest successes of any requests, the newest last.
+    std::vector<base::time_point> latest_successes_;
+};
+
+}  // namespace chicorygap::crash_guard
--- /dev/null
+++ b/packages/crash_guard/tests/prompt_guard_test.cpp
@@ -0,0 +1,275 @@
+#include "crash_guard/prompt_guard.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+
+namespace chicorygap::crash_guard {
+namespace {
+
+using namespace std::chrono_literals;
+using kind = admission::kind;
+
+constexpr base::time_point start{1000s};
+constexpr std::uint64_t first = 1;   // shared by a whole workspace
+constexpr std::uint64_t deadly = 7;  // ends each server that begins to answer it
+constexpr std::uint64_t sound = 8;
+
+struct prompt_guard_test : testing::Test {
+    bool may_try = false;
+    std::vector<std::string> decisions;
+    prompt_guard guard{{.decided =
+                            [this](const part_status& s, const char* source) {
+                                decisions.push_back(std::to_string(s.part) +
+                                                    (s.quarantined ? " in " : " out ") + source);
+                            },
+                        .may_try = [this] { return may_try; }}};
+
+    void other_successes(base::time_point now, prompt_guard* g = nullptr) {
+        for (std::uint64_t i = 0; i < 5; ++i) {
+            (g != nullptr ? *g : guard).record_success({100 + i}, now);
+        }
+    }
+
+    kind admit(const part_ids& parts, base::time_point now) { return guard.admit(parts, now).decision; }
+};
+
+// Failure: a part ends each server that begins to answer it. Guards against a third server.
+TEST_F(prompt_guard_test, part_that_ends_two_servers_is_quarantined) {
+    guard.record_crash({first, deadly}, 11, attempt_progress::beginning, start);
+    other_successes(start + 300ms);
+    guard.record_crash({2, deadly}, 12, attempt_progress::beginning, start + 500ms);
+    EXPECT_EQ(admit({3, deadly}, start + 501ms), kind::refused);
+    EXPECT_EQ(admit({first, sound}, start + 501ms), kind::allowed);
+    EXPECT_EQ(decisions, std::vector<std::string>{"7 in evidence"});
+    EXPECT_GE(guard.admit({deadly}, start + 1s).retry_after, 30s);
+}
+
+// Guards against condemning the first part of a workspace for one part behind it.
+TEST_F(prompt_guard_test, part_behind_the_shared_ones_is_blamed_if_they_occur_together) {
+    for (int i = 0; i < 2; ++i) {
+        guard.record_crash({first, deadly}, 11 + i, attempt_progress::beginning, start + i * 500ms);
+        other_successes(start + i * 500ms + 300ms);
+    }
+    guard.expire(start + 1s);
+    EXPECT_EQ(decisions, std::vector<std::string>{"7 in evidence"});
+    EXPECT_EQ(admit({first, sound}, start + 1s), kind::allowed);
+}
+
+// Guards against a verdict on sound parts whose requests ran on servers that ended for another request.
+TEST_F(prompt_guard_test, neighbours_of_a_deadly_part_are_cleared_by_the_verdict) {
+    guard.record_crash({deadly}, 11, attempt_progress::beginning, start);
+    guard.record_crash({sound}, 11, attempt_progress::answering, start);
+    other_successes(start + 100ms);
+    guard.record_crash({deadly}, 12, attempt_progress::beginning, start + 500ms);
+    guard.record_crash({sound}, 12, attempt_progress::answering, start + 500ms);
+    guard.record_crash({sound}, 13, attempt_progress::answering, start + 600ms);
+    guard.record_crash({deadly}, 13, attempt_progress::beginning, start + 600ms);
+    EXPECT_EQ(decisions, std::vector<std::string>{"7 in evidence"});
+    EXPECT_EQ(admit({sound}, start + 1s), kind::allowed);
+    EXPECT_EQ(guard.status(start + 1s).size(), 1U);
+}
+
+// Load: many servers end at the same moment, as in a roll-out or the loss of a zone.
+TEST_F(prompt_guard_test, parts_that_are_answered_elsewhere_are_not_blamed_for_servers_that_end_together) {
+    guard.record_success({first, sound}, start - 1s);
+    for (std::uint64_t server = 0; server < 6; ++server) {
+        guard.record_crash({first, sound}, server, attempt_progress::beginning, start);
+    }
+    other_successes(start + 10ms);
+    guard.expire(start + 1s);
+    EXPECT_TRUE(decisions.empty());
+    EXPECT_EQ(admit({first, sound}, start + 1s), kind::allowed);
+}
+
+// Failure: all servers end on everything. Guards against blaming prompts for servers that answer nothing.
+TEST_F(prompt_guard_test, no_part_is_blamed_while_no_request_is_answered) {
+    for (std::uint64_t server = 0; server < 8; ++server) {
+        guard.record_crash({first, 100 + server}, server, attempt_progress::beginning,
+                           start + std::chrono::milliseconds{100 * server});
+    }
+    guard.expire(start + 5s);
+    EXPECT_TRUE(decisions.empty());
+    EXPECT_EQ(admit({first, 200}, start + 5s), kind::allowed);
+}
+
+// Guards against blaming parts for one server that ends again and again.
+TEST_F(prompt_guard_test, one_server_that_ends_repeatedly_is_no_evidence_against_a_part) {
+    for (int i = 0; i < 5; ++i) {
+        guard.record_crash({sound}, 11, attempt_progress::beginning, start + i * 2s);
+        other_successes(start + i * 2s + 1s);
+    }
+    guard.expire(start + 20s);
+    EXPECT_TRUE(decisions.empty());
+}
+
+TEST_F(prompt_guard_test, one_request_at_a_time_while_a_part_is_in_doubt) {
+    guard.record_crash({deadly}, 11, attempt_progress::beginning, start);
+    EXPECT_EQ(admit({deadly}, start + 10ms), kind::allowed);
+    auto running = guard.begin({deadly});
+    EXPECT_NE(running, nullptr);
+    EXPECT_EQ(admit({2, deadly}, start + 20ms), kind::wait);
+    EXPECT_EQ(admit({sound}, start + 20ms), kind::allowed);
+    running.reset();
+    EXPECT_EQ(admit({2, deadly}, start + 30ms), kind::allowed);
+}
+
+// Guards against a third server for a request that has ended two within the time to settle.
+TEST_F(prompt_guard_test, requests_wait_while_the_decision_is_due) {
+    other_successes(start + 10ms);
+    guard.record_crash({deadly}, 11, attempt_progress::beginning, start);
+    guard.record_crash({deadly}, 12, attempt_progress::beginning, start + 100ms);
+    EXPECT_EQ(admit({deadly}, start + 101ms), kind::wait);
+    guard.expire(start + 400ms);
+    EXPECT_EQ(admit({deadly}, start + 401ms), kind::refused);
+}
+
+TEST_F(prompt_guard_test, success_ends_the_doubt) {
+    guard.record_crash({sound}, 11, attempt_progress::beginning, start);
+    auto running = guard.begin({sound});
+    EXPECT_EQ(admit({sound}, start + 1ms), kind::wait);
+    guard.record_success({sound}, start + 2ms);
+    EXPECT_EQ(admit({sound}, start + 3ms), kind::allowed);
+    EXPECT_TRUE(guard.status(start + 3ms).empty());
+}
+
+// Failure: each daemon sees one crash. Guards against a bound that holds for each daemon alone.
+TEST_F(prompt_guard_test, evidence_of_several_daemons_is_added_up) {
+    prompt_guard other;
+    guard.record_crash({first, deadly}, 11, attempt_progress::beginning, start);
+    other.record_crash({2, deadly}, 12, attempt_progress::beginning, start + 500ms);
+    other_successes(start + 600ms);
+    guard.merge(other.report(start + 600ms), start + 600ms);
+    EXPECT_EQ(admit({deadly}, start + 700ms), kind::refused);
+    other.merge(guard.report(start + 700ms), start + 701ms);
+    EXPECT_EQ(other.admit({deadly}, start + 702ms).decision, kind::refused) << "a peer's decision holds";
+}
+
+// Guards against a verdict at a daemon that heard of two crashes and not of the answers elsewhere.
+TEST_F(prompt_guard_test, success_at_a_peer_clears_a_part) {
+    prompt_guard other;
+    other.record_success({sound}, start + 50ms);
+    for (std::uint64_t server = 0; server < 2; ++server) {
+        guard.record_crash({sound}, server, attempt_progress::beginning, start);
+    }
+    other_successes(start + 10ms);
+    other.merge(guard.report(start + 100ms), start + 100ms);
+    other.record_success({sound}, start + 120ms);
+    EXPECT_TRUE(other.status(start + 130ms).empty());
+    guard.merge(other.report(start + 150ms), start + 151ms);
+    guard.expire(start + 1s);
+    EXPECT_TRUE(decisions.empty());
+}
+
+TEST_F(prompt_guard_test, reports_merge_to_the_same_state_in_any_order_and_repeatedly) {
+    std::vector<prompt_guard> sources(3);
+    for (std::size_t i = 0; i < sources.size(); ++i) {
+        sources[i].record_crash({first, deadly}, 11 + i, attempt_progress::beginning,
+                                start + std::chrono::milliseconds{200 * i});
+        sources[i].record_crash({sound}, 11 + i, attempt_progress::waiting, start);
+    }
+    sources[0].record_success({sound}, start + 500ms);
+    sources[2].quarantine(40, start + 600ms);
+    sources[1].quarantine(40, start + 600ms);
+    sources[1].release(40, start + 700ms);
+    std::vector<crash_report> reports;
+    for (const auto& s : sources) {
+        reports.push_back(s.report(start + 1s));
+        reports.push_back(reports.back());
+    }
+    std::mt19937 random{7};
+    std::optional<crash_report> expected;
+    for (int round = 0; round < 20; ++round) {
+        std::shuffle(reports.begin(), reports.end(), random);
+        prompt_guard g;
+        for (const auto& r : reports) {
+            g.merge(r, start + 1s);
+        }
+        EXPECT_EQ(g.admit({40}, start + 1s).decision, kind::allowed) << "the later decision holds";
+        expected = expected.value_or(g.report(start + 1s));
+        EXPECT_EQ(g.report(start + 1s), *expected);
+    }
+}
+
+// Guards against evidence that grows younger while daemons repeat it to each other.
+TEST_F(prompt_guard_test, repeated_reports_do_not_renew_evidence) {
+    prompt_guard other;
+    guard.record_crash({sound}, 11, attempt_progress::beginning, start);
+    auto now = start;
+    for (int i = 0; i < 2000; ++i) {
+        now += 150ms;
+        other.merge(guard.report(now), now + 5ms);
+        guard.merge(other.report(now + 10ms), now + 15ms);
+    }
+    ASSERT_FALSE(guard.report(now).crashes.empty());
+    EXPECT_EQ(guard.report(now).crashes.front().age, now - start);
+    guard.expire(start + 11min);
+    EXPECT_TRUE(guard.report(start + 11min).empty());
+}
+
+struct quarantined_part : prompt_guard_test {
+    static constexpr base::time_point later = start + 2min;
+    void SetUp() override {
+        guard.record_crash({deadly}, 11, attempt_progress::beginning, start);
+        other_successes(start + 1ms);
+        guard.record_crash({deadly}, 12, attempt_progress::beginning, start + 500ms);
+        ASSERT_EQ(admit({deadly}, start + 1s), kind::refused);
+        decisions.clear();
+    }
+};
+
+TEST_F(quarantined_part, is_tried_by_one_request_of_one_daemon) {
+    EXPECT_EQ(admit({deadly}, later), kind::refused) << "another daemon tries";
+    may_try = true;
+    EXPECT_EQ(admit({deadly}, start + 30s), kind::refused) << "the quarantine lasts";
+    EXPECT_EQ(admit({deadly}, later), kind::allowed);
+    EXPECT_EQ(admit({deadly}, later + 1ms), kind::refused) << "one request only";
+    guard.record_success({deadly}, later + 1s);
+    EXPECT_EQ(admit({deadly}, later + 2s), kind::allowed);
+    EXPECT_EQ(decisions, std::vector<std::string>{"7 out trial"});
+}
+
+TEST_F(quarantined_part, stays_longer_after_a_failed_trial) {
+    may_try = true;
+    ASSERT_EQ(admit({deadly}, later), kind::allowed);
+    guard.record_crash({deadly}, 13, attempt_progress::beginning, later + 1s);
+    EXPECT_EQ(admit({deadly}, later + 90s), kind::refused);
+    EXPECT_EQ(admit({deadly}, later + 3min), kind::allowed);
+}
+
+TEST_F(quarantined_part, is_released_by_an_operator_for_all_daemons) {
+    prompt_guard other;
+    other.merge(guard.report(start + 1s), start + 1s);
+    ASSERT_EQ(other.admit({deadly}, start + 1s).decision, kind::refused);
+    guard.release(deadly, start + 2s);
+    EXPECT_EQ(admit({deadly}, start + 2s), kind::allowed);
+    other.merge(guard.report(start + 3s), start + 3s);
+    EXPECT_EQ(other.admit({deadly}, start + 3s).decision, kind::allowed);
+    guard.merge(other.report(start + 3s), start + 3s);
+    EXPECT_EQ(admit({deadly}, start + 4s), kind::allowed);
+}
+
+// Failure: a daemon restarts. Guards against a part that is tried again by each restarted daemon.
+TEST_F(quarantined_part, is_known_to_a_restarted_daemon_from_its_peers) {
+    prompt_guard restarted;
+    restarted.merge(guard.report(start + 5s), start + 5s);
+    EXPECT_EQ(restarted.admit({deadly}, start + 6s).decision, kind::refused);
+}
+
+// Load: a caller whose requests have many random parts. Guards against memory and reports without bounds, and
+// against parts that occur once displacing one that ends servers.
+TEST_F(quarantined_part, many_random_parts_stay_bounded) {
+    for (std::uint64_t i = 0; i < 20'000; ++i) {
+        guard.record_crash({1'000'000 + i}, i, attempt_progress::beginning, start + 2s);
+        guard.record_success({9'000'000 + i}, start + 2s);
+    }
+    EXPECT_LE(guard.status(start + 3s).size(), 256U);
+    EXPECT_EQ(admit({deadly}, start + 3s), kind::refused);
+    const auto r = guard.report(start + 3s);
+    EXPECT_LE(r.crashes.size() + r.successes.size() + r.verdicts.size(), 64U);
+}
+
+}  // namespace
+}  // namespace chicorygap::crash_guard
