Keep requests whose prompt part ends servers away from the servers

Cause: nothing related the end of a server to the request that was beginning on it. Each daemon sent the next request with the same part to the next server, and repeated a resumable one on as many as its route allows. Class: a repeat is taken as harmless because the request may be repeated, although it is what makes servers fail.

Change: a broken connection at the beginning of an answer is followed by a connect; a refusal means that the process has ended (a reset connection, a cut link or a spoiled response do not refuse), and a server that was leaving does not count. Requests ask the guard before the queue, before each attempt and before a retry. Evidence and decisions travel in beacons. A refused request has not run and says so with code 3010 and the time until the part may be tried; one that has ended servers itself ends with 502. Operators list, release and quarantine parts.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -6,7 +6,10 @@
 #include "platform/object_codec.h"
 #include "settings/edge_settings.h"
 
+#include <algorithm>
 #include <atomic>
+#include <charconv>
+#include <string_view>
 #include <unistd.h>
 #include <utility>
 
@@ -29,6 +32,8 @@
 constexpr base::duration load_balancer_removal_time = 2600ms;
 /// Time between the exit of the process and the time at which the platform would kill it.
 constexpr base::duration stop_margin = 700ms;
+/// Path of the operator address for parts of prompts that end servers.
+constexpr const char* quarantine_path = "/quarantine";
 /// Limit on the body of a request to the operator or readiness address.
 constexpr std::size_t max_internal_body_bytes = std::size_t{1024} * 1024;
 /// Number of usage windows whose counts are sent to peers: the current one and those not reported yet.
@@ -255,6 +260,22 @@
       operator_listener_{loop_, settings_.operators,
                          [this](const Poco::Net::StreamSocket& x) { accept_operator(x); }} {}
 
+crash_guard::prompt_guard_hooks edge_daemon::prompt_guard_hooks() {
+    return {.decided =
+                [](const crash_guard::part_status& s, const char* source) {
+                    base::log_line{base::log_level::warning, "proxy",
+                                   s.quarantined ? "Prompt part quarantined: servers end when they answer it."
+                                                 : "Prompt part released."}
+                        .field("part", crash_guard::part_text(s.part))
+                        .field("source", source)
+                        .field("score", s.score)
+                        .field("servers", static_cast<long long>(s.servers))
+                        .field("age_ms", to_ms(s.age))
+                        .field("retry_after_ms", to_ms(s.retry_after));
+                },
+            .may_try = [this] { return may_try_quarantined_parts(); }};
+}
+
 edge_daemon::~edge_daemon() {
     base::set_log_sink(nullptr);
 }
@@ -273,6 +294,7 @@
     server_cache_.start();
     peer_exchange_.start();
     duties_.start();
+    router_.prompt_guard().set_hooks(prompt_guard_hooks());
     loop_.every(housekeeping_interval, [this] { housekeeping(); });
     loop_.every(settings_check_interval, [this] { check_settings_file(); });
     loop_.run();
@@ -342,6 +364,10 @@
     if (configuration_mirror_.handle(s, r) || server_mirror_.handle(s, r)) {
         return;
     }
+    if (r.head.target.starts_with(quarantine_path)) {
+        respond_to_quarantine_request(s, r);
+        return;
+    }
     if (r.head.target != "/metrics") {
         s.respond({.status = 404}, {});
         return;
@@ -358,11 +384,62 @@
     metrics_->set_gauge("configuration_age_seconds", to_seconds(confirmation_age(configuration_cache_, now)));
     metrics_->set_gauge("servers_age_seconds", to_seconds(confirmation_age(server_cache_, now)));
     metrics_->set_gauge("servers_kept", static_cast<double>(directory_.kept_count()));
+    const auto parts = router_.prompt_guard().status(now);
+    const auto quarantined =
+        std::count_if(parts.begin(), parts.end(), [](const auto& p) { return p.quarantined; });
+    metrics_->set_gauge("prompt_parts_quarantined", static_cast<double>(quarantined));
+    metrics_->set_gauge("prompt_parts_in_doubt",
+                        static_cast<double>(parts.size()) - static_cast<double>(quarantined));
     http::response_head head{.status = 200};
     head.headers.add("Content-Type", "text/plain; version=0.0.4");
     s.respond(std::move(head), metrics_->text());
 }
 
+void edge_daemon::respond_to_quarantine_request(http::server_session& s, const http::request& r) {
+    auto& guard = router_.prompt_guard();
+    const auto now = loop_.now();
+    const auto rest = std::string_view{r.head.target}.substr(std::string_view{quarantine_path}.size());
+    if (!rest.empty()) {
+        std::uint64_t part = 0;
+        const auto id = rest.substr(1);
+        const auto [end, ec] = std::from_chars(id.data(), id.data() + id.size(), part, 16);
+        const bool valid = rest.front() == '/' && ec == std::errc{} && end == id.data() + id.size();
+        if (!valid || (r.head.method != "PUT" && r.head.method != "DELETE")) {
+            s.respond({.status = valid ? 405 : 404}, {});
+            return;
+        }
+        if (r.head.method == "PUT") {
+            guard.quarantine(part, now);
+        } else {
+            guard.release(part, now);
+        }
+    }
+    std::string body = "[";
+    for (const auto& p : guard.status(now)) {
+        body += (body.size() > 1 ? ",\n" : "") + (R"({"part":")" + crash_guard::part_text(p.part)) +
+                R"(","quarantined":)" + (p.quarantined ? "true" : "false") + R"(,"servers":)" +
+                std::to_string(p.servers) + R"(,"score":)" + std::to_string(p.score) + R"(,"age_ms":)" +
+                std::to_string(to_ms(p.age)) + R"(,"retry_after_ms":)" +
+                std::to_string(to_ms(p.retry_after)) + '}';
+    }
+    http::response_head head{.status = 200};
+    head.headers.add("Content-Type", "application/json");
+    s.respond(std::move(head), body + "]\n");
+}
+
+// One daemon of the fleet: the holder of the lease, or the first by name where there are no duties.
+bool edge_daemon::may_try_quarantined_parts() const {
+    if (duties_.held_term() != 0) {
+        return true;
+    }
+    const auto now = loop_.now();
+    if (settings_.cloud_api) {
+        return false;
+    }
+    const auto peers = peer_exchange_.peers().live_peers(now);
+    return std::all_of(peers.begin(), peers.end(), [&](const auto* p) { return settings_.vm < p->vm; });
+}
+
 bool edge_daemon::ready() const {
     return catalog_ && servers_known_ && !stopping_;
 }
@@ -436,6 +513,7 @@
     if (directory_.expire(loop_.now())) {
         apply_servers();
     }
+    router_.prompt_guard().expire(loop_.now());
     apply_fleet_size();
     if (reload_requested.exchange(false)) {
         base::log_line{base::log_level::info, "daemon", "Reload requested."}.field("file", settings_path_);
@@ -456,6 +534,7 @@
     b.stopping = stopping_;
     b.store_unreachable = store_unreachable();
     b.lease_term = duties_.held_term();
+    b.crashes = router_.prompt_guard().report(loop_.now());
     for (auto& [id, load] : router_.local_loads()) {
         b.services.emplace(id, std::move(load));
     }
@@ -483,6 +562,9 @@
         router_.set_peer_load(base::vm_id{"zone " + b.zone.str()},
                               {b.zone_services.begin(), b.zone_services.end()}, lifetime);
     }
+    if (!b.crashes.empty()) {
+        router_.prompt_guard().merge(b.crashes, loop_.now());
+    }
     for (const auto& [w, counts] : b.windows) {
         meter_.merge({b.vm, b.incarnation}, w, counts);
     }
@@ -570,6 +652,7 @@
         "count", static_cast<long long>(daemons));
     server_cache_.set_batch_delay(
         std::min(server_batch_delay_per_daemon * static_cast<int>(daemons), max_server_batch_delay));
+    router_.prompt_guard().set_settle_time(sharing::news_delay(daemons));
     const auto& r = settings_.retries;
     router_.set_retry_budget_share(
         {.ratio = r.ratio * usable_retry_budget_ratio,
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -58,6 +58,12 @@
     void accept_readiness(const Poco::Net::StreamSocket& socket);
     void accept_operator(const Poco::Net::StreamSocket& socket);
     void respond_to_operator(http::server_session& s, const http::request& r);
+    /// Lists parts of prompts that are quarantined or in doubt (GET), quarantines one (PUT /quarantine/ID) or
+    /// releases it (DELETE /quarantine/ID).
+    void respond_to_quarantine_request(http::server_session& s, const http::request& r);
+    [[nodiscard]] crash_guard::prompt_guard_hooks prompt_guard_hooks();
+    /// @return true if this daemon, of all in the fleet, may try a part whose quarantine is over.
+    [[nodiscard]] bool may_try_quarantined_parts() const;
     void on_configuration_changed();
     void on_servers_changed();
     void on_store_contact(platform::store_contact c);
--- a/packages/base/include/base/result_code.h
+++ b/packages/base/include/base/result_code.h
@@ -45,6 +45,7 @@
     backend_refused = 3007,
     backend_failed = 3008,
     retries_exhausted = 3009,
+    prompt_quarantined = 3010,
 
     document_invalid = 4001,
     settings_invalid = 4002,
--- a/packages/base/src/result_code.cpp
+++ b/packages/base/src/result_code.cpp
@@ -50,6 +50,7 @@
     entry{backend_refused, "backend_refused", 503},
     entry{backend_failed, "backend_failed", 502},
     entry{retries_exhausted, "retries_exhausted", 503},
+    entry{prompt_quarantined, "prompt_quarantined", 503},
     entry{document_invalid, "document_invalid", 400},
     entry{settings_invalid, "settings_invalid", 500},
     entry{document_conflict, "document_conflict", 409},
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "catalog/backend_server.h"
 #include "catalog/snapshot.h"
+#include "crash_guard/prompt_guard.h"
 #include "http/server_session.h"
 #include "proxy/request_record.h"
 #include "scheduling/load.h"
@@ -99,6 +100,9 @@
     /// Resumes reading from the server after the session's buffered output has been written to the caller.
     void drained(http::server_session& session);
 
+    /// @return the guard that keeps prompts which end servers away from them.
+    [[nodiscard]] crash_guard::prompt_guard& prompt_guard();
+
     /// @return load of this daemon per service.
     [[nodiscard]] service_loads local_loads() const;
     /// @return status of each service's scheduler.
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -3,9 +3,9 @@
 #include "base/error.h"
 #include "base/log.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <utility>
 
 namespace chicorygap::proxy {
@@ -53,6 +53,11 @@
 /// Retry-After during shutdown; another daemon can accept the retry immediately.
 constexpr base::duration retry_after_shutdown = 100ms;
 
+/// Time after its first event in which an answer is at its beginning.
+constexpr base::duration answer_beginning = 300ms;
+/// Interval of the questions whether a request whose prompt is in doubt may be sent.
+constexpr base::duration admission_retry_interval = 20ms;
+
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_bad_gateway = 502;
@@ -62,13 +67,11 @@
 /// Parts of a prompt that a log line names.
 constexpr std::size_t max_logged_parts = 8;
 
-/// @return the ids of the parts that other requests may share, in hexadecimal, separated by commas.
-std::string shared_parts_text(const scheduling::generation_requirements& g) {
+/// @return the ids in hexadecimal, separated by commas.
+std::string parts_text(const crash_guard::part_ids& parts) {
     std::string out;
-    for (std::size_t i = 0; i + 1 < g.parts.size() && i < max_logged_parts; ++i) {
-        std::array<char, 16> buf{};
-        const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), g.parts[i].id, 16).ptr;
-        out += (i == 0 ? "" : ",") + std::string{buf.data(), end};
+    for (std::size_t i = 0; i < std::min(parts.size(), max_logged_parts); ++i) {
+        out += (i == 0 ? "" : ",") + crash_guard::part_text(parts[i]);
     }
     return out;
 }
@@ -90,9 +93,16 @@
       id_{router.next_request_id()},
       received_at_{base::boot_clock::now()} {
     record_.id = metadata_.id;
+    if (metadata_.generation) {
+        const auto& parts = metadata_.generation->parts;
+        for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+            shared_parts_.push_back(parts[i].id);
+        }
+    }
 }
 
 proxied_request::~proxied_request() {
+    router_.loop.cancel(admission_timer_);
     router_.loop.cancel(request_timer_);
     router_.loop.cancel(attempt_timer_);
 }
@@ -173,7 +183,96 @@
         record_.prompt_tokens = scheduled.generation->prompt_tokens;
         scheduled.generation->max_token_gap = route_->target_gap;
     }
-    router_.apply_decisions(service_, state.scheduler->submit(std::move(scheduled), router_.loop.now()));
+    when_admitted([this, scheduled = std::move(scheduled)] {
+        router_.apply_decisions(service_, scheduler().submit(scheduled, router_.loop.now()));
+    });
+}
+
+void proxied_request::when_admitted(const std::function<void()>& proceed) {
+    const auto a = router_.guard.admit(shared_parts_, router_.loop.now());
+    switch (a.decision) {
+        case crash_guard::admission::kind::allowed:
+            trial_ = a.trial;
+            proceed();
+            return;
+        case crash_guard::admission::kind::refused:
+            retry_after_ = a.retry_after;
+            record_.failure_cause = "part_" + crash_guard::part_text(a.part);
+            end_with_failure(result_code::prompt_quarantined);
+            return;
+        case crash_guard::admission::kind::wait:
+            admission_timer_ =
+                router_.loop.after(admission_retry_interval, [weak = weak_from_this(), proceed] {
+                    const auto self = weak.lock();
+                    if (self && !self->ended_) {
+                        self->admission_timer_ = net::timer_id::none;
+                        self->when_admitted(proceed);
+                    }
+                });
+            return;
+    }
+}
+
+// The decision may have changed while the request waited for a server.
+bool proxied_request::held_back_at_start() {
+    if (std::exchange(trial_, false)) {
+        return false;
+    }
+    const auto now = router_.loop.now();
+    const auto a = router_.guard.admit(shared_parts_, now);
+    if (a.decision == crash_guard::admission::kind::allowed) {
+        return false;
+    }
+    router_.apply_decisions(service_, scheduler().attempt_finished(id_, scheduling::outcome::cancelled, now));
+    when_admitted(
+        [this] { router_.apply_decisions(service_, scheduler().resubmit(id_, router_.loop.now())); });
+    return true;
+}
+
+crash_guard::attempt_progress proxied_request::attempt_progress() const {
+    using crash_guard::attempt_progress;
+    if (attempt_first_event_at_) {
+        return router_.loop.now() - *attempt_first_event_at_ <= answer_beginning ? attempt_progress::answering
+                                                                                 : attempt_progress::none;
+    }
+    return response_status_ == 0 ? attempt_progress::waiting : attempt_progress::beginning;
+}
+
+void proxied_request::record_survival() {
+    if (std::exchange(beginning_, nullptr)) {
+        router_.guard.record_success(shared_parts_, router_.loop.now());
+    }
+}
+
+void proxied_request::finish_broken_attempt(retry::attempt_outcome outcome, std::string failure_cause) {
+    const auto progress = attempt_progress();
+    if (shared_parts_.empty() || progress == crash_guard::attempt_progress::none) {
+        on_attempt_failed(outcome, scheduling::outcome::unreachable, std::move(failure_cause));
+        return;
+    }
+    const auto address = net::to_string(server_address_);
+    const std::uint64_t server = XXH64(address.data(), address.size(), 0);
+    awaiting_server_check_ = true;
+    router_.check.start(connection_key_, server_address_,
+                        [&router = router_, parts = shared_parts_, server, progress, weak = weak_from_this(),
+                         attempt = current_attempt_, outcome, cause = std::move(failure_cause),
+                         request = metadata_.id, name = record_.server, service = service_](bool ended) {
+                            // A server that leaves is expected to end.
+                            if (ended && router.is_serving(service, name)) {
+                                base::log_line{base::log_level::info, "proxy",
+                                               "Server ended during a request."}
+                                    .field("request", request.str())
+                                    .field("server", name.str())
+                                    .field("shared_parts", parts_text(parts))
+                                    .field("progress", static_cast<int>(progress));
+                                router.guard.record_crash(parts, server, progress, router.loop.now());
+                            }
+                            const auto self = weak.lock();
+                            if (self && self->current_attempt_ == attempt && !self->ended_) {
+                                self->awaiting_server_check_ = false;
+                                self->on_attempt_failed(outcome, scheduling::outcome::unreachable, cause);
+                            }
+                        });
 }
 
 // Ranks by the tier of the workspace and, within it, by the tier of the route.
@@ -202,10 +301,16 @@
         end_with_failure(result_code::deadline_unreachable);
         return;
     }
+    if (!shared_parts_.empty() && held_back_at_start()) {
+        return;
+    }
     const auto now = base::boot_clock::now();
     if (record_.attempts == 0) {
         record_.queue_time = now - received_at_;
     }
+    beginning_ = shared_parts_.empty() ? nullptr : router_.guard.begin(shared_parts_);
+    attempt_first_event_at_.reset();
+    awaiting_server_check_ = false;
     current_attempt_ = attempt_tracker_->start(now);
     record_.attempts = attempt_tracker_->attempts();
     record_.server = server.id;
@@ -221,6 +326,7 @@
         response_head_ = {};
     }
     connection_key_ = server.instance_key();
+    server_address_ = server.address;
     connection_ = router_.pool.take(connection_key_, server.address, max_connection_idle());
     server_request_metadata server_metadata{
         .server = server.id,
@@ -344,6 +450,10 @@
         return;
     }
     report_run_started();
+    attempt_first_event_at_ = attempt_first_event_at_.value_or(router_.loop.now());
+    if (beginning_ && router_.loop.now() - *attempt_first_event_at_ > answer_beginning) {
+        record_survival();
+    }
     record_token_gap();
     scheduler().first_output(id_, router_.loop.now());
     if (!record_.time_to_first_output) {
@@ -421,10 +531,10 @@
 
 void proxied_request::complete_stream() {
     if (events_.has_partial() || !response_started_) {
-        on_attempt_failed({result_code::answer_truncated, true}, scheduling::outcome::unreachable,
-                          "truncated");
+        finish_broken_attempt({result_code::answer_truncated, true}, "truncated");
         return;
     }
+    record_survival();
     attempt_tracker_->finish(current_attempt_, {result_code::ok, true});
     router_.apply_decisions(
         service_, scheduler().attempt_finished(id_, scheduling::outcome::success, router_.loop.now()));
@@ -448,6 +558,9 @@
                           "status_" + std::to_string(response_status_));
         return;
     }
+    if (!failed) {
+        record_survival();
+    }
     attempt_tracker_->finish(current_attempt_,
                              {failed ? result_code::backend_failed : result_code::ok, true});
     router_.apply_decisions(
@@ -478,7 +591,12 @@
     const auto code = !sent        ? result_code::connect_failed
                       : has_output ? result_code::answer_truncated
                                    : result_code::answer_mismatched;
-    on_attempt_failed({code, sent}, scheduling::outcome::unreachable, std::string{to_string(failure)});
+    const bool broken = failure == http::exchange_failure::reset || failure == http::exchange_failure::closed;
+    if (broken) {
+        finish_broken_attempt({code, sent}, std::string{to_string(failure)});
+    } else {
+        on_attempt_failed({code, sent}, scheduling::outcome::unreachable, std::string{to_string(failure)});
+    }
 }
 
 void proxied_request::on_attempt_timeout() {
@@ -497,6 +615,7 @@
 void proxied_request::on_attempt_failed(retry::attempt_outcome outcome, scheduling::outcome server_outcome,
                                         std::string failure_cause) {
     record_.failure_cause = std::move(failure_cause);
+    beginning_.reset();
     attempt_tracker_->finish(current_attempt_, outcome);
     current_attempt_ = 0;
     auto& state = router_.service(service_);
@@ -516,10 +635,11 @@
     if (metadata_.generation) {
         line.field("response_status", response_status_)
             .field("attempt_events", static_cast<long long>(events_.event_count() - events_at_attempt_start_))
-            .field("shared_parts", shared_parts_text(*metadata_.generation));
+            .field("shared_parts", parts_text(shared_parts_));
     }
     if (next.allowed && session_) {
-        router_.apply_decisions(service_, state.scheduler->resubmit(id_, router_.loop.now()));
+        when_admitted(
+            [this] { router_.apply_decisions(service_, scheduler().resubmit(id_, router_.loop.now())); });
         return;
     }
     // Without a further attempt, the server's own error response is forwarded to the caller.
@@ -540,7 +660,7 @@
     const auto self = shared_from_this();
     request_timer_ = net::timer_id::none;
     if (current_attempt_ != 0) {
-        const bool sent = connection_ && connection_->sent();
+        const bool sent = attempt_sent();
         abort_attempt();
         attempt_tracker_->finish(current_attempt_, {result_code::first_byte_timeout, sent});
         current_attempt_ = 0;
@@ -571,6 +691,8 @@
     const auto self = shared_from_this();
     router_.loop.cancel(request_timer_);
     router_.loop.cancel(attempt_timer_);
+    router_.loop.cancel(admission_timer_);
+    beginning_.reset();
     abort_attempt();
     auto* const session = session_.get();
     const bool response_pending = session_ && session_->busy();
@@ -602,6 +724,10 @@
     }
 }
 
+bool proxied_request::attempt_sent() const {
+    return awaiting_server_check_ || (connection_ && connection_->sent());
+}
+
 void proxied_request::abort_attempt() {
     if (const auto connection = std::exchange(connection_, nullptr)) {
         connection->abort();
@@ -611,7 +737,7 @@
 void proxied_request::on_caller_disconnected() {
     const auto self = shared_from_this();
     session_.reset();
-    const bool running = current_attempt_ != 0 && connection_ && connection_->sent();
+    const bool running = current_attempt_ != 0 && attempt_sent();
     if (running && route_->kind == catalog::request_kind::non_idempotent) {
         return;  // aborting the attempt would not undo its effects
     }
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -4,6 +4,7 @@
 
 #include "base/time.h"
 #include "catalog/backend_server.h"
+#include "crash_guard/prompt_guard.h"
 #include "event_splitter.h"
 #include "http/client_connection.h"
 #include "http/server_session.h"
@@ -14,6 +15,7 @@
 #include "retry/attempt_tracker.h"
 #include "scheduling/scheduler.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,6 +52,19 @@
 private:
     void submit();
     void init_deadline_and_retries();
+    /// Asks the guard whether a server may be tried, and calls `proceed` once it may. Ends the request if a
+    /// part of its prompt is quarantined.
+    void when_admitted(const std::function<void()>& proceed);
+    /// @return true if the prompt guard keeps the request from a server now; the request is ended or waits.
+    [[nodiscard]] bool held_back_at_start();
+    /// @return how far the answer of the current attempt has come, as evidence if the server has ended.
+    [[nodiscard]] crash_guard::attempt_progress attempt_progress() const;
+    /// @return true if the server may have received the request of the current attempt.
+    [[nodiscard]] bool attempt_sent() const;
+    /// Tells the guard that the answer is past its beginning.
+    void record_survival();
+    /// Reports a failed attempt after it is known whether the server has ended.
+    void finish_broken_attempt(retry::attempt_outcome outcome, std::string failure_cause);
     [[nodiscard]] std::uint8_t priority_rank() const;
     [[nodiscard]] scheduling::scheduler& scheduler();
     [[nodiscard]] base::duration remaining_time() const;
@@ -94,6 +109,14 @@
     base::service_id service_;
     base::workspace_id workspace_;
     base::tier tier_;
+    /// Parts of the prompt that other prompts may share; empty for plain requests.
+    crash_guard::part_ids shared_parts_;
+    /// Exists while the answer is at its beginning on a server.
+    std::shared_ptr<void> beginning_;
+    std::optional<base::time_point> attempt_first_event_at_;
+    net::timer_id admission_timer_ = net::timer_id::none;
+    bool trial_ = false;  ///< tries a part after its quarantine
+    bool awaiting_server_check_ = false;
     scheduling::local_request_id id_;
     std::optional<retry::attempt_tracker> attempt_tracker_;
     request_record record_;
@@ -105,6 +128,7 @@
 
     std::shared_ptr<http::client_connection> connection_;
     std::string connection_key_;
+    net::address server_address_;
     std::uint32_t current_attempt_ = 0;
     http::response_head response_head_;
     response_metadata response_metadata_;
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -37,6 +37,9 @@
 void request_router::drained(http::server_session& session) {
     impl_->drained(session);
 }
+crash_guard::prompt_guard& request_router::prompt_guard() {
+    return impl_->guard;
+}
 service_loads request_router::local_loads() const {
     return impl_->local_loads();
 }
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -20,7 +20,7 @@
 
 request_router::impl::impl(net::loop& l, const header_codec& c, router_options o, base::random_function r,
                            router_hooks h)
-    : loop{l}, codec{c}, options{std::move(o)}, random{std::move(r)}, hooks{std::move(h)}, pool{l} {
+    : loop{l}, codec{c}, options{std::move(o)}, random{std::move(r)}, hooks{std::move(h)}, pool{l}, check{l} {
     loop.every(expiry_interval, [this] { pool.expire(); });
 }
 
@@ -121,6 +121,14 @@
     }
 }
 
+bool request_router::impl::is_serving(const base::service_id& service,
+                                      const base::backend_server_id& id) const {
+    const auto it = servers_by_service_.find(service);
+    return it != servers_by_service_.end() &&
+           std::any_of(it->second.begin(), it->second.end(),
+                       [&](const auto& s) { return s.id == id && !s.draining; });
+}
+
 void request_router::impl::remove(scheduling::local_request_id id, http::server_session* session) {
     active_requests.erase(id);
     if (session != nullptr) {
--- a/packages/proxy/tests/router_fixture.h
+++ b/packages/proxy/tests/router_fixture.h
@@ -133,7 +133,8 @@
     }
 
     std::shared_ptr<test_caller> send_request(const std::string& path, const std::string& id,
-                                              const std::string& key = "k", const std::string& body = "") {
+                                              const std::string& key = "k", const std::string& body = "",
+                                              const std::string& prompt_parts = "") {
         auto c = std::make_shared<test_caller>();
         c->stream = net::stream::connect(loop, listener.local(), 1s,
                                          {.connected = nullptr,
@@ -141,6 +142,7 @@
                                           .drained = nullptr,
                                           .ended = [c](net::stream_end) { c->closed = true; }});
         c->stream->write("POST " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nKey: " + key +
+                         (prompt_parts.empty() ? "" : "\r\nParts: " + prompt_parts) +
                          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         return c;
     }
--- a/packages/proxy/tests/scripted_server.h
+++ b/packages/proxy/tests/scripted_server.h
@@ -26,9 +26,19 @@
     scripted_server(net::loop& l, script s)
         : loop_{l},
           script_{std::move(s)},
-          listener_{l, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& x) { accept(x); }} {}
+          listener_{std::make_unique<net::listener>(l, net::address{"127.0.0.1", 0},
+                                                    [this](const Poco::Net::StreamSocket& x) { accept(x); })},
+          address_{listener_->local()} {}
 
-    [[nodiscard]] net::address address() const { return listener_.local(); }
+    /// Refuses connections from now on and closes all open ones, like a process that ends.
+    void end_process() {
+        listener_.reset();
+        for (const auto& c : connections_) {
+            c->stream->close();
+        }
+    }
+
+    [[nodiscard]] net::address address() const { return address_; }
     [[nodiscard]] int request_count() const { return request_count_; }
     [[nodiscard]] int closed_connection_count() const { return closed_connection_count_; }
     [[nodiscard]] int connection_count() const { return static_cast<int>(connections_.size()); }
@@ -74,7 +84,8 @@
     std::vector<std::shared_ptr<accepted_connection>> connections_;
     int request_count_ = 0;
     int closed_connection_count_ = 0;
-    net::listener listener_;
+    std::unique_ptr<net::listener> listener_;
+    net::address address_;
 };
 
 }  // namespace chicorygap::proxy
--- a/packages/proxy/tests/test_header_codec.h
+++ b/packages/proxy/tests/test_header_codec.h
@@ -4,12 +4,14 @@
 
 #include "proxy/header_codec.h"
 
+#include <cstdint>
+#include <sstream>
 #include <string>
 
 namespace chicorygap::proxy {
 
-/// Header codec for tests. Requests use the fields Id, Key and Last; responses use Id, Not-Run and status
-/// 421.
+/// Header codec for tests. Requests use the fields Id, Key, Last and Parts (ids in decimal); responses use
+/// Id, Not-Run and status 421.
 class test_header_codec final : public header_codec {
 public:
     [[nodiscard]] request_metadata decode(const http::request_head& head) const override {
@@ -17,6 +19,13 @@
         r.id = base::request_id{text(head.headers, "Id")};
         r.host = text(head.headers, "Host");
         r.key = text(head.headers, "Key");
+        if (const auto* parts = head.headers.find("Parts")) {
+            r.generation.emplace();
+            std::istringstream in{*parts};
+            for (std::uint64_t id = 0; in >> id; in.ignore()) {
+                r.generation->parts.push_back({id, 10});
+            }
+        }
         return r;
     }
 
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -4,6 +4,7 @@
 
 #include "base/id.h"
 #include "base/time.h"
+#include "crash_guard/crash_report.h"
 #include "metering/window_counts.h"
 #include "net/address.h"
 #include "scheduling/load.h"
@@ -59,6 +60,8 @@
     bool store_unreachable = false;
     /// Peer addresses of daemons in the receiver's zone, for a receiver that the sender did not know.
     std::vector<net::address> contacts;
+    /// Evidence and decisions on prompt parts that end servers.
+    crash_guard::crash_report crashes;
     /// Requests that the sender counted in recent usage windows.
     std::map<metering::window_number, metering::workspace_counts> windows;
 
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -25,6 +25,10 @@
 /// @return time without a beacon after which a peer is considered dead.
 base::duration peer_timeout(std::size_t fleet_size);
 
+/// @return time within which all daemons usually know what one of them has told its peers and what these have
+/// answered.
+base::duration news_delay(std::size_t fleet_size);
+
 /// Daemons of each zone that exchange digests with other zones. The second one covers for the first.
 inline constexpr std::size_t representatives_per_zone = 2;
 
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -38,6 +38,38 @@
   # Servers that are missing in the sender's list have left; the list holds from serversRevision up to this store
   # revision. 0 if the sender does not know.
   serversFinalRevision @20 :UInt64;
+  # Evidence and decisions on prompt parts that end servers.
+  crashes @21 :List(CrashRecord);
+  successes @22 :List(SuccessRecord);
+  verdicts @23 :List(VerdictRecord);
+}
+
+# A server ended while a request with the part was at the beginning of its answer there.
+struct CrashRecord {
+  part @0 :UInt64;
+  # Hash of the server's address.
+  server @1 :UInt64;
+  # Position of the part in the prompt.
+  depth @2 :UInt32;
+  # How far the answer had come: 1 nothing arrived, 2 the first events, 3 the head.
+  progress @3 :UInt8;
+  ageMs @4 :UInt64;
+}
+
+# A request with a part that is in doubt was answered.
+struct SuccessRecord {
+  part @0 :UInt64;
+  ageMs @1 :UInt64;
+}
+
+# Decision on a part; of two, the one with the higher number counts.
+struct VerdictRecord {
+  part @0 :UInt64;
+  number @1 :UInt32;
+  quarantined @2 :Bool;
+  ageMs @3 :UInt64;
+  # Time from the decision until one request may try the part again.
+  periodMs @4 :UInt64;
 }
 
 struct ServiceLoad {
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -58,6 +58,61 @@
     }
 }
 
+std::uint64_t to_ms(base::duration d) {
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(d).count()));
+}
+
+/// @return the duration; one that is too long is limited.
+base::duration from_ms(std::uint64_t ms) {
+    const auto limit = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(base::longest_stored_duration).count());
+    return std::chrono::milliseconds{static_cast<std::int64_t>(std::min(ms, limit))};
+}
+
+void write_crash_report(const crash_guard::crash_report& r, wire::Beacon::Builder& out) {
+    auto crashes = out.initCrashes(static_cast<unsigned>(r.crashes.size()));
+    for (unsigned i = 0; i < crashes.size(); ++i) {
+        const auto& from = r.crashes[i];
+        crashes[i].setPart(from.part);
+        crashes[i].setServer(from.server);
+        crashes[i].setDepth(from.depth);
+        crashes[i].setProgress(static_cast<std::uint8_t>(from.progress));
+        crashes[i].setAgeMs(to_ms(from.age));
+    }
+    auto successes = out.initSuccesses(static_cast<unsigned>(r.successes.size()));
+    for (unsigned i = 0; i < successes.size(); ++i) {
+        successes[i].setPart(r.successes[i].part);
+        successes[i].setAgeMs(to_ms(r.successes[i].age));
+    }
+    auto verdicts = out.initVerdicts(static_cast<unsigned>(r.verdicts.size()));
+    for (unsigned i = 0; i < verdicts.size(); ++i) {
+        const auto& from = r.verdicts[i];
+        verdicts[i].setPart(from.part);
+        verdicts[i].setNumber(from.number);
+        verdicts[i].setQuarantined(from.quarantined);
+        verdicts[i].setAgeMs(to_ms(from.age));
+        verdicts[i].setPeriodMs(to_ms(from.period));
+    }
+}
+
+crash_guard::crash_report read_crash_report(wire::Beacon::Reader in) {
+    crash_guard::crash_report out;
+    for (const auto c : in.getCrashes()) {
+        const auto progress = static_cast<crash_guard::attempt_progress>(std::min<std::uint8_t>(
+            c.getProgress(), static_cast<std::uint8_t>(crash_guard::attempt_progress::beginning)));
+        out.crashes.push_back({c.getPart(), c.getServer(), c.getDepth(), progress, from_ms(c.getAgeMs())});
+    }
+    for (const auto s : in.getSuccesses()) {
+        out.successes.push_back({s.getPart(), from_ms(s.getAgeMs())});
+    }
+    for (const auto v : in.getVerdicts()) {
+        out.verdicts.push_back({v.getPart(), v.getNumber(), v.getQuarantined(), from_ms(v.getAgeMs()),
+                                from_ms(v.getPeriodMs())});
+    }
+    return out;
+}
+
 service_loads read_loads(capnp::List<wire::ServiceLoad>::Reader in) {
     service_loads out;
     for (const auto service : in) {
@@ -113,6 +168,7 @@
             b.contacts.push_back(*std::move(a));
         }
     }
+    b.crashes = read_crash_report(in);
     read_windows(in, b);
     return b;
 }
@@ -147,6 +203,7 @@
     for (unsigned i = 0; i < contacts.size(); ++i) {
         contacts.set(i, net::to_string(b.contacts[i]).c_str());
     }
+    write_crash_report(b.crashes, out);
     write_windows(b, out);
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, message);
--- a/packages/sharing/src/peer_table.cpp
+++ b/packages/sharing/src/peer_table.cpp
@@ -33,6 +33,8 @@
 constexpr int max_missed_holder_beacons = 2;
 /// Added to both timeouts for delayed beacons.
 constexpr base::duration timeout_margin = 450ms;
+/// Added to the time that news take through the fleet for delayed beacons.
+constexpr base::duration news_margin = 100ms;
 
 /// Order in which daemons are preferred as representatives and mirrors, equal on all daemons.
 /// @tparam T type with `processor_share` and `vm`.
@@ -61,6 +63,11 @@
     return beacon_interval(fleet_size) * max_missed_beacons + timeout_margin;
 }
 
+base::duration news_delay(std::size_t fleet_size) {
+    const auto one_way = uses_zone_digests(fleet_size) ? max_digest_interval : beacon_interval(fleet_size);
+    return one_way * 2 + news_margin;
+}
+
 bool peer_table::is_live(const peer& p, base::time_point now) const {
     return now - p.received_at <= peer_timeout(known_count());
 }
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -43,6 +43,9 @@
     b.zone_lease_address = {"10.0.0.9", 7200};
     b.store_unreachable = true;
     b.contacts = {{"10.0.0.7", 7200}, {"10.0.0.8", 7200}};
+    b.crashes.crashes = {{0xdead, 77, 2, crash_guard::attempt_progress::beginning, 1500ms}};
+    b.crashes.successes = {{0xbeef, 20ms}};
+    b.crashes.verdicts = {{0xdead, 3, true, 7s, 60s}};
     b.windows[metering::window_number{12}] = {{base::workspace_id{"north"}, 8}};
     EXPECT_EQ(decode(encode(b)), b);
 }
