Test the quarantine across a restart of a daemon and its release by an operator

With daemons as processes: a restarted daemon refuses the part 0.5 s after it is ready, and DELETE /quarantine/ID at one daemon releases the part on the others within 2 s.

--- a/testing/fleet/tests/query_of_death_test.cpp
+++ b/testing/fleet/tests/query_of_death_test.cpp
@@ -69,5 +69,34 @@
     EXPECT_GE(served, 12);
 }
 
+// Failure: a daemon restarts while a part is quarantined. Guards against a part that is tried again by each
+// restarted daemon.
+TEST_F(query_of_death, restarted_daemon_learns_of_the_quarantine_from_its_peers) {
+    send_mixed(standin::chat_path, 9);
+    const int before = crashes();
+    daemons[1].process->kill();
+    daemons[1].process->start();
+    ASSERT_TRUE(run_until([&] { return send_prompt(1, standin::chat_path, sound_part).status == 200; }));
+    run_for(500ms);
+    EXPECT_EQ(send_prompt(1, standin::chat_path, deadly_part).status, 503);
+    EXPECT_EQ(crashes(), before);
+}
+
+TEST_F(query_of_death, operator_releases_a_part_on_all_daemons) {
+    send_mixed(standin::chat_path, 9);
+    ASSERT_EQ(send_prompt(2, standin::chat_path, deadly_part).status, 503);
+    for (const auto& s : servers) {
+        s->set_deadly_part("", {});
+    }
+    const auto tool = std::make_shared<standin::caller>(loop, daemons[0].process->operator_address());
+    standin::call_outcome listed;
+    tool->send({.id = "o1", .method = "DELETE", .path = "/quarantine/dead"},
+               [&](standin::call_outcome o) { listed = std::move(o); });
+    ASSERT_TRUE(run_until([&] { return listed.complete; }));
+    EXPECT_EQ(listed.status, 200);
+    EXPECT_EQ(listed.body.find("dead"), std::string::npos);
+    EXPECT_TRUE(run_until([&] { return send_prompt(2, standin::chat_path, deadly_part).status == 200; }, 2s));
+}
+
 }  // namespace
 }  // namespace chicorygap::testing_fleet
