Split what a request tells the prompt guard from the request, and its operator interface from the daemon

No change of behaviour: request_evidence holds the shared parts and how far the answer has come, quarantine_endpoint answers operators. Invalid ids get 404 as before, other methods 405. proxy_test and fleet_test pass.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -8,8 +8,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <charconv>
-#include <string_view>
 #include <unistd.h>
 #include <utility>
 
@@ -32,8 +30,6 @@
 constexpr base::duration load_balancer_removal_time = 2600ms;
 /// Time between the exit of the process and the time at which the platform would kill it.
 constexpr base::duration stop_margin = 700ms;
-/// Path of the operator address for parts of prompts that end servers.
-constexpr const char* quarantine_path = "/quarantine";
 /// Limit on the body of a request to the operator or readiness address.
 constexpr std::size_t max_internal_body_bytes = std::size_t{1024} * 1024;
 /// Number of usage windows whose counts are sent to peers: the current one and those not reported yet.
@@ -194,6 +190,7 @@
                        metrics_->record(r);
                        log_request(r, confirmation_age(configuration_cache_, loop_.now()));
                    }}},
+      quarantine_endpoint_{router_.prompt_guard()},
       store_{loop_, settings_.store},
       configuration_cache_{
           loop_,
@@ -364,8 +361,7 @@
     if (configuration_mirror_.handle(s, r) || server_mirror_.handle(s, r)) {
         return;
     }
-    if (r.head.target.starts_with(quarantine_path)) {
-        respond_to_quarantine_request(s, r);
+    if (quarantine_endpoint_.handle(s, r, loop_.now())) {
         return;
     }
     if (r.head.target != "/metrics") {
@@ -395,38 +391,6 @@
     s.respond(std::move(head), metrics_->text());
 }
 
-void edge_daemon::respond_to_quarantine_request(http::server_session& s, const http::request& r) {
-    auto& guard = router_.prompt_guard();
-    const auto now = loop_.now();
-    const auto rest = std::string_view{r.head.target}.substr(std::string_view{quarantine_path}.size());
-    if (!rest.empty()) {
-        std::uint64_t part = 0;
-        const auto id = rest.substr(1);
-        const auto [end, ec] = std::from_chars(id.data(), id.data() + id.size(), part, 16);
-        const bool valid = rest.front() == '/' && ec == std::errc{} && end == id.data() + id.size();
-        if (!valid || (r.head.method != "PUT" && r.head.method != "DELETE")) {
-            s.respond({.status = valid ? 405 : 404}, {});
-            return;
-        }
-        if (r.head.method == "PUT") {
-            guard.quarantine(part, now);
-        } else {
-            guard.release(part, now);
-        }
-    }
-    std::string body = "[";
-    for (const auto& p : guard.status(now)) {
-        body += (body.size() > 1 ? ",\n" : "") + (R"({"part":")" + crash_guard::part_text(p.part)) +
-                R"(","quarantined":)" + (p.quarantined ? "true" : "false") + R"(,"servers":)" +
-                std::to_string(p.servers) + R"(,"score":)" + std::to_string(p.score) + R"(,"age_ms":)" +
-                std::to_string(to_ms(p.age)) + R"(,"retry_after_ms":)" +
-                std::to_string(to_ms(p.retry_after)) + '}';
-    }
-    http::response_head head{.status = 200};
-    head.headers.add("Content-Type", "application/json");
-    s.respond(std::move(head), body + "]\n");
-}
-
 // One daemon of the fleet: the holder of the lease, or the first by name where there are no duties.
 bool edge_daemon::may_try_quarantined_parts() const {
     if (duties_.held_term() != 0) {
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -17,6 +17,7 @@
 #include "platform/platform_header_codec.h"
 #include "platform/store_client.h"
 #include "proxy/request_router.h"
+#include "quarantine_endpoint.h"
 #include "settings/edge_settings.h"
 
 #include <filesystem>
@@ -58,9 +59,6 @@
     void accept_readiness(const Poco::Net::StreamSocket& socket);
     void accept_operator(const Poco::Net::StreamSocket& socket);
     void respond_to_operator(http::server_session& s, const http::request& r);
-    /// Lists parts of prompts that are quarantined or in doubt (GET), quarantines one (PUT /quarantine/ID) or
-    /// releases it (DELETE /quarantine/ID).
-    void respond_to_quarantine_request(http::server_session& s, const http::request& r);
     [[nodiscard]] crash_guard::prompt_guard_hooks prompt_guard_hooks();
     /// @return true if this daemon, of all in the fleet, may try a part whose quarantine is over.
     [[nodiscard]] bool may_try_quarantined_parts() const;
@@ -122,6 +120,7 @@
     platform::platform_header_codec header_codec_;
     std::unique_ptr<edge_metrics> metrics_;
     proxy::request_router router_;
+    quarantine_endpoint quarantine_endpoint_;
     platform::store_client store_;
     platform::object_cache configuration_cache_;
     platform::object_cache server_cache_;
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -53,8 +53,6 @@
 /// Retry-After during shutdown; another daemon can accept the retry immediately.
 constexpr base::duration retry_after_shutdown = 100ms;
 
-/// Time after its first event in which an answer is at its beginning.
-constexpr base::duration answer_beginning = 300ms;
 /// Interval of the questions whether a request whose prompt is in doubt may be sent.
 constexpr base::duration admission_retry_interval = 20ms;
 
@@ -90,15 +88,10 @@
       request_{std::move(request)},
       metadata_{router.codec.decode(request_.head)},
       catalog_{router.catalog},
+      evidence_{router.guard, metadata_.generation},
       id_{router.next_request_id()},
       received_at_{base::boot_clock::now()} {
     record_.id = metadata_.id;
-    if (metadata_.generation) {
-        const auto& parts = metadata_.generation->parts;
-        for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-            shared_parts_.push_back(parts[i].id);
-        }
-    }
 }
 
 proxied_request::~proxied_request() {
@@ -189,10 +182,9 @@
 }
 
 void proxied_request::when_admitted(const std::function<void()>& proceed) {
-    const auto a = router_.guard.admit(shared_parts_, router_.loop.now());
+    const auto a = evidence_.admit(router_.loop.now());
     switch (a.decision) {
         case crash_guard::admission::kind::allowed:
-            trial_ = a.trial;
             proceed();
             return;
         case crash_guard::admission::kind::refused:
@@ -213,14 +205,9 @@
     }
 }
 
-// The decision may have changed while the request waited for a server.
 bool proxied_request::held_back_at_start() {
-    if (std::exchange(trial_, false)) {
-        return false;
-    }
     const auto now = router_.loop.now();
-    const auto a = router_.guard.admit(shared_parts_, now);
-    if (a.decision == crash_guard::admission::kind::allowed) {
+    if (evidence_.admit_attempt(now).decision == crash_guard::admission::kind::allowed) {
         return false;
     }
     router_.apply_decisions(service_, scheduler().attempt_finished(id_, scheduling::outcome::cancelled, now));
@@ -229,50 +216,35 @@
     return true;
 }
 
-crash_guard::attempt_progress proxied_request::attempt_progress() const {
-    using crash_guard::attempt_progress;
-    if (attempt_first_event_at_) {
-        return router_.loop.now() - *attempt_first_event_at_ <= answer_beginning ? attempt_progress::answering
-                                                                                 : attempt_progress::none;
-    }
-    return response_status_ == 0 ? attempt_progress::waiting : attempt_progress::beginning;
-}
-
-void proxied_request::record_survival() {
-    if (std::exchange(beginning_, nullptr)) {
-        router_.guard.record_success(shared_parts_, router_.loop.now());
-    }
-}
-
 void proxied_request::finish_broken_attempt(retry::attempt_outcome outcome, std::string failure_cause) {
-    const auto progress = attempt_progress();
-    if (shared_parts_.empty() || progress == crash_guard::attempt_progress::none) {
+    const auto progress = evidence_.progress(response_status_ != 0, router_.loop.now());
+    if (progress == crash_guard::attempt_progress::none) {
         on_attempt_failed(outcome, scheduling::outcome::unreachable, std::move(failure_cause));
         return;
     }
     const auto address = net::to_string(server_address_);
     const std::uint64_t server = XXH64(address.data(), address.size(), 0);
     awaiting_server_check_ = true;
-    router_.check.start(connection_key_, server_address_,
-                        [&router = router_, parts = shared_parts_, server, progress, weak = weak_from_this(),
-                         attempt = current_attempt_, outcome, cause = std::move(failure_cause),
-                         request = metadata_.id, name = record_.server, service = service_](bool ended) {
-                            // A server that leaves is expected to end.
-                            if (ended && router.is_serving(service, name)) {
-                                base::log_line{base::log_level::info, "proxy",
-                                               "Server ended during a request."}
-                                    .field("request", request.str())
-                                    .field("server", name.str())
-                                    .field("shared_parts", parts_text(parts))
-                                    .field("progress", static_cast<int>(progress));
-                                router.guard.record_crash(parts, server, progress, router.loop.now());
-                            }
-                            const auto self = weak.lock();
-                            if (self && self->current_attempt_ == attempt && !self->ended_) {
-                                self->awaiting_server_check_ = false;
-                                self->on_attempt_failed(outcome, scheduling::outcome::unreachable, cause);
-                            }
-                        });
+    router_.check.start(
+        connection_key_, server_address_,
+        [&router = router_, parts = evidence_.shared_parts(), server, progress, weak = weak_from_this(),
+         attempt = current_attempt_, outcome, cause = std::move(failure_cause), request = metadata_.id,
+         name = record_.server, service = service_](bool ended) {
+            // A server that leaves is expected to end.
+            if (ended && router.is_serving(service, name)) {
+                base::log_line{base::log_level::info, "proxy", "Server ended during a request."}
+                    .field("request", request.str())
+                    .field("server", name.str())
+                    .field("shared_parts", parts_text(parts))
+                    .field("progress", static_cast<int>(progress));
+                router.guard.record_crash(parts, server, progress, router.loop.now());
+            }
+            const auto self = weak.lock();
+            if (self && self->current_attempt_ == attempt && !self->ended_) {
+                self->awaiting_server_check_ = false;
+                self->on_attempt_failed(outcome, scheduling::outcome::unreachable, cause);
+            }
+        });
 }
 
 // Ranks by the tier of the workspace and, within it, by the tier of the route.
@@ -301,15 +273,14 @@
         end_with_failure(result_code::deadline_unreachable);
         return;
     }
-    if (!shared_parts_.empty() && held_back_at_start()) {
+    if (held_back_at_start()) {
         return;
     }
     const auto now = base::boot_clock::now();
     if (record_.attempts == 0) {
         record_.queue_time = now - received_at_;
     }
-    beginning_ = shared_parts_.empty() ? nullptr : router_.guard.begin(shared_parts_);
-    attempt_first_event_at_.reset();
+    evidence_.attempt_started();
     awaiting_server_check_ = false;
     current_attempt_ = attempt_tracker_->start(now);
     record_.attempts = attempt_tracker_->attempts();
@@ -450,10 +421,7 @@
         return;
     }
     report_run_started();
-    attempt_first_event_at_ = attempt_first_event_at_.value_or(router_.loop.now());
-    if (beginning_ && router_.loop.now() - *attempt_first_event_at_ > answer_beginning) {
-        record_survival();
-    }
+    evidence_.event_received(router_.loop.now());
     record_token_gap();
     scheduler().first_output(id_, router_.loop.now());
     if (!record_.time_to_first_output) {
@@ -534,7 +502,7 @@
         finish_broken_attempt({result_code::answer_truncated, true}, "truncated");
         return;
     }
-    record_survival();
+    evidence_.answered(router_.loop.now());
     attempt_tracker_->finish(current_attempt_, {result_code::ok, true});
     router_.apply_decisions(
         service_, scheduler().attempt_finished(id_, scheduling::outcome::success, router_.loop.now()));
@@ -559,7 +527,7 @@
         return;
     }
     if (!failed) {
-        record_survival();
+        evidence_.answered(router_.loop.now());
     }
     attempt_tracker_->finish(current_attempt_,
                              {failed ? result_code::backend_failed : result_code::ok, true});
@@ -615,7 +583,7 @@
 void proxied_request::on_attempt_failed(retry::attempt_outcome outcome, scheduling::outcome server_outcome,
                                         std::string failure_cause) {
     record_.failure_cause = std::move(failure_cause);
-    beginning_.reset();
+    evidence_.attempt_ended();
     attempt_tracker_->finish(current_attempt_, outcome);
     current_attempt_ = 0;
     auto& state = router_.service(service_);
@@ -635,7 +603,7 @@
     if (metadata_.generation) {
         line.field("response_status", response_status_)
             .field("attempt_events", static_cast<long long>(events_.event_count() - events_at_attempt_start_))
-            .field("shared_parts", parts_text(shared_parts_));
+            .field("shared_parts", parts_text(evidence_.shared_parts()));
     }
     if (next.allowed && session_) {
         when_admitted(
@@ -692,7 +660,7 @@
     router_.loop.cancel(request_timer_);
     router_.loop.cancel(attempt_timer_);
     router_.loop.cancel(admission_timer_);
-    beginning_.reset();
+    evidence_.attempt_ended();
     abort_attempt();
     auto* const session = session_.get();
     const bool response_pending = session_ && session_->busy();
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -4,13 +4,13 @@
 
 #include "base/time.h"
 #include "catalog/backend_server.h"
-#include "crash_guard/prompt_guard.h"
 #include "event_splitter.h"
 #include "http/client_connection.h"
 #include "http/server_session.h"
 #include "net/loop.h"
 #include "proxy/header_codec.h"
 #include "proxy/request_record.h"
+#include "request_evidence.h"
 #include "request_router_impl.h"
 #include "retry/attempt_tracker.h"
 #include "scheduling/scheduler.h"
@@ -57,12 +57,8 @@
     void when_admitted(const std::function<void()>& proceed);
     /// @return true if the prompt guard keeps the request from a server now; the request is ended or waits.
     [[nodiscard]] bool held_back_at_start();
-    /// @return how far the answer of the current attempt has come, as evidence if the server has ended.
-    [[nodiscard]] crash_guard::attempt_progress attempt_progress() const;
     /// @return true if the server may have received the request of the current attempt.
     [[nodiscard]] bool attempt_sent() const;
-    /// Tells the guard that the answer is past its beginning.
-    void record_survival();
     /// Reports a failed attempt after it is known whether the server has ended.
     void finish_broken_attempt(retry::attempt_outcome outcome, std::string failure_cause);
     [[nodiscard]] std::uint8_t priority_rank() const;
@@ -105,17 +101,12 @@
     http::request request_;
     request_metadata metadata_;
     std::shared_ptr<const catalog::snapshot> catalog_;
+    request_evidence evidence_;
     const catalog::route* route_ = nullptr;
     base::service_id service_;
     base::workspace_id workspace_;
     base::tier tier_;
-    /// Parts of the prompt that other prompts may share; empty for plain requests.
-    crash_guard::part_ids shared_parts_;
-    /// Exists while the answer is at its beginning on a server.
-    std::shared_ptr<void> beginning_;
-    std::optional<base::time_point> attempt_first_event_at_;
     net::timer_id admission_timer_ = net::timer_id::none;
-    bool trial_ = false;  ///< tries a part after its quarantine
     bool awaiting_server_check_ = false;
     scheduling::local_request_id id_;
     std::optional<retry::attempt_tracker> attempt_tracker_;
--- /dev/null
+++ b/packages/proxy/src/request_evidence.cpp
@@ -0,0 +1,66 @@
+#include "request_evidence.h"
+
+#include <chrono>
+#include <utility>
+
+namespace chicorygap::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time after its first event in which an answer is at its beginning.
+constexpr base::duration answer_beginning = 300ms;
+
+}  // namespace
+
+request_evidence::request_evidence(crash_guard::prompt_guard& guard,
+                                   const std::optional<scheduling::generation_requirements>& generation)
+    : guard_{guard} {
+    if (!generation) {
+        return;
+    }
+    for (std::size_t i = 0; i + 1 < generation->parts.size(); ++i) {
+        shared_parts_.push_back(generation->parts[i].id);
+    }
+}
+
+crash_guard::admission request_evidence::admit(base::time_point now) {
+    const auto a = guard_.admit(shared_parts_, now);
+    trial_ = a.trial;
+    return a;
+}
+
+crash_guard::admission request_evidence::admit_attempt(base::time_point now) {
+    return std::exchange(trial_, false) ? crash_guard::admission{} : guard_.admit(shared_parts_, now);
+}
+
+void request_evidence::attempt_started() {
+    beginning_ = shared_parts_.empty() ? nullptr : guard_.begin(shared_parts_);
+    first_event_at_.reset();
+}
+
+void request_evidence::event_received(base::time_point now) {
+    first_event_at_ = first_event_at_.value_or(now);
+    if (now - *first_event_at_ > answer_beginning) {
+        answered(now);
+    }
+}
+
+void request_evidence::answered(base::time_point now) {
+    if (std::exchange(beginning_, nullptr)) {
+        guard_.record_success(shared_parts_, now);
+    }
+}
+
+crash_guard::attempt_progress request_evidence::progress(bool has_response_head, base::time_point now) const {
+    using crash_guard::attempt_progress;
+    if (shared_parts_.empty() || (first_event_at_ && now - *first_event_at_ > answer_beginning)) {
+        return attempt_progress::none;
+    }
+    return first_event_at_     ? attempt_progress::answering
+           : has_response_head ? attempt_progress::beginning
+                               : attempt_progress::waiting;
+}
+
+}  // namespace chicorygap::proxy
--- /dev/null
+++ b/packages/proxy/src/request_evidence.h
@@ -0,0 +1,51 @@
+/// @file
+/// What one request tells the prompt guard.
+#pragma once
+
+#include "base/time.h"
+#include "crash_guard/prompt_guard.h"
+#include "scheduling/scheduled_request.h"
+
+#include <memory>
+#include <optional>
+
+namespace chicorygap::proxy {
+
+/// What one request tells the prompt guard, and asks it: the shared parts of the prompt, and how far the
+/// answer of the current attempt has come. Does nothing for requests without shared parts.
+///
+/// Usage: `admit` before the queue and before a retry, `admit_attempt` and `attempt_started` when a server
+/// has been chosen, then `event_received` for each event, `answered` after a complete answer, and
+/// `attempt_ended`.
+class request_evidence {
+public:
+    /// @param guard must outlive the request.
+    /// @param generation absent for plain requests.
+    request_evidence(crash_guard::prompt_guard& guard,
+                     const std::optional<scheduling::generation_requirements>& generation);
+
+    [[nodiscard]] const crash_guard::part_ids& shared_parts() const noexcept { return shared_parts_; }
+
+    [[nodiscard]] crash_guard::admission admit(base::time_point now);
+    /// The decision may have changed while the request waited for a server.
+    [[nodiscard]] crash_guard::admission admit_attempt(base::time_point now);
+
+    void attempt_started();
+    void event_received(base::time_point now);
+    void answered(base::time_point now);
+    void attempt_ended() { beginning_.reset(); }
+
+    /// @param has_response_head the head of the response to the current attempt has arrived.
+    /// @return weight of the current attempt as evidence if its server has ended.
+    [[nodiscard]] crash_guard::attempt_progress progress(bool has_response_head, base::time_point now) const;
+
+private:
+    crash_guard::prompt_guard& guard_;
+    crash_guard::part_ids shared_parts_;
+    /// Exists while the answer is at its beginning on a server.
+    std::shared_ptr<void> beginning_;
+    std::optional<base::time_point> first_event_at_;
+    bool trial_ = false;  ///< tries a part after its quarantine
+};
+
+}  // namespace chicorygap::proxy
