Reset the connection of an exchange that is given up

Cause: client_connection::abort closed the socket in an orderly way. Bytes that the kernel had taken while the link was cut were delivered when it healed, so a server could receive, and run, a request that had been given up seconds before.

--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -118,7 +118,7 @@
     in_flight_ = false;
     broken_ = true;
     hooks_ = std::make_shared<const exchange_hooks>();
-    stream_->close();
+    stream_->reset();
 }
 
 bool client_connection::reusable() const noexcept {
@@ -217,7 +217,7 @@
 void client_connection::fail(exchange_failure f) {
     in_flight_ = false;
     broken_ = true;
-    stream_->close();
+    stream_->reset();
     const auto hooks = std::exchange(hooks_, std::make_shared<const exchange_hooks>());
     if (hooks->failed) {
         hooks->failed(f);
--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -71,9 +71,14 @@
     /// had its time to. `hooks.ended` is called then; input is dropped meanwhile.
     void close_when_drained();
 
-    /// Closes at once; buffered output is lost and no hook is called any more.
+    /// Closes at once; buffered output is lost and no hook is called any more. The kernel still delivers what
+    /// it has taken, also when a cut link heals later.
     void close();
 
+    /// Closes at once and resets the connection, so that bytes which the kernel has taken are not delivered
+    /// any more. To be used where the other side must not act on them later.
+    void reset();
+
     [[nodiscard]] bool open() const noexcept { return !closed_; }
     [[nodiscard]] bool is_connected() const noexcept { return connected_; }
 
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -1,5 +1,7 @@
 #include "net/stream.h"
 
+#include "base/log.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
@@ -151,6 +153,19 @@
     hooks_ = std::make_shared<const stream_hooks>();
 }
 
+void stream::reset() {
+    if (closed_) {
+        return;
+    }
+    try {
+        socket_.setLinger(true, 0);
+    } catch (const Poco::Exception& e) {
+        base::log_line{base::log_level::warning, "net", "Connection closed without a reset."}.field(
+            "error", e.displayText());
+    }
+    close();
+}
+
 void stream::end(stream_end how) {
     if (closed_) {
         return;
--- a/packages/net/tests/stream_test.cpp
+++ b/packages/net/tests/stream_test.cpp
@@ -63,5 +63,22 @@
     EXPECT_EQ(accepted_end, std::nullopt);
 }
 
+// Failure: a link is cut while a request is sent, and heals after the request was given up:
+// one-large-tenant-and-a-cut seed 479414206691 of skeo-gravering. Guards against bytes that the kernel
+// delivers later.
+TEST_F(stream_test, output_that_was_given_up_is_not_delivered_later) {
+    constexpr std::size_t size = std::size_t{32} * 1024 * 1024;
+    const auto sender = stream::connect(l, in.local(), 1s, {});
+    ASSERT_TRUE(run_until([&] { return accepted && sender->is_connected(); }));
+    accepted->pause_reading(true);
+    sender->write(std::string(size, 'x'));
+    l.run_once(10ms);
+    sender->reset();
+    EXPECT_FALSE(sender->open());
+    accepted->pause_reading(false);
+    ASSERT_TRUE(run_until([&] { return accepted_end.has_value(); }));
+    EXPECT_EQ(accepted_end, stream_end::reset);
+}
+
 }  // namespace
 }  // namespace chicorygap::net
