Tell peers at once of servers that end and of parts that are quarantined

At hundreds of machines beacons take up to 0.9 s within a zone and 1.9 s across zones, in which each daemon could send one more request with a part that others had seen to end servers. New evidence of a request that was beginning to be answered and new decisions now go out 5 ms later, at most every 150 ms: to the zone from the daemon that found them, in small fleets to all, and to other zones from the representatives. What a peer told is repeated by representatives only.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <string_view>
 #include <unistd.h>
 #include <utility>
 
@@ -259,17 +260,18 @@
 
 crash_guard::prompt_guard_hooks edge_daemon::prompt_guard_hooks() {
     return {.decided =
-                [](const crash_guard::part_status& s, const char* source) {
+                [](const crash_guard::part_status& s, std::string_view source) {
                     base::log_line{base::log_level::warning, "proxy",
                                    s.quarantined ? "Prompt part quarantined: servers end when they answer it."
                                                  : "Prompt part released."}
                         .field("part", crash_guard::part_text(s.part))
-                        .field("source", source)
+                        .field("source", std::string{source})
                         .field("score", s.score)
                         .field("servers", static_cast<long long>(s.servers))
                         .field("age_ms", to_ms(s.age))
                         .field("retry_after_ms", to_ms(s.retry_after));
                 },
+            .news = [this](bool own) { peer_exchange_.send_soon(own); },
             .may_try = [this] { return may_try_quarantined_parts(); }};
 }
 
--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -37,6 +37,10 @@
 /// registered daemons at this multiple of the interval only against lost datagrams.
 constexpr int list_interval_factor = 6;
 
+/// Delay of a beacon with news, in which further news are collected.
+constexpr base::duration news_delay = 5ms;
+constexpr base::duration min_news_interval = 150ms;
+
 std::uint64_t new_incarnation() {
     return static_cast<std::uint64_t>(base::wall_clock_now().time_since_epoch().count());
 }
@@ -59,6 +63,7 @@
     loop_.cancel(beacon_timer_);
     loop_.cancel(list_timer_);
     loop_.cancel(counts_timer_);
+    loop_.cancel(news_timer_);
 }
 
 void peer_exchange::start() {
@@ -153,6 +158,26 @@
     send(b, peers_.addresses());
 }
 
+void peer_exchange::send_soon(bool own) {
+    own_news_ = own_news_ || own;
+    if (news_timer_ != net::timer_id::none) {
+        return;
+    }
+    const auto now = loop_.now();
+    news_timer_ = loop_.after(std::max<base::duration>(news_delay, earliest_next_news_ - now), [this] {
+        news_timer_ = net::timer_id::none;
+        earliest_next_news_ = loop_.now() + min_news_interval;
+        const bool digests = sharing::uses_zone_digests(peers_.fleet_size(settings_.zone, loop_.now()));
+        if (std::exchange(own_news_, false)) {
+            const auto b = make_beacon(false);
+            send(b, digests ? peers_.addresses_in_zone(settings_.zone) : peers_.addresses());
+        }
+        if (digests && is_representative()) {
+            send_digest();
+        }
+    });
+}
+
 sharing::beacon peer_exchange::make_identity_beacon() const {
     return {.vm = settings_.vm,
             .zone = settings_.zone,
--- a/apps/daemon/src/peer_exchange.h
+++ b/apps/daemon/src/peer_exchange.h
@@ -51,6 +51,11 @@
     /// Sends a beacon to all known addresses at once, for urgent changes such as the shutdown.
     void send_now();
 
+    /// Sends news before the next regular beacon. Of news that a peer has told, only a representative of a
+    /// large fleet tells the other zones, so that they are not repeated by each daemon.
+    /// @param own false if a peer has told the news.
+    void send_soon(bool own);
+
     [[nodiscard]] sharing::peer_table& peers() noexcept { return peers_; }
     [[nodiscard]] const sharing::peer_table& peers() const noexcept { return peers_; }
 
@@ -113,6 +118,9 @@
     base::time_point next_fleet_beacon_;  ///< next beacon of this daemon to other zones
     base::time_point next_digest_;        ///< earliest next zone digest
     net::timer_id counts_timer_ = net::timer_id::none;
+    net::timer_id news_timer_ = net::timer_id::none;
+    bool own_news_ = false;                ///< since the last beacon with news
+    base::time_point earliest_next_news_;  ///< bounds the number of beacons with news
     std::uint64_t last_holder_term_ = 0;
     std::vector<sharing::registered_daemon> listed_daemons_;  ///< pages received so far of the running list
     bool registered_ = false;
--- a/packages/crash_guard/include/crash_guard/prompt_guard.h
+++ b/packages/crash_guard/include/crash_guard/prompt_guard.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -53,7 +54,10 @@
 struct prompt_guard_hooks {
     /// A part was quarantined or released, here or by a peer.
     /// @param source "evidence", "trial", "peer" or "operator".
-    std::function<void(const part_status&, const char* source)> decided;
+    std::function<void(const part_status&, std::string_view source)> decided;
+    /// There is evidence or a decision that peers should hear of soon.
+    /// @param own true if it was found here, false if a peer told it.
+    std::function<void(bool own)> news;
     /// @return true if this daemon, of all in the fleet, may try a part whose quarantine is over.
     std::function<bool()> may_try;
 };
@@ -156,8 +160,10 @@
     [[nodiscard]] bool in_doubt(std::uint64_t part, const part_state& s) const;
     [[nodiscard]] bool sufficient(const evidence& e, base::time_point now) const;
     [[nodiscard]] part_status status_of(std::uint64_t part, const part_state& s, base::time_point now) const;
-    void add_crash(std::uint64_t part, std::uint64_t server, crash c);
-    void decide(std::uint64_t part, verdict v, const char* source, base::time_point now);
+    /// @return true if the crash is new evidence.
+    bool add_crash(std::uint64_t part, std::uint64_t server, crash c);
+    void report_news(bool own) const;
+    void decide(std::uint64_t part, verdict v, std::string_view source, base::time_point now);
     void decide_on_evidence(base::time_point now);
     void limit_size();
     [[nodiscard]] part_state& state_of(std::uint64_t part) { return parts_[part]; }
--- a/packages/crash_guard/src/prompt_guard.cpp
+++ b/packages/crash_guard/src/prompt_guard.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -39,6 +40,9 @@
 constexpr std::size_t max_reported_successes = 16;
 constexpr std::size_t max_reported_verdicts = 16;
 
+/// Source of decisions that a peer told.
+constexpr std::string_view source_peer = "peer";
+
 int weight(attempt_progress p) {
     return static_cast<int>(p);
 }
@@ -158,13 +162,19 @@
             }};
 }
 
-void prompt_guard::add_crash(std::uint64_t part, std::uint64_t server, crash c) {
+void prompt_guard::report_news(bool own) const {
+    if (hooks_.news) {
+        hooks_.news(own);
+    }
+}
+
+bool prompt_guard::add_crash(std::uint64_t part, std::uint64_t server, crash c) {
     auto& s = state_of(part);
     if (const auto known = recent_successes_.find(part); known != recent_successes_.end()) {
         s.last_success = std::max(s.last_success.value_or(known->second), known->second);
     }
     if (!counts(s, c)) {
-        return;
+        return false;
     }
     const auto [it, added] = s.crashes.emplace(server, c);
     if (!added && !counts(s, it->second)) {
@@ -180,6 +190,7 @@
             std::min_element(s.crashes.begin(), s.crashes.end(),
                              [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
     }
+    return added;
 }
 
 void prompt_guard::record_crash(const part_ids& parts, std::uint64_t server, attempt_progress progress,
@@ -187,8 +198,9 @@
     if (progress == attempt_progress::none) {
         return;
     }
+    bool news = false;
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        add_crash(parts[i], server, {now, static_cast<std::uint32_t>(i), progress});
+        news |= add_crash(parts[i], server, {now, static_cast<std::uint32_t>(i), progress});
         auto& s = state_of(parts[i]);
         if (is_quarantined(s) && std::exchange(s.trial_started, std::nullopt) &&
             progress != attempt_progress::waiting) {
@@ -200,6 +212,9 @@
     }
     decide_on_evidence(now);
     limit_size();
+    if (news && progress == attempt_progress::beginning) {
+        report_news(true);
+    }
 }
 
 void prompt_guard::record_success(const part_ids& parts, base::time_point now) {
@@ -222,16 +237,20 @@
     }
 }
 
-void prompt_guard::decide(std::uint64_t part, verdict v, const char* source, base::time_point now) {
+void prompt_guard::decide(std::uint64_t part, verdict v, std::string_view source, base::time_point now) {
     auto& s = state_of(part);
     const bool changed = is_quarantined(s) != v.quarantined;
     s.decision = v;
     if (!v.quarantined) {
         s.crashes.clear();
     }
-    if (changed && hooks_.decided) {
+    if (!changed) {
+        return;
+    }
+    if (hooks_.decided) {
         hooks_.decided(status_of(part, s, now), source);
     }
+    report_news(source != source_peer);
 }
 
 // Takes the best explanation first: the part with the most evidence, and of parts that occur together the one
@@ -295,12 +314,14 @@
         const bool newer = !s.decision || v.number > s.decision->number ||
                            (v.number == s.decision->number && v.quarantined && !s.decision->quarantined);
         if (newer) {
-            decide(v.part, {v.number, v.quarantined, now - v.age, v.period}, "peer", now);
+            decide(v.part, {v.number, v.quarantined, now - v.age, v.period}, source_peer, now);
         }
     }
+    bool news = false;
     for (const auto& c : r.crashes) {
         if (c.age <= evidence_lifetime) {
-            add_crash(c.part, c.server, {now - c.age, c.depth, c.progress});
+            news |= add_crash(c.part, c.server, {now - c.age, c.depth, c.progress}) &&
+                    c.progress == attempt_progress::beginning;
         }
     }
     for (const auto& x : r.successes) {
@@ -313,6 +334,9 @@
         decide_on_evidence(now);
     }
     limit_size();
+    if (news) {
+        report_news(false);
+    }
 }
 
 void prompt_guard::expire(base::time_point now) {
--- a/packages/crash_guard/tests/prompt_guard_test.cpp
+++ b/packages/crash_guard/tests/prompt_guard_test.cpp
@@ -20,11 +20,13 @@
 struct prompt_guard_test : testing::Test {
     bool may_try = false;
     std::vector<std::string> decisions;
+    std::vector<bool> news;
     prompt_guard guard{{.decided =
-                            [this](const part_status& s, const char* source) {
+                            [this](const part_status& s, std::string_view source) {
                                 decisions.push_back(std::to_string(s.part) +
-                                                    (s.quarantined ? " in " : " out ") + source);
+                                                    (s.quarantined ? " in " : " out ") + std::string{source});
                             },
+                        .news = [this](bool own) { news.push_back(own); },
                         .may_try = [this] { return may_try; }}};
 
     void other_successes(base::time_point now, prompt_guard* g = nullptr) {
@@ -147,6 +149,23 @@
     EXPECT_EQ(other.admit({deadly}, start + 702ms).decision, kind::refused) << "a peer's decision holds";
 }
 
+// Load: a large fleet, where beacons are rare. Guards against daemons that learn of a crash too late, and
+// against news that daemons repeat to each other without end.
+TEST_F(prompt_guard_test, new_evidence_and_decisions_are_reported_once) {
+    guard.record_crash({first, deadly}, 11, attempt_progress::beginning, start);
+    guard.record_crash({sound}, 11, attempt_progress::waiting, start);
+    EXPECT_EQ(news, std::vector<bool>{true});
+    prompt_guard other;
+    other.record_crash({2, deadly}, 12, attempt_progress::beginning, start + 500ms);
+    other_successes(start + 600ms);
+    for (int i = 0; i < 3; ++i) {
+        guard.merge(other.report(start + 700ms), start + 700ms);
+    }
+    EXPECT_EQ(decisions, std::vector<std::string>{"7 in evidence"});
+    EXPECT_EQ(news, (std::vector<bool>{true, true, false}))
+        << "own crash, own decision, crash told by a peer";
+}
+
 // Guards against a verdict at a daemon that heard of two crashes and not of the answers elsewhere.
 TEST_F(prompt_guard_test, success_at_a_peer_clears_a_part) {
     prompt_guard other;
