--- a/packages/crash_guard/include/crash_guard/prompt_guard.h
+++ b/packages/crash_guard/include/crash_guard/prompt_guard.h
@@ -137,7 +137,7 @@
         std::map<std::uint64_t, crash> crashes;  ///< by server
         std::optional<base::time_point> last_success;
         std::optional<verdict> decision;
-        /// Request that tries the part after its quarantine; expires with its token.
+        /// Start of the trial after the quarantine; absent if none runs.
         std::optional<base::time_point> trial_started;
     };
     struct evidence {
@@ -151,19 +151,26 @@
     [[nodiscard]] static bool is_quarantined(const part_state& s) {
         return s.decision && s.decision->quarantined;
     }
+    /// @return false if a success or a release shows that the part was not the cause of the crash.
     [[nodiscard]] static bool counts(const part_state& s, const crash& c);
+    /// Adds up the crashes that count.
     [[nodiscard]] evidence weigh(const part_state& s) const;
+    /// @return true if a quarantined part other than the given one has ended the server.
     [[nodiscard]] bool explained(std::uint64_t server, std::uint64_t by_other_than) const;
+    /// Adds up the crashes that count and that no quarantined part explains.
     [[nodiscard]] evidence unexplained(std::uint64_t part, const part_state& s) const;
     /// @return true if no further request with the part may be sent now.
     [[nodiscard]] bool must_wait(std::uint64_t part, const part_state& s, base::time_point now) const;
     [[nodiscard]] bool in_doubt(std::uint64_t part, const part_state& s) const;
+    /// @return true if the evidence against the best explanation suffices for a quarantine.
     [[nodiscard]] bool sufficient(const evidence& e, base::time_point now) const;
     [[nodiscard]] part_status status_of(std::uint64_t part, const part_state& s, base::time_point now) const;
     /// @return true if the crash is new evidence.
     bool add_crash(std::uint64_t part, std::uint64_t server, crash c);
     void report_news(bool own) const;
+    /// Replaces the decision on a part.
     void decide(std::uint64_t part, verdict v, std::string_view source, base::time_point now);
+    /// Quarantines parts as long as the evidence against one suffices.
     void decide_on_evidence(base::time_point now);
     void limit_size();
     [[nodiscard]] part_state& state_of(std::uint64_t part) { return parts_[part]; }
