--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -37,8 +37,8 @@
 /// registered daemons at this multiple of the interval only against lost datagrams.
 constexpr int list_interval_factor = 6;
 
-/// Delay of a beacon with news, in which further news are collected.
-constexpr base::duration news_delay = 5ms;
+/// Time for which news are collected before they are sent.
+constexpr base::duration news_collection_time = 5ms;
 constexpr base::duration min_news_interval = 150ms;
 
 std::uint64_t new_incarnation() {
@@ -164,7 +164,7 @@
         return;
     }
     const auto now = loop_.now();
-    news_timer_ = loop_.after(std::max<base::duration>(news_delay, earliest_next_news_ - now), [this] {
+    news_timer_ = loop_.after(std::max<base::duration>(news_collection_time, earliest_next_news_ - now), [this] {
         news_timer_ = net::timer_id::none;
         earliest_next_news_ = loop_.now() + min_news_interval;
         const bool digests = sharing::uses_zone_digests(peers_.fleet_size(settings_.zone, loop_.now()));
