--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -164,18 +164,19 @@
         return;
     }
     const auto now = loop_.now();
-    news_timer_ = loop_.after(std::max<base::duration>(news_collection_time, earliest_next_news_ - now), [this] {
-        news_timer_ = net::timer_id::none;
-        earliest_next_news_ = loop_.now() + min_news_interval;
-        const bool digests = sharing::uses_zone_digests(peers_.fleet_size(settings_.zone, loop_.now()));
-        if (std::exchange(own_news_, false)) {
-            const auto b = make_beacon(false);
-            send(b, digests ? peers_.addresses_in_zone(settings_.zone) : peers_.addresses());
-        }
-        if (digests && is_representative()) {
-            send_digest();
-        }
-    });
+    news_timer_ =
+        loop_.after(std::max<base::duration>(news_collection_time, earliest_next_news_ - now), [this] {
+            news_timer_ = net::timer_id::none;
+            earliest_next_news_ = loop_.now() + min_news_interval;
+            const bool digests = sharing::uses_zone_digests(peers_.fleet_size(settings_.zone, loop_.now()));
+            if (std::exchange(own_news_, false)) {
+                const auto b = make_beacon(false);
+                send(b, digests ? peers_.addresses_in_zone(settings_.zone) : peers_.addresses());
+            }
+            if (digests && is_representative()) {
+                send_digest();
+            }
+        });
 }
 
 sharing::beacon peer_exchange::make_identity_beacon() const {
