Move the decaying rate to the base package

The demand of a daemon's callers is to be averaged in another package over another time. The time constant becomes an argument. No change of behaviour.

--- a/packages/scheduling/src/server_state.h
+++ b/packages/scheduling/src/server_state.h
@@ -3,16 +3,22 @@
 #pragma once
 
 #include "asymmetric_average.h"
+#include "base/decaying_rate.h"
 #include "catalog/backend_server.h"
-#include "decaying_rate.h"
 #include "prefix_cache.h"
 #include "scheduling/load.h"
 #include "server_health.h"
 
+#include <chrono>
 #include <cstdint>
 
 namespace chicorygap::scheduling {
 
+/// Time over which the prefill rate of a server is averaged. Load reports are outdated when they arrive: the
+/// server has processed a prefill queue that was reported half a second ago, but the rate at which the queue
+/// was filled is still valid.
+inline constexpr base::duration prefill_rate_time = std::chrono::seconds{1};
+
 /// One server with its load from this daemon and its peers.
 struct server_state {
     catalog::backend_server info;
@@ -24,7 +30,8 @@
     /// Prompt tokens per second that peers send, weighted by the part that their aged reports of pending
     /// prefill tokens no longer cover.
     double unreported_prefill_tokens_per_s = 0;
-    decaying_rate prefill_rate;  ///< prompt tokens that it had to process for this daemon
+    /// Prompt tokens that it had to process for this daemon.
+    base::decaying_rate prefill_rate{prefill_rate_time};
     /// Time since which the server is in the server list.
     base::time_point listed_since;
     /// Hash of the server's id, for rankings of servers that are the same on all daemons.
