--- /dev/null
+++ b/apps/daemon/src/decision_log.h
@@ -0,0 +1,31 @@
+/// @file
+/// Log lines of the decisions on requests and servers.
+#pragma once
+
+#include "base/time.h"
+
+#include <optional>
+#include <string_view>
+
+namespace chicorygap::crash_guard {
+struct part_status;
+}
+
+namespace chicorygap::proxy {
+struct request_record;
+}
+
+namespace chicorygap::daemon_app {
+
+/// @return the duration in whole milliseconds, for fields of log lines.
+[[nodiscard]] long long to_ms(base::duration d);
+
+/// Logs the end of a request.
+/// @param configuration_age time since the configuration was last confirmed; absent before the first one.
+void log_request(const proxy::request_record& r, std::optional<base::duration> configuration_age);
+
+/// Logs that a part of prompts was quarantined or released.
+/// @param source origin of the decision.
+void log_part_decision(const crash_guard::part_status& s, std::string_view source);
+
+}  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "decision_log.h"
 #include "edge_metrics.h"
 #include "platform/object_codec.h"
 #include "settings/edge_settings.h"
@@ -71,10 +72,6 @@
 /// Time after the last response of the store within which a mirror answers that nothing has changed.
 constexpr base::duration max_mirror_confirmation_age = max_mirror_store_wait + 800ms;
 
-long long to_ms(base::duration d) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-}
-
 /// @return time since the store or a mirror last confirmed the cache; nothing before the first list.
 std::optional<base::duration> confirmation_age(const platform::object_cache& cache, base::time_point now) {
     return cache.last_confirmed() == base::time_point{}
@@ -86,48 +83,6 @@
     return d ? std::chrono::duration<double>{*d}.count() : 0;
 }
 
-void log_request(const proxy::request_record& r, std::optional<base::duration> configuration_age) {
-    base::log_line line{base::log_level::info, "proxy", "Request ended."};
-    line.field("request", r.id.str())
-        .field("route", r.route)
-        .field("service", r.service.str())
-        .field("workspace", r.workspace.str())
-        .field("tier", r.tier.level)
-        .field("status", r.status)
-        .field("run_state", base::to_string(r.run_state))
-        .field("attempts", r.attempts)
-        .field("server", r.server.str())
-        .field("waited_ms", to_ms(r.queue_time))
-        .field("total_ms", to_ms(r.total_time))
-        .field("version", static_cast<long long>(r.catalog_version))
-        .code(r.code);
-    if (configuration_age) {
-        line.field("config_age_ms", to_ms(*configuration_age));
-    }
-    if (r.server_list_age) {
-        line.field("servers_age_ms", to_ms(*r.server_list_age));
-    }
-    if (r.peer_load_age) {
-        line.field("peers_age_ms", to_ms(*r.peer_load_age));
-    }
-    if (r.prompt_tokens > 0) {
-        line.field("prompt_tokens", static_cast<long long>(r.prompt_tokens))
-            .field("unread_tokens", static_cast<long long>(r.prefill_tokens))
-            .field("home", r.affinity_rank ? std::to_string(*r.affinity_rank) : "none");
-    }
-    if (r.time_to_first_output) {
-        line.field("first_ms", to_ms(*r.time_to_first_output))
-            .field("events", static_cast<long long>(r.event_count))
-            .field("longest_pause_ms", to_ms(r.max_token_gap));
-    }
-    if (r.server_queue_length) {
-        line.field("server_waiting", *r.server_queue_length);
-    }
-    if (!r.failure_cause.empty()) {
-        line.field("cause", r.failure_cause);
-    }
-}
-
 /// Memory reserved for one open request: its header, its part of the buffered output and the connection to
 /// its server. Bodies are small in comparison.
 constexpr std::size_t memory_bytes_per_request = std::size_t{48} * 1024;
@@ -259,18 +214,7 @@
                          [this](const Poco::Net::StreamSocket& x) { accept_operator(x); }} {}
 
 crash_guard::prompt_guard_hooks edge_daemon::prompt_guard_hooks() {
-    return {.decided =
-                [](const crash_guard::part_status& s, std::string_view source) {
-                    base::log_line{base::log_level::warning, "proxy",
-                                   s.quarantined ? "Prompt part quarantined: servers end when they answer it."
-                                                 : "Prompt part released."}
-                        .field("part", crash_guard::part_text(s.part))
-                        .field("source", std::string{source})
-                        .field("score", s.score)
-                        .field("servers", static_cast<long long>(s.servers))
-                        .field("age_ms", to_ms(s.age))
-                        .field("retry_after_ms", to_ms(s.retry_after));
-                },
+    return {.decided = log_part_decision,
             .news = [this](bool own) { peer_exchange_.send_soon(own); },
             .may_try = [this] { return may_try_quarantined_parts(); }};
 }
