Read and log what servers say of themselves in their responses

Nothing read the limit, the wait or the announced stop of a server, so that the log could not tell a daemon that does not know a limit from one that knows and exceeds it. Request ended. has server_limit, server_retry_after_ms and server_leaving. No decision uses them yet.

--- a/apps/daemon/src/decision_log.cpp
+++ b/apps/daemon/src/decision_log.cpp
@@ -50,6 +50,15 @@
     if (r.server_queue_length) {
         line.field("server_waiting", *r.server_queue_length);
     }
+    if (r.server_signals.rate_limit) {
+        line.field("server_limit", std::to_string(*r.server_signals.rate_limit));
+    }
+    if (r.server_signals.retry_after) {
+        line.field("server_retry_after_ms", to_ms(*r.server_signals.retry_after));
+    }
+    if (r.server_signals.leaving) {
+        line.field("server_leaving", "yes");
+    }
     if (!r.failure_cause.empty()) {
         line.field("cause", r.failure_cause);
     }
--- a/packages/proxy/include/proxy/header_codec.h
+++ b/packages/proxy/include/proxy/header_codec.h
@@ -2,6 +2,7 @@
 /// Conversion between HTTP header fields and request and response metadata.
 #pragma once
 
+#include "backpressure/server_signals.h"
 #include "base/id.h"
 #include "base/tier.h"
 #include "base/time.h"
@@ -57,6 +58,8 @@
     bool wrong_server = false;
     /// Requests queued at the server when it sent the response, if it reports them.
     std::optional<std::uint32_t> queue_length;
+    /// What the server says of itself. Without the status 421 it concerns the server that was addressed.
+    backpressure::server_signals signals;
 };
 
 /// Decodes and encodes request and response heads with the header fields of one deployment.
--- a/packages/proxy/include/proxy/request_record.h
+++ b/packages/proxy/include/proxy/request_record.h
@@ -2,6 +2,7 @@
 /// Outcome of one request, for logs and metrics.
 #pragma once
 
+#include "backpressure/server_signals.h"
 #include "base/id.h"
 #include "base/result_code.h"
 #include "base/run_state.h"
@@ -43,6 +44,8 @@
     std::int64_t prefill_tokens = 0;
     /// Requests queued at the server according to its last response.
     std::optional<std::uint32_t> server_queue_length;
+    /// What the server of the last response said of itself.
+    backpressure::server_signals server_signals;
     /// Rank of the server among the affinity servers of the shared prompt prefix; absent if the server is not
     /// one of them.
     std::optional<std::size_t> affinity_rank;
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -390,6 +390,7 @@
         report_run_started();
     }
     response_status_ = head.status;
+    record_.server_signals = response_metadata_.signals;
     if (response_metadata_.queue_length) {
         record_.server_queue_length = response_metadata_.queue_length;
         scheduler().set_server_queue_length(id_, *response_metadata_.queue_length, router_.loop.now());
