Add a package for what servers say of themselves

signal_table keeps the limit, the wait and the announced stop of each server. A limit holds for the sum of all daemons: it is divided among a few daemons that rendezvous hashing selects for each server (three, and one for each request per second), in proportion to the requests of their callers, and each share fills a token bucket. Equal shares would leave each of 62 daemons less than one request a minute at 1 a second.

Shares must not add up past the limit while views differ: a share is lost at once and gained after the time in which the others learn of it; a silent peer keeps its part for 60 s, since it may only be cut off; a new process begins without tokens and does not count on the parts of registered daemons that it has not heard of. A response without a limit ends it in three steps by a factor of 4, and only if its request was sent after the last response that named it.

Nothing uses the package yet.

--- /dev/null
+++ b/packages/backpressure/include/backpressure/signal_table.h
@@ -0,0 +1,154 @@
+/// @file
+/// Signals of the servers, and what they allow this daemon to send.
+#pragma once
+
+#include "backpressure/demand_table.h"
+#include "backpressure/rate_limit.h"
+#include "backpressure/server_signals.h"
+#include "backpressure/server_status.h"
+#include "backpressure/signal_report.h"
+#include "backpressure/token_bucket.h"
+#include "base/id.h"
+#include "base/time.h"
+#include "catalog/backend_server.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace chicorygap::backpressure {
+
+/// @return key of a server.
+[[nodiscard]] server_key key_of(const catalog::backend_server& s);
+
+struct signal_table_hooks {
+    /// The limit of a server, its wait or its leaving has changed.
+    /// @param source "server" or "peer".
+    std::function<void(const server_status&, std::string_view source)> changed;
+    /// There is something that peers should hear of soon.
+    /// @param own true if a server told it, false if a peer did.
+    std::function<void(bool own)> news;
+    /// A listed server is about to stop.
+    std::function<void()> server_leaving;
+};
+
+/// When a server takes further requests of this daemon.
+struct start_forecast {
+    /// Time until the server takes the next request.
+    base::duration first{};
+    /// Requests per second that it takes then; absent without a limit.
+    std::optional<double> rate;
+};
+
+/// Signals of the servers, and what they allow this daemon to send.
+///
+/// Concept: each response is read for a rate limit of its server, a time for which the server wants no
+/// requests, and the announcement that it stops. Limits and announcements are exchanged with the peers. The
+/// share of a limit that this daemon may use (`demand_table`) fills a token bucket, which every start of a
+/// request on the server takes from. A daemon that was just started, or has just become one of those that
+/// send to a server, begins without tokens after the time in which the others learn of it.
+///
+/// Usage:
+/// @code
+/// t.observe(server, response.signals, sent_at, now);
+/// if (t.may_start(key, now)) { t.record_start(key, now); }
+/// @endcode
+/// Not thread-safe. Performs no I/O and reads no clock.
+class signal_table {
+public:
+    signal_table(const base::vm_id& self, const base::zone_id& zone, base::time_point started_at);
+
+    void set_hooks(signal_table_hooks hooks) { hooks_ = std::move(hooks); }
+    /// Takes effect with the next call of `expire`.
+    void set_fleet(const fleet_parameters& p) { demands_.set_parameters(p); }
+
+    /// Replaces the server list. Signals of servers that are not listed are forgotten after a while.
+    void set_servers(const std::vector<catalog::backend_server>& servers, base::time_point now);
+
+    /// Records what a server said in a response.
+    /// @param server a server, listed or not.
+    /// @param sent_at time at which the request was sent.
+    void observe(const catalog::backend_server& server, const server_signals& s, base::time_point sent_at,
+                 base::time_point now);
+
+    /// Counts a request of a caller.
+    void record_arrival(const base::service_id& service, base::time_point now) {
+        demands_.record_arrival(service, now);
+    }
+
+    /// @return false if the server wants no request of this daemon now.
+    [[nodiscard]] bool may_start(server_key server, base::time_point now) const;
+    /// Counts the start of a request on the server.
+    void record_start(server_key server, base::time_point now);
+    /// @return when the server takes further requests; nothing if it takes none of this daemon.
+    [[nodiscard]] std::optional<start_forecast> forecast(server_key server, base::time_point now) const;
+    /// @return true if the server has announced that it stops.
+    [[nodiscard]] bool leaving(server_key server) const;
+    /// @return requests per second that the fleet may send to the server; nothing without a limit.
+    [[nodiscard]] std::optional<double> limit(server_key server) const;
+
+    /// @return what peers should know, of bounded size.
+    [[nodiscard]] signal_report report(base::time_point now);
+    /// Adds what a peer has observed or was told.
+    /// @param stopping the peer is shutting down.
+    void merge(const base::vm_id& peer, const base::zone_id& zone, const signal_report& r, bool stopping,
+               base::time_point now);
+
+    /// Recomputes the shares and forgets what is old. To be called several times a second.
+    void expire(base::time_point now);
+
+    /// @return the servers with a signal that is in force.
+    [[nodiscard]] std::vector<server_status> status(base::time_point now) const;
+    /// @return number of times that a server was passed over because of its signals.
+    [[nodiscard]] std::uint64_t deferred_starts() const noexcept { return deferred_starts_; }
+
+private:
+    /// Division of a limit as last computed.
+    struct allowance {
+        token_bucket bucket;
+        limit_share share;
+        /// Fraction while all daemons among which the limit is divided were heard of.
+        std::optional<double> agreed_fraction;
+        /// Earliest start; absent while this daemon is not among those that send to the server.
+        std::optional<base::time_point> usable_from;
+    };
+    struct server_state {
+        std::optional<catalog::backend_server> listed;
+        base::time_point last_listed;
+        rate_limit limit;
+        allowance own;
+        base::time_point paused_until;
+        bool leaving = false;
+    };
+
+    [[nodiscard]] static bool has_signal(const server_state& s, base::time_point now);
+    [[nodiscard]] std::uint64_t next_statement() { return ++last_statement_; }
+    /// Recomputes the share of this daemon.
+    /// @param first the limit was not known before.
+    void update_allowance(server_key key, server_state& s, bool first, base::time_point now);
+    void limit_changed(server_key key, server_state& s, bool was_active, std::string_view source,
+                       base::time_point now);
+    void set_leaving(server_key key, server_state& s, std::string_view source, base::time_point now);
+    void report_change(server_key key, const server_state& s, std::string_view source,
+                       base::time_point now) const;
+    [[nodiscard]] server_status status_of(server_key key, const server_state& s, base::time_point now) const;
+    void limit_size();
+
+    signal_table_hooks hooks_;
+    demand_table demands_;
+    base::time_point started_at_;
+    std::uint64_t last_statement_;
+    /// Servers that have or had a signal.
+    std::map<server_key, server_state> servers_;
+    /// All listed servers.
+    std::unordered_map<server_key, catalog::backend_server> listed_;
+    server_key last_reported_ = 0;
+    mutable std::uint64_t deferred_starts_ = 0;
+};
+
+}  // namespace chicorygap::backpressure
--- /dev/null
+++ b/packages/backpressure/src/signal_table.cpp
@@ -0,0 +1,328 @@
+#include "backpressure/signal_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <utility>
+
+namespace chicorygap::backpressure {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Unused starts that a daemon may keep, besides one: those of this time.
+constexpr std::chrono::duration<double> burst_time = 250ms;
+/// Time after which a limit that no response confirms is forgotten.
+constexpr base::duration limit_lifetime = 10min;
+/// Time for which the end of a limit is kept, so that peers which have not heard of it cannot restore it.
+constexpr base::duration ended_limit_lifetime = 10s;
+/// Time for which the signals of a server that is not listed are kept. Lists may be older than signals.
+constexpr base::duration unlisted_lifetime = 30s;
+constexpr std::size_t max_servers = 1024;
+/// Limits in one report. Those of more servers are sent in turn.
+constexpr std::size_t max_reported_limits = 96;
+constexpr std::size_t max_reported_leaving = 64;
+
+constexpr std::string_view source_server = "server";
+constexpr std::string_view source_peer = "peer";
+
+/// @return the first of a series of statement ids that no other daemon uses.
+std::uint64_t first_statement(const base::vm_id& self, base::time_point started_at) {
+    const auto text = self.str() + '/' + std::to_string(started_at.time_since_epoch().count());
+    return XXH64(text.data(), text.size(), 0);
+}
+
+}  // namespace
+
+server_key key_of(const catalog::backend_server& s) {
+    const auto text = s.id.str() + '/' + std::to_string(s.incarnation);
+    return XXH64(text.data(), text.size(), 0);
+}
+
+signal_table::signal_table(const base::vm_id& self, const base::zone_id& zone, base::time_point started_at)
+    : demands_{self, zone, started_at},
+      started_at_{started_at},
+      last_statement_{first_statement(self, started_at)} {}
+
+void signal_table::set_servers(const std::vector<catalog::backend_server>& servers, base::time_point now) {
+    listed_.clear();
+    for (const auto& s : servers) {
+        listed_.emplace(key_of(s), s);
+    }
+    for (auto& [key, state] : servers_) {
+        const auto it = listed_.find(key);
+        const bool newly_listed = !state.listed && it != listed_.end();
+        state.listed = it == listed_.end() ? std::nullopt : std::optional{it->second};
+        state.last_listed = state.listed ? now : state.last_listed;
+        if (newly_listed) {
+            update_allowance(key, state, true, now);
+        }
+    }
+}
+
+void signal_table::observe(const catalog::backend_server& server, const server_signals& s,
+                           base::time_point sent_at, base::time_point now) {
+    const auto key = key_of(server);
+    const bool has_signal = s.rate_limit || s.retry_after || s.leaving;
+    const auto it = servers_.find(key);
+    if (it == servers_.end() && !has_signal) {
+        return;
+    }
+    auto& state = it == servers_.end() ? servers_[key] : it->second;
+    if (it == servers_.end()) {
+        const auto listed = listed_.find(key);
+        state.listed = listed == listed_.end() ? std::nullopt : std::optional{listed->second};
+        state.last_listed = now;
+    }
+    const bool was_active = state.limit.active();
+    const bool changed = s.rate_limit ? state.limit.named(*s.rate_limit, next_statement(), now)
+                                      : state.limit.not_named(sent_at, next_statement());
+    if (changed) {
+        limit_changed(key, state, was_active, source_server, now);
+    }
+    if (s.retry_after && now + *s.retry_after > state.paused_until) {
+        const bool paused = now < state.paused_until;
+        state.paused_until = now + *s.retry_after;
+        if (!paused) {
+            report_change(key, state, source_server, now);
+        }
+    }
+    if (s.leaving) {
+        set_leaving(key, state, source_server, now);
+    }
+    limit_size();
+}
+
+void signal_table::limit_changed(server_key key, server_state& s, bool was_active, std::string_view source,
+                                 base::time_point now) {
+    update_allowance(key, s, !was_active, now);
+    report_change(key, s, source, now);
+    if (hooks_.news) {
+        hooks_.news(source == source_server);
+    }
+}
+
+void signal_table::set_leaving(server_key key, server_state& s, std::string_view source,
+                               base::time_point now) {
+    if (std::exchange(s.leaving, true)) {
+        return;
+    }
+    report_change(key, s, source, now);
+    if (hooks_.news) {
+        hooks_.news(source == source_server);
+    }
+    if (s.listed && hooks_.server_leaving) {
+        hooks_.server_leaving();
+    }
+}
+
+void signal_table::update_allowance(server_key key, server_state& s, bool first, base::time_point now) {
+    auto& a = s.own;
+    if (!s.limit.active() || !s.listed) {
+        a = {};
+        return;
+    }
+    const double rate = s.limit.rate();
+    a.share = demands_.share(key, s.listed->service, s.listed->zone, rate, now);
+    if (a.share.fraction <= 0) {
+        a.usable_from.reset();
+        a.agreed_fraction.reset();
+        a.bucket.set_rate(0, 0, now);
+        return;
+    }
+    const auto settle_time = demands_.parameters().settle_time;
+    const auto known_from = started_at_ + settle_time;
+    if (!a.usable_from) {
+        // All daemons divide a new limit at the same time. Later, those that had this part may not have
+        // noticed yet that it is this daemon's now.
+        a.usable_from = first ? known_from : std::max(known_from, now + settle_time);
+    }
+    if (a.share.complete) {
+        a.agreed_fraction = a.share.fraction;
+    } else {
+        // The daemons beyond a partition see the same silence. If both sides took over the other's part, they
+        // would exceed the limit together.
+        const double bound = a.agreed_fraction.value_or(1.0 / static_cast<double>(a.share.daemons));
+        a.share.fraction = std::min(a.share.fraction, bound);
+    }
+    const double own_rate = rate * a.share.fraction;
+    a.bucket.set_rate(own_rate, 1 + own_rate * burst_time.count(), now);
+    if (first && now >= known_from) {
+        a.bucket.fill(now);
+    } else if (now < *a.usable_from) {
+        a.bucket.clear(now);
+    }
+}
+
+bool signal_table::may_start(server_key server, base::time_point now) const {
+    const auto it = servers_.find(server);
+    if (it == servers_.end()) {
+        return true;
+    }
+    const auto& s = it->second;
+    bool allowed = !s.leaving && now >= s.paused_until;
+    if (allowed && s.limit.active()) {
+        allowed = s.own.usable_from && now >= *s.own.usable_from && s.own.bucket.available(now);
+    }
+    deferred_starts_ += allowed ? 0 : 1;
+    return allowed;
+}
+
+void signal_table::record_start(server_key server, base::time_point now) {
+    const auto it = servers_.find(server);
+    if (it != servers_.end() && it->second.limit.active()) {
+        it->second.own.bucket.take(now);
+    }
+}
+
+std::optional<start_forecast> signal_table::forecast(server_key server, base::time_point now) const {
+    const auto it = servers_.find(server);
+    if (it == servers_.end()) {
+        return start_forecast{};
+    }
+    const auto& s = it->second;
+    if (s.leaving) {
+        return std::nullopt;
+    }
+    start_forecast f{.first = std::max(base::duration{}, s.paused_until - now)};
+    if (!s.limit.active()) {
+        return f;
+    }
+    const auto token = s.own.bucket.time_until_available(now);
+    if (!s.own.usable_from || !token) {
+        return std::nullopt;
+    }
+    f.first = std::max({f.first, *token, *s.own.usable_from - now});
+    f.rate = s.own.bucket.per_second();
+    return f;
+}
+
+bool signal_table::leaving(server_key server) const {
+    const auto it = servers_.find(server);
+    return it != servers_.end() && it->second.leaving;
+}
+
+std::optional<double> signal_table::limit(server_key server) const {
+    const auto it = servers_.find(server);
+    return it != servers_.end() && it->second.limit.active() ? std::optional{it->second.limit.rate()}
+                                                             : std::nullopt;
+}
+
+signal_report signal_table::report(base::time_point now) {
+    signal_report out;
+    if (servers_.empty()) {
+        return out;
+    }
+    // Begins behind the last one of the previous report.
+    auto it = servers_.upper_bound(last_reported_);
+    bool any_active = false;
+    for (std::size_t i = 0; i < servers_.size(); ++i, ++it) {
+        it = it == servers_.end() ? servers_.begin() : it;
+        const auto& [key, s] = *it;
+        any_active = any_active || s.limit.active();
+        const auto limit = s.limit.record(key, now);
+        if (limit.statement != 0 && out.limits.size() < max_reported_limits) {
+            out.limits.push_back(limit);
+            last_reported_ = key;
+        }
+        if (s.leaving && out.leaving.size() < max_reported_leaving) {
+            out.leaving.push_back(key);
+        }
+    }
+    if (any_active) {
+        out.demands = demands_.local_demands(now);
+    }
+    return out;
+}
+
+void signal_table::merge(const base::vm_id& peer, const base::zone_id& zone, const signal_report& r,
+                         bool stopping, base::time_point now) {
+    demands_.observe_peer(peer, zone, r.demands, stopping, now);
+    const auto state_of = [&](server_key key) -> server_state& {
+        auto [it, added] = servers_.try_emplace(key);
+        if (added) {
+            const auto listed = listed_.find(key);
+            it->second.listed = listed == listed_.end() ? std::nullopt : std::optional{listed->second};
+            it->second.last_listed = now;
+        }
+        return it->second;
+    };
+    for (const auto& record : r.limits) {
+        auto& s = state_of(record.server);
+        const bool was_active = s.limit.active();
+        if (s.limit.merge(record, now)) {
+            limit_changed(record.server, s, was_active, source_peer, now);
+        }
+    }
+    for (const auto key : r.leaving) {
+        set_leaving(key, state_of(key), source_peer, now);
+    }
+    limit_size();
+}
+
+bool signal_table::has_signal(const server_state& s, base::time_point now) {
+    return s.limit.active() || s.leaving || now < s.paused_until;
+}
+
+void signal_table::expire(base::time_point now) {
+    demands_.expire(now);
+    std::erase_if(servers_, [&](const auto& entry) {
+        const auto& s = entry.second;
+        const bool gone = !s.listed && now - s.last_listed > unlisted_lifetime;
+        const bool old = !s.leaving && now >= s.paused_until &&
+                         s.limit.age(now) > (s.limit.active() ? limit_lifetime : ended_limit_lifetime);
+        return gone || old;
+    });
+    for (auto& [key, s] : servers_) {
+        update_allowance(key, s, false, now);
+    }
+}
+
+// Forgets servers that are not listed first: they get no requests.
+void signal_table::limit_size() {
+    while (servers_.size() > max_servers) {
+        const auto it = std::find_if(servers_.begin(), servers_.end(),
+                                     [](const auto& entry) { return !entry.second.listed; });
+        servers_.erase(it == servers_.end() ? servers_.begin() : it);
+    }
+}
+
+server_status signal_table::status_of(server_key key, const server_state& s, base::time_point now) const {
+    server_status out;
+    if (const auto it = listed_.find(key); it != listed_.end()) {
+        out.server = it->second.id;
+        out.service = it->second.service;
+    }
+    if (s.limit.active()) {
+        out.limit = s.limit.rate();
+        out.named_limit = s.limit.named_rate();
+        out.share = s.own.bucket.per_second();
+        out.daemons = s.own.share.daemons;
+    }
+    out.limit_age = s.limit.age(now);
+    out.wait = std::max(base::duration{}, s.paused_until - now);
+    out.leaving = s.leaving;
+    return out;
+}
+
+void signal_table::report_change(server_key key, const server_state& s, std::string_view source,
+                                 base::time_point now) const {
+    if (hooks_.changed) {
+        hooks_.changed(status_of(key, s, now), source);
+    }
+}
+
+std::vector<server_status> signal_table::status(base::time_point now) const {
+    std::vector<server_status> out;
+    for (const auto& [key, s] : servers_) {
+        if (s.listed && has_signal(s, now)) {
+            out.push_back(status_of(key, s, now));
+        }
+    }
+    return out;
+}
+
+}  // namespace chicorygap::backpressure
