Keep to the rate limits of servers over the whole fleet

Callers saw nothing, the servers in need were not relieved.

Cause: nothing read the limit.

The head of each response is read for the limit in one place (request_router::impl::observe_signals). The scheduler asks the table before each start and takes from the daemon's share, so that repeats, resumptions and first attempts count alike; health checks are only connections and send no request. What cannot start waits or is refused with the time at which the limits allow it; a request that finds another server goes there.

--- a/apps/daemon/src/decision_log.cpp
+++ b/apps/daemon/src/decision_log.cpp
@@ -1,5 +1,6 @@
 #include "decision_log.h"
 
+#include "backpressure/server_status.h"
 #include "base/log.h"
 #include "crash_guard/prompt_guard.h"
 #include "proxy/request_record.h"
@@ -76,4 +77,19 @@
         .field("retry_after_ms", to_ms(s.retry_after));
 }
 
+void log_server_signals(const backpressure::server_status& s, std::string_view source) {
+    base::log_line line{base::log_level::info, "proxy", "Signals of a server changed."};
+    line.field("server", s.server.str())
+        .field("service", s.service.str())
+        .field("source", std::string{source})
+        .field("limit", s.limit ? std::to_string(*s.limit) : "none");
+    if (s.limit) {
+        line.field("named", std::to_string(s.named_limit))
+            .field("share", std::to_string(s.share))
+            .field("daemons", static_cast<long long>(s.daemons))
+            .field("age_ms", to_ms(s.limit_age));
+    }
+    line.field("wait_ms", to_ms(s.wait)).field("leaving", s.leaving ? "yes" : "no");
+}
+
 }  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/decision_log.h
+++ b/apps/daemon/src/decision_log.h
@@ -7,6 +7,10 @@
 #include <optional>
 #include <string_view>
 
+namespace chicorygap::backpressure {
+struct server_status;
+}
+
 namespace chicorygap::crash_guard {
 struct part_status;
 }
@@ -28,4 +32,8 @@
 /// @param source origin of the decision.
 void log_part_decision(const crash_guard::part_status& s, std::string_view source);
 
+/// Logs a change of what a server says of itself.
+/// @param source "server" or "peer".
+void log_server_signals(const backpressure::server_status& s, std::string_view source);
+
 }  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -145,8 +145,11 @@
                    [this](const proxy::request_record& r) {
                        metrics_->record(r);
                        log_request(r, confirmation_age(configuration_cache_, loop_.now()));
-                   }}},
+                   },
+               .signals_changed = log_server_signals,
+               .signal_news = [this](bool own) { peer_exchange_.send_soon(own); }}},
       quarantine_endpoint_{router_.prompt_guard()},
+      signal_endpoint_{router_.server_signals()},
       store_{loop_, settings_.store},
       configuration_cache_{
           loop_,
@@ -203,7 +206,7 @@
               meter_,
               peer_exchange_.incarnation(),
               {.catalog = [this] { return catalog_; },
-               .servers = [this] { return directory_.servers(); },
+               .servers = [this] { return router_.servers(); },
                .load = [this] { return router_.status(); },
                .may_compete = [this] { return may_compete_for_lease(); }}},
       caller_listener_{loop_, settings_.callers,
@@ -307,7 +310,7 @@
     if (configuration_mirror_.handle(s, r) || server_mirror_.handle(s, r)) {
         return;
     }
-    if (quarantine_endpoint_.handle(s, r, loop_.now())) {
+    if (quarantine_endpoint_.handle(s, r, loop_.now()) || signal_endpoint_.handle(s, r, loop_.now())) {
         return;
     }
     if (r.head.target != "/metrics") {
@@ -332,11 +335,34 @@
     metrics_->set_gauge("prompt_parts_quarantined", static_cast<double>(quarantined));
     metrics_->set_gauge("prompt_parts_in_doubt",
                         static_cast<double>(parts.size()) - static_cast<double>(quarantined));
+    set_signal_gauges(now);
     http::response_head head{.status = 200};
     head.headers.add("Content-Type", "text/plain; version=0.0.4");
     s.respond(std::move(head), metrics_->text());
 }
 
+void edge_daemon::set_signal_gauges(base::time_point now) {
+    const auto& signals = router_.server_signals();
+    std::size_t limited = 0;
+    std::size_t paused = 0;
+    std::size_t leaving = 0;
+    double limits = 0;
+    double share = 0;
+    for (const auto& s : signals.status(now)) {
+        limited += s.limit ? 1 : 0;
+        limits += s.limit.value_or(0);
+        share += s.share;
+        paused += s.wait > base::duration{} ? 1 : 0;
+        leaving += s.leaving ? 1 : 0;
+    }
+    metrics_->set_gauge("servers_limited", static_cast<double>(limited));
+    metrics_->set_gauge("server_limits_per_second", limits);
+    metrics_->set_gauge("server_limit_share_per_second", share);
+    metrics_->set_gauge("servers_paused", static_cast<double>(paused));
+    metrics_->set_gauge("servers_leaving", static_cast<double>(leaving));
+    metrics_->set_gauge("starts_deferred_by_signals", static_cast<double>(signals.deferred_starts()));
+}
+
 // One daemon of the fleet: the holder of the lease, or the first by name where there are no duties.
 bool edge_daemon::may_try_quarantined_parts() const {
     if (duties_.held_term() != 0) {
@@ -425,6 +451,8 @@
     }
     router_.prompt_guard().expire(loop_.now());
     apply_fleet_size();
+    apply_fleet_to_signals();
+    router_.server_signals().expire(loop_.now());
     if (reload_requested.exchange(false)) {
         base::log_line{base::log_level::info, "daemon", "Reload requested."}.field("file", settings_path_);
         reload();
@@ -445,6 +473,7 @@
     b.store_unreachable = store_unreachable();
     b.lease_term = duties_.held_term();
     b.crashes = router_.prompt_guard().report(loop_.now());
+    b.signals = router_.server_signals().report(loop_.now());
     for (auto& [id, load] : router_.local_loads()) {
         b.services.emplace(id, std::move(load));
     }
@@ -475,6 +504,7 @@
     if (!b.crashes.empty()) {
         router_.prompt_guard().merge(b.crashes, loop_.now());
     }
+    router_.server_signals().merge(b.vm, b.zone, b.signals, b.stopping, loop_.now());
     for (const auto& [w, counts] : b.windows) {
         meter_.merge({b.vm, b.incarnation}, w, counts);
     }
@@ -571,6 +601,18 @@
          .window = r.window});
 }
 
+void edge_daemon::apply_fleet_to_signals() {
+    const auto now = loop_.now();
+    const auto& peers = peer_exchange_.peers();
+    const bool within_zones = sharing::uses_zone_digests(peers.fleet_size(settings_.zone, now));
+    const auto others = within_zones ? peers.addresses_in_zone(settings_.zone) : peers.addresses();
+    const auto known = within_zones ? others.size() + 1 : peers.known_count();
+    router_.server_signals().set_fleet({.within_zones = within_zones,
+                                        .settle_time = sharing::news_delay(applied_fleet_size_),
+                                        .silence_time = sharing::peer_timeout(known),
+                                        .known_daemons = others.size() + 1});
+}
+
 void edge_daemon::check_settings_file() {
     if (modification_time(settings_path_) != settings_modified_at_) {
         reload();
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -19,6 +19,7 @@
 #include "proxy/request_router.h"
 #include "quarantine_endpoint.h"
 #include "settings/edge_settings.h"
+#include "signal_endpoint.h"
 
 #include <filesystem>
 #include <memory>
@@ -94,6 +95,9 @@
     void count_started_request(const base::workspace_id& workspace);
     /// Adapts the retry budget share and the batching of server changes to the number of live daemons.
     void apply_fleet_size();
+    /// Tells the signals of servers how many daemons divide their limits, and how fast these learn of news.
+    void apply_fleet_to_signals();
+    void set_signal_gauges(base::time_point now);
     void check_settings_file();
     void reload();
     void begin_stop();
@@ -121,6 +125,7 @@
     std::unique_ptr<edge_metrics> metrics_;
     proxy::request_router router_;
     quarantine_endpoint quarantine_endpoint_;
+    signal_endpoint signal_endpoint_;
     platform::store_client store_;
     platform::object_cache configuration_cache_;
     platform::object_cache server_cache_;
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -2,6 +2,7 @@
 /// Routes requests of callers to backend servers and returns the responses.
 #pragma once
 
+#include "backpressure/signal_table.h"
 #include "base/id.h"
 #include "base/random.h"
 #include "base/time.h"
@@ -17,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -52,6 +54,10 @@
     std::function<void(const base::workspace_id&)> run_started;
     /// Called once at the end of each request.
     std::function<void(const request_record&)> request_ended;
+    /// Called when the limit of a server, its wait or its leaving has changed, with the source of the news.
+    std::function<void(const backpressure::server_status&, std::string_view source)> signals_changed;
+    /// Called when peers should hear of a signal soon, with false if a peer told it.
+    std::function<void(bool own)> signal_news;
 };
 
 /// Load report of each service, as exchanged with peers.
@@ -103,6 +109,12 @@
     /// @return the guard that keeps prompts which end servers away from them.
     [[nodiscard]] crash_guard::prompt_guard& prompt_guard();
 
+    /// @return what the servers say of themselves.
+    [[nodiscard]] backpressure::signal_table& server_signals();
+
+    /// @return the server list; servers that have announced in a response that they stop are draining.
+    [[nodiscard]] std::vector<catalog::backend_server> servers() const;
+
     /// @return load of this daemon per service.
     [[nodiscard]] service_loads local_loads() const;
     /// @return status of each service's scheduler.
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -164,6 +164,7 @@
     record_.tier = tier_;
     auto& state = router_.service(service_);
     state.budget.record_request(router_.loop.now());
+    router_.signals.record_arrival(service_, router_.loop.now());
     scheduling::scheduled_request scheduled{.id = id_,
                                             .priority_rank = priority_rank(),
                                             .workspace = workspace_,
@@ -222,11 +223,11 @@
         on_attempt_failed(outcome, scheduling::outcome::unreachable, std::move(failure_cause));
         return;
     }
-    const auto address = net::to_string(server_address_);
+    const auto address = net::to_string(server_.address);
     const std::uint64_t server = XXH64(address.data(), address.size(), 0);
     awaiting_server_check_ = true;
     router_.check.start(
-        connection_key_, server_address_,
+        connection_key_, server_.address,
         [&router = router_, parts = evidence_.shared_parts(), server, progress, weak = weak_from_this(),
          attempt = current_attempt_, outcome, cause = std::move(failure_cause), request = metadata_.id,
          name = record_.server, service = service_](bool ended) {
@@ -296,8 +297,9 @@
     if (!response_started_) {
         response_head_ = {};
     }
+    server_ = server;
     connection_key_ = server.instance_key();
-    server_address_ = server.address;
+    attempt_started_at_ = router_.loop.now();
     connection_ = router_.pool.take(connection_key_, server.address, max_connection_idle());
     server_request_metadata server_metadata{
         .server = server.id,
@@ -391,6 +393,8 @@
     }
     response_status_ = head.status;
     record_.server_signals = response_metadata_.signals;
+    router_.observe_signals(server_, response_metadata_.wrong_server, response_metadata_.signals,
+                            attempt_started_at_);
     if (response_metadata_.queue_length) {
         record_.server_queue_length = response_metadata_.queue_length;
         scheduler().set_server_queue_length(id_, *response_metadata_.queue_length, router_.loop.now());
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -119,7 +119,9 @@
 
     std::shared_ptr<http::client_connection> connection_;
     std::string connection_key_;
-    net::address server_address_;
+    /// Server of the current or the last attempt.
+    catalog::backend_server server_;
+    base::time_point attempt_started_at_;
     std::uint32_t current_attempt_ = 0;
     http::response_head response_head_;
     response_metadata response_metadata_;
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -40,6 +40,12 @@
 crash_guard::prompt_guard& request_router::prompt_guard() {
     return impl_->guard;
 }
+backpressure::signal_table& request_router::server_signals() {
+    return impl_->signals;
+}
+std::vector<catalog::backend_server> request_router::servers() const {
+    return impl_->servers();
+}
 service_loads request_router::local_loads() const {
     return impl_->local_loads();
 }
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -1,6 +1,5 @@
-#include "request_router_impl.h"
-
 #include "proxied_request.h"
+#include "request_router_impl.h"
 
 #include <algorithm>
 #include <variant>
@@ -20,7 +19,17 @@
 
 request_router::impl::impl(net::loop& l, const header_codec& c, router_options o, base::random_function r,
                            router_hooks h)
-    : loop{l}, codec{c}, options{std::move(o)}, random{std::move(r)}, hooks{std::move(h)}, pool{l}, check{l} {
+    : loop{l},
+      codec{c},
+      options{std::move(o)},
+      random{std::move(r)},
+      hooks{std::move(h)},
+      pool{l},
+      signals{options.self, options.zone, l.now()},
+      check{l} {
+    signals.set_hooks({.changed = hooks.signals_changed, .news = hooks.signal_news, .server_leaving = [this] {
+                           on_server_leaving();
+                       }});
     loop.every(expiry_interval, [this] { pool.expire(); });
 }
 
@@ -38,7 +47,7 @@
     auto& s = services_[id];
     if (!s.scheduler) {
         s.scheduler = std::make_unique<scheduling::scheduler>(
-            scheduling::scheduler_options{options.self, options.zone}, random);
+            scheduling::scheduler_options{options.self, options.zone, &signals}, random);
         s.budget = retry::budget{budget_options()};
         const auto* known = catalog ? catalog->find_service(id) : nullptr;
         s.scheduler->set_engine(known != nullptr ? known->engine : std::nullopt);
@@ -65,6 +74,16 @@
     for (const auto& s : servers) {
         servers_by_service_[s.service].push_back(s);
     }
+    signals.set_servers(servers, loop.now());
+    apply_servers();
+}
+
+void request_router::impl::apply_servers() {
+    for (auto& [id, list] : servers_by_service_) {
+        for (auto& s : list) {
+            s.draining = s.draining || signals.leaving(backpressure::key_of(s));
+        }
+    }
     std::vector<base::service_id> ids;
     for (const auto& [id, state] : services_) {
         ids.push_back(id);
@@ -74,6 +93,45 @@
     }
 }
 
+// The response that announced it is still being processed.
+void request_router::impl::on_server_leaving() {
+    if (std::exchange(leaving_servers_pending_, true)) {
+        return;
+    }
+    loop.after({}, [this] {
+        leaving_servers_pending_ = false;
+        apply_servers();
+    });
+}
+
+void request_router::impl::observe_signals(const catalog::backend_server& server, bool wrong_server,
+                                           const backpressure::server_signals& s, base::time_point sent_at) {
+    if (!wrong_server) {
+        signals.observe(server, {.rate_limit = s.rate_limit}, sent_at, loop.now());
+        return;
+    }
+    const catalog::backend_server* other = nullptr;
+    for (const auto& [id, list] : servers_by_service_) {
+        for (const auto& candidate : list) {
+            if (candidate.address == server.address &&
+                backpressure::key_of(candidate) != backpressure::key_of(server)) {
+                other = &candidate;
+            }
+        }
+    }
+    if (other != nullptr) {
+        signals.observe(*other, {.rate_limit = s.rate_limit}, sent_at, loop.now());
+    }
+}
+
+std::vector<catalog::backend_server> request_router::impl::servers() const {
+    std::vector<catalog::backend_server> out;
+    for (const auto& [id, list] : servers_by_service_) {
+        out.insert(out.end(), list.begin(), list.end());
+    }
+    return out;
+}
+
 void request_router::impl::set_peer_load(const base::vm_id& peer, const service_loads& loads,
                                          base::duration lifetime) {
     peer_load_received_at = loop.now();
--- a/packages/proxy/src/request_router_impl.h
+++ b/packages/proxy/src/request_router_impl.h
@@ -2,6 +2,7 @@
 /// Implementation of the request router.
 #pragma once
 
+#include "backpressure/signal_table.h"
 #include "http/connection_pool.h"
 #include "proxy/header_codec.h"
 #include "proxy/request_router.h"
@@ -42,6 +43,13 @@
     void handle(http::server_session& session, http::request&& r);
     void caller_disconnected(http::server_session& session);
     void drained(http::server_session& session);
+    /// Passes on what a server said of itself.
+    /// @param server server that the request was sent to.
+    /// @param wrong_server another server at this address has answered.
+    /// @param sent_at time at which the request was sent.
+    void observe_signals(const catalog::backend_server& server, bool wrong_server,
+                         const backpressure::server_signals& s, base::time_point sent_at);
+    [[nodiscard]] std::vector<catalog::backend_server> servers() const;
     [[nodiscard]] service_loads local_loads() const;
     [[nodiscard]] std::unordered_map<base::service_id, scheduling::scheduler_status> status() const;
 
@@ -69,6 +77,7 @@
     router_hooks hooks;
     http::connection_pool pool;
     crash_guard::prompt_guard guard;
+    backpressure::signal_table signals;
     server_check check;
     std::shared_ptr<const catalog::snapshot> catalog;
     std::optional<base::time_point> server_list_updated_at;
@@ -78,12 +87,17 @@
     std::unordered_map<scheduling::local_request_id, std::shared_ptr<proxied_request>> active_requests;
 
 private:
+    /// Marks servers that have announced that they stop, and passes the list to the schedulers.
+    void apply_servers();
+    void on_server_leaving();
     void tick(const base::service_id& id);
     void schedule_tick(const base::service_id& id);
     [[nodiscard]] retry::budget_options budget_options() const;
 
     std::unordered_map<base::service_id, service_state> services_;
+    /// Servers that have announced in a response that they stop are draining here.
     std::unordered_map<base::service_id, std::vector<catalog::backend_server>> servers_by_service_;
+    bool leaving_servers_pending_ = false;  ///< a server has announced that it stops
     std::unordered_map<http::server_session*, scheduling::local_request_id> ids_by_session_;
     std::uint64_t last_request_id_ = 0;
 };
--- a/packages/scheduling/include/scheduling/scheduler.h
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -17,6 +17,10 @@
 #include <optional>
 #include <vector>
 
+namespace chicorygap::backpressure {
+class signal_table;
+}
+
 namespace chicorygap::scheduling {
 
 /// Result of one attempt.
@@ -29,10 +33,13 @@
     cancelled,    ///< ended by this daemon; not counted in the server's health
 };
 
-/// Identity of the daemon that runs the scheduler.
+/// Environment of the scheduler.
 struct scheduler_options {
     base::vm_id self;
     base::zone_id zone;
+    /// What the servers say of themselves, which bounds the starts on each of them; null for no bounds. Must
+    /// outlive the scheduler.
+    backpressure::signal_table* signals = nullptr;
 };
 
 /// State of the scheduler for logs, metrics and autoscaling.
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -1,5 +1,7 @@
 #include "placement.h"
 
+#include "backpressure/signal_table.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -296,7 +298,8 @@
     double best_ms = std::numeric_limits<double>::infinity();
     for (auto* s : candidates) {
         if (s->info.draining || s->health.ejected(now) || s->has_queue(now) ||
-            !has_capacity(*s, request, c)) {
+            !has_capacity(*s, request, c) ||
+            (c.signals != nullptr && !c.signals->may_start(s->signal_key, now))) {
             continue;
         }
         const auto p = request.generation ? plan_prefill(*s, request, affinity, c) : prefill_plan{};
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -13,6 +13,10 @@
 #include <string>
 #include <vector>
 
+namespace chicorygap::backpressure {
+class signal_table;
+}
+
 namespace chicorygap::scheduling {
 
 /// Inputs of the placement besides the servers.
@@ -33,6 +37,8 @@
     /// Scale of a random cost in milliseconds, which spreads requests over servers of similar cost while the
     /// loads that peers reported are old; 0 while they are recent.
     double stale_load_spread_ms = 0;
+    /// What the servers say of themselves; may be null.
+    const backpressure::signal_table* signals = nullptr;
     base::random_function random;
 };
 
@@ -73,6 +79,7 @@
 /// - one part that gets much of the traffic;
 /// - servers whose KV cache is full although they have free slots;
 /// - daemons that select the same server at the same time;
+/// - servers that name a rate limit or a time without requests: they look free and get no more than that;
 /// - servers that appear to be free in old reports, long after other daemons have filled them;
 /// - streams with token gap limits that the prefill of long prompts interrupts: long prompts are restricted
 ///   to a group of the servers.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/scheduler.h"
 
+#include "backpressure/signal_table.h"
 #include "peer_loads.h"
 #include "placement.h"
 #include "prefill_speed_estimator.h"
@@ -48,6 +49,8 @@
 /// Bounds of the retry delay of rejected callers, before jitter.
 constexpr base::duration min_retry_after = 250ms;
 constexpr base::duration max_retry_after = 3s;
+/// Upper bound while all servers have named limits or times without requests.
+constexpr base::duration max_retry_after_signals = 30s;
 /// Maximum jitter as a fraction of the retry delay, so that callers rejected together do not retry together.
 constexpr double retry_jitter_fraction = 0.5;
 /// Maximum number of waiting requests that are tried for a free slot, so that a large request does not block
@@ -114,6 +117,7 @@
                 s->cache.set_capacity(engine_ ? engine_->kv_capacity_tokens : 0);
                 s->listed_since = first_list ? now - initial_server_age : now;
                 s->id_hash = XXH64(info.id.str().data(), info.id.str().size(), 0);
+                s->signal_key = backpressure::key_of(info);
             }
             s->info = info;
         }
@@ -314,6 +318,7 @@
                             .mean_prefill_tokens = mean_prefill_tokens_,
                             .peer_count = peer_loads_.count(),
                             .stale_load_spread_ms = stale_load_spread_ms(now),
+                            .signals = options_.signals,
                             .random = random_};
         if (const auto gap_limit =
                 token_gap_monitor_.enforced_gap_limit(peer_loads_.token_gaps_exceeded(), now)) {
@@ -373,6 +378,9 @@
         e.output_started = false;
         e.short_prompt_stream = e.request.generation && !p->long_prompt;
         local_short_prompt_streams_ += e.short_prompt_stream ? 1 : 0;
+        if (options_.signals != nullptr) {
+            options_.signals->record_start(p->server->signal_key, now);
+        }
         auto& load = p->server->local_load;
         load.running++;
         if (e.request.generation) {
@@ -447,7 +455,45 @@
         return std::chrono::duration_cast<base::duration>(d * factor);
     }
 
+    /// @param ahead requests that start before.
+    /// @return time until the servers' own limits let a request start; nothing if one of the servers has
+    /// none.
+    [[nodiscard]] std::optional<base::duration> wait_for_servers(std::size_t ahead,
+                                                                 base::time_point now) const {
+        if (options_.signals == nullptr) {
+            return std::nullopt;
+        }
+        std::optional<base::duration> paused;
+        std::optional<base::duration> first_start;
+        double starts_per_s = 0;
+        for (const auto* s : sorted_servers_) {
+            const auto f = s->info.draining || s->health.ejected(now)
+                               ? std::nullopt
+                               : options_.signals->forecast(s->signal_key, now);
+            if (!f) {
+                continue;
+            }
+            auto& earliest = f->rate ? first_start : paused;
+            earliest = std::min(earliest.value_or(f->first), f->first);
+            starts_per_s += f->rate.value_or(0);
+        }
+        if (paused && *paused <= base::duration{}) {
+            return std::nullopt;
+        }
+        auto wait = paused.value_or(max_retry_after_signals);
+        if (first_start) {
+            const std::chrono::duration<double> others{static_cast<double>(ahead) / starts_per_s};
+            wait = std::min(wait, *first_start + std::chrono::duration_cast<base::duration>(
+                                                     std::min(others, std::chrono::duration<double>{wait})));
+        }
+        // Without a server for this daemon, another daemon may have one.
+        return paused || first_start ? wait : max_retry_after;
+    }
+
     base::duration expected_wait(std::uint8_t priority_rank, base::time_point now) {
+        if (const auto wait = wait_for_servers(queue_.count_ahead(priority_rank), now)) {
+            return *wait;
+        }
         drop_old_starts(now);
         if (recent_starts_.size() < min_starts_for_rate) {
             return {};
@@ -466,7 +512,8 @@
         const auto wait = expected_wait(e.request.priority_rank, now);
         const double jitter =
             retry_jitter_fraction * static_cast<double>(random_() % 1024) / 1024.0;  // in 1024 steps
-        const auto retry = scaled(std::clamp(wait, min_retry_after, max_retry_after), 1 + jitter);
+        const auto longest = wait_for_servers(0, now) ? max_retry_after_signals : max_retry_after;
+        const auto retry = scaled(std::clamp(wait, min_retry_after, longest), 1 + jitter);
         const auto id = e.request.id;
         decisions_.emplace_back(reject_decision{id, code, retry});
         queue_.erase(id);
--- a/packages/scheduling/src/server_state.h
+++ b/packages/scheduling/src/server_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "asymmetric_average.h"
+#include "backpressure/signal_report.h"
 #include "base/decaying_rate.h"
 #include "catalog/backend_server.h"
 #include "prefix_cache.h"
@@ -36,6 +37,7 @@
     base::time_point listed_since;
     /// Hash of the server's id, for rankings of servers that are the same on all daemons.
     std::uint64_t id_hash = 0;
+    backpressure::server_key signal_key = 0;
     prefix_cache cache;
     server_health health;
     /// Relative position among the servers of its zone, from 0 to 1, in an order that is the same on all
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -2,6 +2,7 @@
 /// Status and load report that daemons exchange.
 #pragma once
 
+#include "backpressure/signal_report.h"
 #include "base/id.h"
 #include "base/time.h"
 #include "crash_guard/crash_report.h"
@@ -62,6 +63,8 @@
     std::vector<net::address> contacts;
     /// Evidence and decisions on prompt parts that end servers.
     crash_guard::crash_report crashes;
+    /// What servers have said of themselves, and the demand of the sender's callers.
+    backpressure::signal_report signals;
     /// Requests that the sender counted in recent usage windows.
     std::map<metering::window_number, metering::workspace_counts> windows;
 
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -42,6 +42,29 @@
   crashes @21 :List(CrashRecord);
   successes @22 :List(SuccessRecord);
   verdicts @23 :List(VerdictRecord);
+  # Rate limits that servers have named.
+  limits @24 :List(LimitRecord);
+  # Hashes of servers that have announced that they stop.
+  leavingServers @25 :List(UInt64);
+  # Requests per second that callers send to the sender; only while servers name limits.
+  demands @26 :List(ServiceDemand);
+}
+
+# What is known of the rate limit of a server; of two statements the newer one counts.
+struct LimitRecord {
+  # Hash of the server's id and incarnation.
+  server @0 :UInt64;
+  statement @1 :UInt64;
+  # Requests per second.
+  rate @2 :Float64;
+  # Later responses without a limit.
+  raises @3 :UInt32;
+  ageMs @4 :UInt64;
+}
+
+struct ServiceDemand {
+  service @0 :Text;
+  requestsPerS @1 :Float32;
 }
 
 # A server ended while a request with the part was at the beginning of its answer there.
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -8,6 +8,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 
 namespace chicorygap::sharing {
@@ -113,6 +114,49 @@
     return out;
 }
 
+void write_signals(const backpressure::signal_report& r, wire::Beacon::Builder& out) {
+    auto limits = out.initLimits(static_cast<unsigned>(r.limits.size()));
+    for (unsigned i = 0; i < limits.size(); ++i) {
+        const auto& from = r.limits[i];
+        limits[i].setServer(from.server);
+        limits[i].setStatement(from.statement);
+        limits[i].setRate(from.rate);
+        limits[i].setRaises(from.raises);
+        limits[i].setAgeMs(to_ms(from.age));
+    }
+    auto leaving = out.initLeavingServers(static_cast<unsigned>(r.leaving.size()));
+    for (unsigned i = 0; i < leaving.size(); ++i) {
+        leaving.set(i, r.leaving[i]);
+    }
+    auto demands = out.initDemands(static_cast<unsigned>(r.demands.size()));
+    unsigned i = 0;
+    for (const auto& [service, rate] : r.demands) {
+        demands[i].setService(service.str().c_str());
+        demands[i++].setRequestsPerS(static_cast<float>(rate));
+    }
+}
+
+/// Leaves out limits and demands that are no amounts.
+backpressure::signal_report read_signals(wire::Beacon::Reader in) {
+    const auto is_amount = [](double x) { return std::isfinite(x) && x >= 0; };
+    backpressure::signal_report out;
+    for (const auto l : in.getLimits()) {
+        if (l.getStatement() != 0 && is_amount(l.getRate())) {
+            out.limits.push_back(
+                {l.getServer(), l.getStatement(), l.getRate(), l.getRaises(), from_ms(l.getAgeMs())});
+        }
+    }
+    for (const auto key : in.getLeavingServers()) {
+        out.leaving.push_back(key);
+    }
+    for (const auto d : in.getDemands()) {
+        if (is_amount(d.getRequestsPerS())) {
+            out.demands.emplace(base::service_id{d.getService().cStr()}, d.getRequestsPerS());
+        }
+    }
+    return out;
+}
+
 service_loads read_loads(capnp::List<wire::ServiceLoad>::Reader in) {
     service_loads out;
     for (const auto service : in) {
@@ -169,6 +213,7 @@
         }
     }
     b.crashes = read_crash_report(in);
+    b.signals = read_signals(in);
     read_windows(in, b);
     return b;
 }
@@ -204,6 +249,7 @@
         contacts.set(i, net::to_string(b.contacts[i]).c_str());
     }
     write_crash_report(b.crashes, out);
+    write_signals(b.signals, out);
     write_windows(b, out);
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, message);
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -46,6 +46,9 @@
     b.crashes.crashes = {{0xdead, 77, 2, crash_guard::attempt_progress::beginning, 1500ms}};
     b.crashes.successes = {{0xbeef, 20ms}};
     b.crashes.verdicts = {{0xdead, 3, true, 7s, 60s}};
+    b.signals.limits = {{0xfeed, 12, 2.5, 1, 300ms}};
+    b.signals.leaving = {0xabcd};
+    b.signals.demands = {{base::service_id{"s"}, 4.5}};
     b.windows[metering::window_number{12}] = {{base::workspace_id{"north"}, 8}};
     EXPECT_EQ(decode(encode(b)), b);
 }
