Send no requests to a server within the wait that it names with 503

A daemon went on sending to a server that had answered 503 with Retry-After: 82 requests in the 2.4 s before the end of a wait of 3 s. Cause: as with the limits, the field of the response was not read. The wait binds the daemon that received it; peers are not told.

server_signals.server_that_names_a_wait_gets_no_requests_from_that_daemon failed before (82, allowed 2) and passes.

--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -107,7 +107,8 @@
 void request_router::impl::observe_signals(const catalog::backend_server& server, bool wrong_server,
                                            const backpressure::server_signals& s, base::time_point sent_at) {
     if (!wrong_server) {
-        signals.observe(server, {.rate_limit = s.rate_limit}, sent_at, loop.now());
+        signals.observe(server, {.rate_limit = s.rate_limit, .retry_after = s.retry_after}, sent_at,
+                        loop.now());
         return;
     }
     const catalog::backend_server* other = nullptr;
@@ -120,7 +121,8 @@
         }
     }
     if (other != nullptr) {
-        signals.observe(*other, {.rate_limit = s.rate_limit}, sent_at, loop.now());
+        signals.observe(*other, {.rate_limit = s.rate_limit, .retry_after = s.retry_after}, sent_at,
+                        loop.now());
     }
 }
 
