Treat a server that announces its stop in a response as draining

A server that said Server-Leaving in its responses went on getting requests until the store's list told that it drains: 30 requests in the second after the drain time while the store was not reachable. Cause: the field was not read.

server_signals.server_that_says_that_it_stops_gets_no_requests_after_the_ drain_time failed before (30, allowed 0) and passes.

--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -1,6 +1,7 @@
-#include "proxied_request.h"
 #include "request_router_impl.h"
 
+#include "proxied_request.h"
+
 #include <algorithm>
 #include <variant>
 
@@ -107,8 +108,7 @@
 void request_router::impl::observe_signals(const catalog::backend_server& server, bool wrong_server,
                                            const backpressure::server_signals& s, base::time_point sent_at) {
     if (!wrong_server) {
-        signals.observe(server, {.rate_limit = s.rate_limit, .retry_after = s.retry_after}, sent_at,
-                        loop.now());
+        signals.observe(server, s, sent_at, loop.now());
         return;
     }
     const catalog::backend_server* other = nullptr;
@@ -121,8 +121,7 @@
         }
     }
     if (other != nullptr) {
-        signals.observe(*other, {.rate_limit = s.rate_limit, .retry_after = s.retry_after}, sent_at,
-                        loop.now());
+        signals.observe(*other, s, sent_at, loop.now());
     }
 }
 
