Count retries for the whole window of the retry budget

Cause: the budget keeps counts by second, ten of them for 10 s, and the current second is one of them. Retries spent late in a second were dropped from the count up to a second before the window ended, so that a window could hold nearly twice the budget where a burst began late in a second.

Now the retries of one second more count. Requests still count for nine to ten seconds, which allows less, not more.

budget.spent_retries_count_for_the_whole_window failed before (10 retries again after 9.1 s).

--- a/packages/retry/include/retry/budget.h
+++ b/packages/retry/include/retry/budget.h
@@ -61,6 +61,9 @@
     void advance(base::time_point now);
     [[nodiscard]] int compute_available() const;
     second_counts& current_counts();
+    /// @return counts of one of the kept seconds. The second after the current one shares its place with the
+    /// oldest one.
+    second_counts& counts_of(std::int64_t second);
 
     budget_options options_;
     std::vector<second_counts> counts_by_second_;
--- a/packages/retry/src/budget.cpp
+++ b/packages/retry/src/budget.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace chicorygap::retry {
 
@@ -13,12 +14,18 @@
     return std::clamp<std::size_t>(static_cast<std::size_t>(seconds), 1, budget::max_window_seconds);
 }
 
+/// Seconds that are kept. The window reaches into one more second than its length, in which retries may have
+/// been spent.
+std::size_t kept_seconds(const budget_options& o) {
+    return window_seconds(o) + 1;
+}
+
 }  // namespace
 
-budget::budget(budget_options o) : options_{o}, counts_by_second_(window_seconds(o)) {}
+budget::budget(budget_options o) : options_{o}, counts_by_second_(kept_seconds(o)) {}
 
 void budget::set_options(budget_options o) {
-    if (window_seconds(o) == counts_by_second_.size()) {
+    if (kept_seconds(o) == counts_by_second_.size()) {
         options_ = o;
         return;
     }
@@ -61,14 +68,19 @@
         std::min<std::int64_t>(second - current_second_, static_cast<std::int64_t>(counts_by_second_.size()));
     for (std::int64_t i = 0; i < steps; i++) {
         current_second_ = second - steps + i + 1;
-        window_requests_ -= current_counts().requests;
+        // Of the oldest second only the retries count: part of it lies before the window.
         window_spent_ -= current_counts().spent;
         current_counts() = {};
+        window_requests_ -= std::exchange(counts_of(current_second_ + 1).requests, 0);
     }
 }
 
 budget::second_counts& budget::current_counts() {
-    return counts_by_second_[static_cast<std::size_t>(current_second_) % counts_by_second_.size()];
+    return counts_of(current_second_);
+}
+
+budget::second_counts& budget::counts_of(std::int64_t second) {
+    return counts_by_second_[static_cast<std::size_t>(second) % counts_by_second_.size()];
 }
 
 }  // namespace chicorygap::retry
--- a/packages/retry/tests/budget_test.cpp
+++ b/packages/retry/tests/budget_test.cpp
@@ -33,6 +33,19 @@
     }
 }
 
+// Failure: a burst of failures spends the budget at the end of one second, and again nine seconds later: day
+// "busy". Guards against twice the budget within one window.
+TEST(budget, spent_retries_count_for_the_whole_window) {
+    for (const auto spent_at : {0ms, 500ms, 999ms}) {
+        budget b{{.ratio = 0, .min_retries = 0, .extra_retries = 10, .window = 10s}};
+        EXPECT_EQ(spend_all(b, start + spent_at), 10);
+        for (base::duration later = 100ms; later <= 10s; later += 100ms) {
+            EXPECT_EQ(spend_all(b, start + spent_at + later), 0) << later.count();
+        }
+        EXPECT_EQ(spend_all(b, start + spent_at + 11s), 10);
+    }
+}
+
 // Guards against bursts at the boundary of two seconds that exceed the ratio. At any time, the number of
 // retries is at most a tenth of the requests so far.
 RC_GTEST_PROP(budget, never_exceeds_the_ratio, ()) {
