Take no repeated refusal for the response to a later attempt

A faulty server wrote a refusal once more on a kept connection. The request was sent there again after the refusal, and the copy was taken for its response: the caller was told that the request had not run while the server ran it, or it ran a second time.

Cause: responses are matched by the id of the caller's request, which all its attempts share, and the second attempt may use the same connection when few servers are left. A refusal without an id was believed on a fresh connection, also when it came before the request was sent.

Refusals count only with the id of the request; others leave the outcome open. Bytes that are there before the first byte of the request was sent end the connection, and the request is sent elsewhere.

repeated_refusal.* (router with scripted servers): four of four failed on, among them a request that may run once and ran twice, and pass.

--- a/packages/http/include/http/client_connection.h
+++ b/packages/http/include/http/client_connection.h
@@ -2,6 +2,7 @@
 /// One connection to a server.
 #pragma once
 
+#include "base/recent_ids.h"
 #include "base/time.h"
 #include "http/message.h"
 #include "http/message_reader.h"
@@ -22,6 +23,7 @@
     closed,          ///< the server closed the connection before the response was complete
     silent,          ///< written bytes were not taken, or the path is gone
     malformed,       ///< the bytes received are no response
+    early_bytes,     ///< the server sent bytes before the request, of which no byte was sent
 };
 
 /// @return name for log lines.
@@ -61,6 +63,11 @@
     /// @param match accepts every response if empty.
     void start(std::string_view message, bool no_body, match_function match, exchange_hooks hooks);
 
+    /// Names the request of the next exchange, whose later attempts must not use this connection.
+    void set_request_id(std::string_view id) { request_ids_.add(id); }
+    /// @return true if the connection has carried an attempt of the request.
+    [[nodiscard]] bool has_carried(std::string_view id) const { return request_ids_.contains(id); }
+
     /// Closes the connection. The exchange in flight reports nothing more.
     void abort();
 
@@ -81,6 +88,7 @@
 private:
     explicit client_connection(net::loop& l);
 
+    void connected();
     void received(std::string_view bytes);
     void on_head(response_head&& h);
     void finish();
@@ -92,6 +100,7 @@
     message_reader reader_;
     std::shared_ptr<const exchange_hooks> hooks_;
     match_function match_;
+    base::recent_ids request_ids_;
     std::optional<base::duration> idle_time_;
     base::time_point idle_since_;
     int exchanges_ = 0;
--- a/packages/http/include/http/connection_pool.h
+++ b/packages/http/include/http/connection_pool.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -32,9 +33,11 @@
     /// @param key names one incarnation of a server.
     /// @param to address of the server.
     /// @param longest_idle idle connections that are older are not used; zero asks for a new one.
+    /// @param request_id request to send. A connection that has carried an earlier attempt of it is not used,
+    /// since the server may repeat its response to that attempt.
     /// @return an idle connection, or a new one that is being established.
     std::shared_ptr<client_connection> take(const std::string& key, const net::address& to,
-                                            base::duration longest_idle);
+                                            base::duration longest_idle, std::string_view request_id = {});
 
     /// Keeps the connection if it can be used again.
     void give_back(const std::string& key, std::shared_ptr<client_connection> c);
@@ -49,6 +52,9 @@
     [[nodiscard]] std::size_t opened() const noexcept { return opened_; }
 
 private:
+    /// @return an idle connection, or null.
+    std::shared_ptr<client_connection> take_idle(const std::string& key, base::duration longest_idle,
+                                                 std::string_view request_id);
     [[nodiscard]] bool usable(const client_connection& c, base::duration longest_idle) const;
 
     net::loop& loop_;
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -46,6 +46,8 @@
             return "silent";
         case exchange_failure::malformed:
             return "malformed";
+        case exchange_failure::early_bytes:
+            return "early_bytes";
     }
     return "unknown";
 }
@@ -74,7 +76,12 @@
     std::shared_ptr<client_connection> c{new client_connection{l}};
     const std::weak_ptr<client_connection> weak = c;
     c->stream_ = net::stream::connect(l, to, connect_timeout,
-                                      {.connected = nullptr,
+                                      {.connected =
+                                           [weak] {
+                                               if (const auto self = weak.lock()) {
+                                                   self->connected();
+                                               }
+                                           },
                                        .received =
                                            [weak](std::string_view b) {
                                                if (const auto self = weak.lock()) {
@@ -125,6 +132,14 @@
     return !in_flight_ && !broken_ && keep_alive_ && stream_->open();
 }
 
+// Bytes that are there before the request was sent cannot be its response.
+void client_connection::connected() {
+    const auto self = shared_from_this();
+    if (in_flight_ && stream_->has_unread_bytes()) {
+        fail(exchange_failure::early_bytes);
+    }
+}
+
 void client_connection::received(std::string_view bytes) {
     const auto self = shared_from_this();
     while (!bytes.empty()) {
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -25,19 +25,41 @@
 }  // namespace
 
 std::shared_ptr<client_connection> connection_pool::take(const std::string& key, const net::address& to,
-                                                         base::duration longest_idle) {
+                                                         base::duration longest_idle,
+                                                         std::string_view request_id) {
+    auto c = take_idle(key, longest_idle, request_id);
+    if (!c) {
+        ++opened_;
+        c = client_connection::connect(loop_, to, connect_timeout);
+    }
+    if (!request_id.empty()) {
+        c->set_request_id(request_id);
+    }
+    return c;
+}
+
+std::shared_ptr<client_connection> connection_pool::take_idle(const std::string& key,
+                                                              base::duration longest_idle,
+                                                              std::string_view request_id) {
     const auto it = idle_.find(key);
-    while (it != idle_.end() && !it->second.empty()) {
-        // The last one was used most recently and is the least likely to have been closed.
-        auto c = std::move(it->second.back());
-        it->second.pop_back();
-        if (usable(*c, longest_idle)) {
+    if (it == idle_.end()) {
+        return nullptr;
+    }
+    auto& list = it->second;
+    // The last one was used most recently and is the least likely to have been closed.
+    for (auto i = list.size(); i-- > 0;) {
+        const auto c = list[i];
+        const bool can_use = usable(*c, longest_idle);
+        if (can_use && !request_id.empty() && c->has_carried(request_id)) {
+            continue;
+        }
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(i));
+        if (can_use) {
             return c;
         }
         c->abort();
     }
-    ++opened_;
-    return client_connection::connect(loop_, to, connect_timeout);
+    return nullptr;
 }
 
 void connection_pool::give_back(const std::string& key, std::shared_ptr<client_connection> c) {
--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -82,6 +82,9 @@
     [[nodiscard]] bool open() const noexcept { return !closed_; }
     [[nodiscard]] bool is_connected() const noexcept { return connected_; }
 
+    /// @return true if bytes have arrived that were not read yet.
+    [[nodiscard]] bool has_unread_bytes() const;
+
 private:
     stream(loop& l, const Poco::Net::StreamSocket& socket, stream_hooks hooks);
 
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -115,6 +115,14 @@
     }
 }
 
+bool stream::has_unread_bytes() const {
+    try {
+        return !closed_ && socket_.available() > 0;
+    } catch (const Poco::Exception&) {
+        return false;  // a failed connection is reported by the next read
+    }
+}
+
 void stream::pause_reading(bool paused) {
     if (read_paused_ != paused) {
         read_paused_ = paused;
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -300,7 +300,8 @@
     server_ = server;
     connection_key_ = server.instance_key();
     attempt_started_at_ = router_.loop.now();
-    connection_ = router_.pool.take(connection_key_, server.address, max_connection_idle());
+    connection_ =
+        router_.pool.take(connection_key_, server.address, max_connection_idle(), metadata_.id.str());
     server_request_metadata server_metadata{
         .server = server.id,
         .workspace = workspace_,
@@ -517,7 +518,13 @@
 }
 
 void proxied_request::complete_non_stream() {
-    if (response_metadata_.not_run || response_metadata_.wrong_server) {
+    const bool not_run = response_metadata_.not_run || response_metadata_.wrong_server;
+    if (not_run && response_metadata_.request_id.empty()) {
+        on_attempt_failed({result_code::answer_mismatched, true}, scheduling::outcome::failed,
+                          "refusal_without_id");
+        return;
+    }
+    if (not_run) {
         const auto server_outcome =
             response_metadata_.wrong_server ? scheduling::outcome::replaced : scheduling::outcome::rejected;
         on_attempt_failed({result_code::backend_refused, true}, server_outcome,
@@ -559,7 +566,8 @@
     router_.loop.cancel(attempt_timer_);
     connection_.reset();
     router_.pool.drop(connection_key_);
-    const bool sent = failure != http::exchange_failure::connect_failed;
+    const bool sent =
+        failure != http::exchange_failure::connect_failed && failure != http::exchange_failure::early_bytes;
     const bool has_output = response_started_ || !response_body_.empty() || discarded_bytes_ > 0;
     const auto code = !sent        ? result_code::connect_failed
                       : has_output ? result_code::answer_truncated
