Take no head that breaks off for a complete one

On the product's own interface callers got a 200 with an empty body, framed as complete, from a server that stopped within the head of its response and closed. Cause: POCO takes the end of the connection for the end of the head, and a response without a length is complete when its connection ends.

POCO reads the connection only as long as the head is not complete, so that an end that was seen when it returns the head lies within it. The attempt then fails with an unknown outcome.

broken_head.is_no_answer (each prefix of a head, also behind an interim response, three kinds of calls) failed before and passes.

--- a/packages/backend/src/attempt.cpp
+++ b/packages/backend/src/attempt.cpp
@@ -76,6 +76,11 @@
     if (guard_.stopped()) {
         throw base::error{*guard_.stopped(), "stopped before the answer"};
     }
+    if (guard_.ended()) {
+        // POCO takes the end of the connection for the end of the head. Behind a whole head it has not read on
+        // yet.
+        throw base::error{result_code::answer_truncated, "connection ended within the head"};
+    }
     head_received_ = true;
     outcome_.status = response_.getStatus();
     guard_.set_idle(request_.limits.idle, result_code::token_gap_timeout);
