Forward nothing of an answer that is no stream to a stream that has begun

On the product's own interface a stream that broke off is resumed at another server. When that one answered with a status other than 200 and below 500 (a redirect, 400, 404, 421), its head and body were passed on as the rest of the stream; the writer of the response noticed only the second head. Cause: only 200, 429 and 5xx were told apart from a plain answer.

Any other status now fails the attempt when it resumes a stream, so that the next server is asked or the stream ends visibly broken.

--- a/packages/backend/src/attempt.cpp
+++ b/packages/backend/src/attempt.cpp
@@ -99,6 +99,9 @@
         read_refusal(in);
     } else if (request_.kind == call_kind::chat_stream && status == status_ok) {
         read_events(in);
+    } else if (request_.kind == call_kind::chat_stream && request_.resume_tokens > 0) {
+        fail(result_code::backend_failed, "stream resumed with status " + std::to_string(status));
+        discard(in);
     } else if (request_.kind == call_kind::plain) {
         read_body(in);
     } else {
--- a/packages/backend/tests/faulty_answers_test.cpp
+++ b/packages/backend/tests/faulty_answers_test.cpp
@@ -40,6 +40,42 @@
     }
 }
 
+// Failure: a stream breaks off and the next server answers with an error; its text ends up in the stream.
+TEST(second_answer, never_reaches_a_stream_that_has_begun) {
+    const std::string error = "the error of the second server";
+    const auto rest = "X-Request-Id: r1\r\nContent-Length: " + std::to_string(error.size()) + "\r\n";
+    const std::string typed = "Content-Type: text/event-stream\r\n";
+    const std::vector<std::string> answers{
+        "HTTP/1.1 500 X\r\n" + rest + "\r\n" + error,
+        "HTTP/1.1 500 X\r\n" + rest + typed + "\r\n" + error,
+        "HTTP/1.1 500 X\r\nX-Request-Id: r1\r\nConnection: close\r\n\r\n" + error,
+        "HTTP/1.1 503 X\r\nX-Run-State: not_run\r\n" + rest + "\r\n" + error,
+        "HTTP/1.1 429 X\r\n" + rest + "\r\n" + error,
+        "HTTP/1.1 421 X\r\n" + rest + "\r\n" + error,
+        "HTTP/1.1 400 X\r\n" + rest + "\r\n" + error,
+        "HTTP/1.1 404 X\r\n" + rest + typed + "\r\n" + error,
+        "HTTP/1.1 302 X\r\n" + rest + "\r\n" + error,
+        "HTTP/1.1 201 X\r\n" + rest + "\r\n" + error,
+        "HTTP/1.1 204 X\r\nX-Request-Id: r1\r\n\r\n",
+        "HTTP/1.1 200 X\r\n" + rest + "\r\n" + error,
+        "HTTP/1.1 200 X\r\n" + rest + "Content-Type: text/plain\r\n\r\n" + error,
+    };
+    for (const auto& text : answers) {
+        scripted_server scripted{{{text, true}}};
+        http_backend_client client;
+        recorder answer;
+        auto r = make_plain(scripted.port(), "POST", "/v1/chat/completions");
+        r.kind = call_kind::chat_stream;
+        r.resume_tokens = 4;
+        const auto o = client.call(r, answer.sink(), {});
+        EXPECT_FALSE(o.complete) << text;
+        EXPECT_NE(o.code, result_code::ok) << text;
+        EXPECT_TRUE(answer.text.empty() && answer.body.empty() && answer.ends == 0) << text;
+        const bool is_stream_status = text.starts_with("HTTP/1.1 200");
+        EXPECT_EQ(answer.heads, is_stream_status ? 1 : 0) << text;
+    }
+}
+
 // Failure: a server repeats the refusal of an earlier attempt on a kept connection. Each attempt has an id of
 // its own.
 TEST(repeated_refusal, is_not_taken_for_the_answer_to_the_next_attempt) {
