Count servers with low limits in part when servers are requested

A server with a limit below the rate that a required server has to take now lacks the difference, and each zone is planned with as many servers more. The rate is the demand of all callers, which daemons tell each other while limits are in force, divided by the required servers.

--- a/apps/daemon/src/duty_agent.cpp
+++ b/apps/daemon/src/duty_agent.cpp
@@ -204,11 +204,12 @@
                      [&id = id](const auto& s) { return s.service == id; });
         const auto it = load.find(id);
         const auto status = it == load.end() ? scheduling::scheduler_status{} : it->second;
-        autoscaler->observe({.requests = static_cast<double>(status.running + status.peer_running +
-                                                             status.waiting + status.peer_waiting),
-                             .prefill_tokens_per_s = status.prefill_tokens_per_s,
-                             .prefill_tokens_per_s_per_server = status.prefill_tokens_per_ms * 1000},
-                            service_servers, loop_.now());
+        duties::service_demand demand{.requests = static_cast<double>(status.running + status.peer_running +
+                                                                      status.waiting + status.peer_waiting),
+                                      .prefill_tokens_per_s = status.prefill_tokens_per_s,
+                                      .prefill_tokens_per_s_per_server = status.prefill_tokens_per_ms * 1000};
+        queries_.add_signals(id, demand);
+        autoscaler->observe(demand, service_servers, loop_.now());
         for (const auto& request : autoscaler->due_capacity_requests(loop_.now())) {
             send_capacity_request(id, request);
         }
--- a/apps/daemon/src/duty_agent.h
+++ b/apps/daemon/src/duty_agent.h
@@ -33,6 +33,8 @@
     std::function<std::shared_ptr<const catalog::snapshot>()> catalog;
     std::function<std::vector<catalog::backend_server>()> servers;
     std::function<std::unordered_map<base::service_id, scheduling::scheduler_status>()> load;
+    /// Adds what the servers of a service and its callers say about its load.
+    std::function<void(const base::service_id&, duties::service_demand&)> add_signals;
     /// @return true if this daemon competes for the lease while no peer holds it.
     std::function<bool()> may_compete;
 };
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -199,16 +199,18 @@
            .received = [this](const sharing::beacon& b) { on_beacon(b); },
            .store_unreachable = [this] { return store_unreachable(); }}},
       meter_{{settings_.vm, peer_exchange_.incarnation()}},
-      duties_{loop_,
-              settings_,
-              store_,
-              peer_exchange_.peers(),
-              meter_,
-              peer_exchange_.incarnation(),
-              {.catalog = [this] { return catalog_; },
-               .servers = [this] { return router_.servers(); },
-               .load = [this] { return router_.status(); },
-               .may_compete = [this] { return may_compete_for_lease(); }}},
+      duties_{
+          loop_,
+          settings_,
+          store_,
+          peer_exchange_.peers(),
+          meter_,
+          peer_exchange_.incarnation(),
+          {.catalog = [this] { return catalog_; },
+           .servers = [this] { return router_.servers(); },
+           .load = [this] { return router_.status(); },
+           .add_signals = [this](const base::service_id& id, duties::service_demand& d) { add_signals(id, d); },
+           .may_compete = [this] { return may_compete_for_lease(); }}},
       caller_listener_{loop_, settings_.callers,
                        [this](const Poco::Net::StreamSocket& x) { accept_caller(x); }},
       readiness_listener_{loop_, settings_.readiness,
@@ -601,6 +603,20 @@
          .window = r.window});
 }
 
+void edge_daemon::add_signals(const base::service_id& service, duties::service_demand& d) const {
+    const auto now = loop_.now();
+    const auto& signals = router_.server_signals();
+    for (const auto& s : signals.status(now)) {
+        if (s.limit && s.service == service) {
+            d.server_limits.emplace(s.server, *s.limit);
+        }
+    }
+    // In a large fleet only the daemons of this zone tell their demand.
+    const double covered = static_cast<double>(signals.demands().known_demand_daemons(now)) /
+                           static_cast<double>(peer_exchange_.peers().live_count(now));
+    d.arrivals_per_s = signals.demands().known_demand(service, now) / std::min(1.0, covered);
+}
+
 void edge_daemon::apply_fleet_to_signals() {
     const auto now = loop_.now();
     const auto& peers = peer_exchange_.peers();
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -98,6 +98,8 @@
     /// Tells the signals of servers how many daemons divide their limits, and how fast these learn of news.
     void apply_fleet_to_signals();
     void set_signal_gauges(base::time_point now);
+    /// Adds the limits of the servers and the demand of the fleet to the load of a service.
+    void add_signals(const base::service_id& service, duties::service_demand& d) const;
     void check_settings_file();
     void reload();
     void begin_stop();
--- a/packages/backend/src/attempt.cpp
+++ b/packages/backend/src/attempt.cpp
@@ -77,8 +77,8 @@
         throw base::error{*guard_.stopped(), "stopped before the answer"};
     }
     if (guard_.ended()) {
-        // POCO takes the end of the connection for the end of the head. Behind a whole head it has not read on
-        // yet.
+        // POCO takes the end of the connection for the end of the head. Behind a whole head it has not read
+        // on yet.
         throw base::error{result_code::answer_truncated, "connection ended within the head"};
     }
     head_received_ = true;
--- a/packages/backpressure/include/backpressure/demand_table.h
+++ b/packages/backpressure/include/backpressure/demand_table.h
@@ -74,6 +74,12 @@
     /// @return requests per second of this daemon's callers, by service.
     [[nodiscard]] std::map<base::service_id, double> local_demands(base::time_point now) const;
 
+    /// @return requests per second of the callers of this daemon and of the peers that were heard of
+    /// recently. Peers tell their demand only while servers name limits.
+    [[nodiscard]] double known_demand(const base::service_id& service, base::time_point now) const;
+    /// @return number of daemons that `known_demand` covers.
+    [[nodiscard]] std::size_t known_demand_daemons(base::time_point now) const;
+
     /// @param rate limit of the server in requests per second.
     /// @return the part of this daemon.
     [[nodiscard]] limit_share share(server_key server, const base::service_id& service,
--- a/packages/backpressure/include/backpressure/signal_table.h
+++ b/packages/backpressure/include/backpressure/signal_table.h
@@ -92,6 +92,8 @@
     /// @return requests per second that the fleet may send to the server; nothing without a limit.
     [[nodiscard]] std::optional<double> limit(server_key server) const;
 
+    [[nodiscard]] const demand_table& demands() const noexcept { return demands_; }
+
     /// @return what peers should know, of bounded size.
     [[nodiscard]] signal_report report(base::time_point now);
     /// Adds what a peer has observed or was told.
--- a/packages/backpressure/src/demand_table.cpp
+++ b/packages/backpressure/src/demand_table.cpp
@@ -77,6 +77,23 @@
     return out;
 }
 
+double demand_table::known_demand(const base::service_id& service, base::time_point now) const {
+    const auto own = arrivals_.find(service);
+    double sum = own == arrivals_.end() ? 0 : own->second.per_second(now);
+    for (const auto& [vm, p] : peers_) {
+        const auto it = p.demands.find(service);
+        sum += it != p.demands.end() && now - p.heard_at <= parameters_.silence_time ? it->second : 0;
+    }
+    return sum;
+}
+
+std::size_t demand_table::known_demand_daemons(base::time_point now) const {
+    return 1 + static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+               return !entry.second.demands.empty() &&
+                      now - entry.second.heard_at <= parameters_.silence_time;
+           }));
+}
+
 base::zone_id demand_table::sending_zone(server_key server, const base::zone_id& server_zone) const {
     std::set<base::zone_id> zones{zone_};
     for (const auto& [vm, p] : peers_) {
--- a/packages/duties/include/duties/autoscaler.h
+++ b/packages/duties/include/duties/autoscaler.h
@@ -25,6 +25,10 @@
     double prefill_tokens_per_s = 0;
     /// Prefill speed of one server in prompt tokens per second; 0 if unknown.
     double prefill_tokens_per_s_per_server = 0;
+    /// Requests per second that callers send; 0 if unknown.
+    double arrivals_per_s = 0;
+    /// Requests per second that servers take at most, as far as they have named a limit.
+    std::map<base::backend_server_id, double> server_limits;
 };
 
 /// Request to set the number of reserved or of reclaimable servers in one zone.
@@ -52,6 +56,8 @@
 /// reserved servers are released only after reclaimable ones have started, and requested while the platform
 /// has no reclaimable ones.
 ///
+/// A server that names a rate limit below the rate that a server has to take counts only in part.
+///
 /// Usage: call `observe` every second, send the requests that `due_capacity_requests` returns, and pass each
 /// result to `capacity_request_finished`.
 class autoscaler {
@@ -94,6 +100,8 @@
         base::time_point accepted_at;
     };
 
+    /// Determines by how many servers the limits of servers reduce the capacity of each zone.
+    void record_limits(const service_demand& d, const std::vector<catalog::backend_server>& servers);
     void plan();
     /// @param previous_count number of active servers at the previous observation.
     void record_loss(const pool_key& k, std::uint32_t previous_count);
@@ -108,6 +116,8 @@
     /// Servers that are not draining.
     std::map<pool_key, std::uint32_t> active_counts_;
     std::map<pool_key, pool_state> pools_;
+    /// Capacity that limited servers lack, in servers.
+    std::map<base::zone_id, double> lacking_servers_;
     base::time_point servers_known_since_;
     std::optional<base::time_point> first_observed_at_;
     std::optional<base::time_point> first_load_at_;
--- a/packages/duties/src/autoscaler.cpp
+++ b/packages/duties/src/autoscaler.cpp
@@ -90,9 +90,24 @@
     for (const auto& [k, count] : previous_counts) {
         record_loss(k, count);
     }
+    record_limits(d, servers);
     plan();
 }
 
+void autoscaler::record_limits(const service_demand& d, const std::vector<catalog::backend_server>& servers) {
+    lacking_servers_.clear();
+    const double rate_per_server = d.arrivals_per_s / std::max(1.0, required_servers());
+    if (rate_per_server <= 0) {
+        return;
+    }
+    for (const auto& s : servers) {
+        const auto it = d.server_limits.find(s.id);
+        if (!s.draining && it != d.server_limits.end()) {
+            lacking_servers_[s.zone] += std::max(0.0, 1 - it->second / rate_per_server);
+        }
+    }
+}
+
 // A request reduces the number of servers to the requested one at most. Fewer servers were reclaimed or have
 // failed, and are replaced at once rather than when the last request is overdue.
 void autoscaler::record_loss(const pool_key& k, std::uint32_t previous_count) {
@@ -140,10 +155,13 @@
     const double per_zone = std::max(required_servers(), assumed_required_ * cold_cache_factor) /
                             (use_reclaimable && zones > 1 ? zones - 1 : zones);
     const auto max_servers = parameters_.max_servers_per_zone;
-    const auto desired = std::clamp<std::uint32_t>(static_cast<std::uint32_t>(std::ceil(per_zone)) + 1,
-                                                   parameters_.min_servers_per_zone, max_servers);
     const auto reserved_zones = zones_with_reserved_server();
     for (const auto& [zone, price] : parameters_.zone_prices) {
+        const auto limited = lacking_servers_.find(zone);
+        const double lacking = limited == lacking_servers_.end() ? 0 : limited->second;
+        const auto desired =
+            std::clamp<std::uint32_t>(static_cast<std::uint32_t>(std::ceil(per_zone + lacking)) + 1,
+                                      parameters_.min_servers_per_zone, max_servers);
         const auto active_reserved = active_count(zone, false);
         const auto active_reclaimable = active_count(zone, true);
         if (!use_reclaimable) {
@@ -154,7 +172,7 @@
         const auto reclaimable_target = desired > reserved_floor ? desired - reserved_floor : 0;
         // Reserved servers are released as reclaimable ones start.
         const auto servers_for_zone_load =
-            static_cast<std::uint32_t>(std::ceil(required_servers() / zones)) + 1;
+            static_cast<std::uint32_t>(std::ceil(required_servers() / zones + lacking)) + 1;
         const auto missing_reclaimable =
             std::min(reclaimable_target, servers_for_zone_load) > active_reclaimable
                 ? std::min(reclaimable_target, servers_for_zone_load) - active_reclaimable
--- a/packages/duties/tests/autoscaler_test.cpp
+++ b/packages/duties/tests/autoscaler_test.cpp
@@ -276,5 +276,38 @@
     EXPECT_EQ(send_due_requests(p, start + 3s).count({"a", true}), 1U);
 }
 
+// Load: servers name limits, so that they run few requests and seem not to be needed. Guards against
+// releasing servers, or requesting none, when the others have to take their requests.
+TEST(autoscaler, servers_with_low_limits_are_replaced_by_further_ones) {
+    autoscaler p{make_parameters(std::nullopt), 64, registration_start - 1min};
+    const auto servers = make_servers(3, 0);
+    service_demand d{.requests = 60, .arrivals_per_s = 40};
+    for (int i = 0; i < 40; ++i) {
+        p.observe(d, servers, start + i * 1s);
+    }
+    EXPECT_EQ(send_due_requests(p, start + 40s).at({"a", false}), 2U);
+    for (const auto* id : {"a0", "a1", "b0"}) {
+        d.server_limits[base::backend_server_id{id}] = 1;
+    }
+    p.observe(d, servers, start + 41s);
+    const auto requests = send_due_requests(p, start + 41s);
+    EXPECT_EQ(requests.at({"a", false}), 4U);
+    EXPECT_EQ(requests.at({"b", false}), 3U);
+    EXPECT_EQ(requests.count({"c", false}), 0U);
+    d.server_limits.clear();
+    p.observe(d, servers, start + 42s);
+    EXPECT_EQ(send_due_requests(p, start + 42s).at({"a", false}), 2U);
+}
+
+TEST(autoscaler, limits_above_the_rate_of_a_server_change_nothing) {
+    autoscaler p{make_parameters(std::nullopt), 64, registration_start - 1min};
+    service_demand d{.requests = 60, .arrivals_per_s = 40};
+    d.server_limits = {{base::backend_server_id{"a0"}, 100}, {base::backend_server_id{"b0"}, 1e6}};
+    for (int i = 0; i < 40; ++i) {
+        p.observe(d, make_servers(3, 0), start + i * 1s);
+    }
+    EXPECT_EQ(send_due_requests(p, start + 40s).at({"a", false}), 2U);
+}
+
 }  // namespace
 }  // namespace chicorygap::duties
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -111,6 +111,7 @@
 
     /// @return what the servers say of themselves.
     [[nodiscard]] backpressure::signal_table& server_signals();
+    [[nodiscard]] const backpressure::signal_table& server_signals() const;
 
     /// @return the server list; servers that have announced in a response that they stop are draining.
     [[nodiscard]] std::vector<catalog::backend_server> servers() const;
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -43,6 +43,9 @@
 backpressure::signal_table& request_router::server_signals() {
     return impl_->signals;
 }
+const backpressure::signal_table& request_router::server_signals() const {
+    return impl_->signals;
+}
 std::vector<catalog::backend_server> request_router::servers() const {
     return impl_->servers();
 }
