--- a/packages/proxy/tests/test_header_codec.h
+++ b/packages/proxy/tests/test_header_codec.h
@@ -4,6 +4,7 @@
 
 #include "proxy/header_codec.h"
 
+#include <chrono>
 #include <cstdint>
 #include <sstream>
 #include <string>
@@ -11,7 +12,7 @@
 namespace chicorygap::proxy {
 
 /// Header codec for tests. Requests use the fields Id, Key, Last and Parts (ids in decimal); responses use
-/// Id, Not-Run and status 421.
+/// Id, Not-Run, Limit (requests per second), Wait (seconds), Leaving and status 421.
 class test_header_codec final : public header_codec {
 public:
     [[nodiscard]] request_metadata decode(const http::request_head& head) const override {
@@ -42,9 +43,17 @@
     }
 
     [[nodiscard]] response_metadata decode(const http::response_head& head) const override {
-        return {.request_id = text(head.headers, "Id"),
-                .not_run = head.headers.find("Not-Run") != nullptr,
-                .wrong_server = head.status == 421};
+        response_metadata r{.request_id = text(head.headers, "Id"),
+                            .not_run = head.headers.find("Not-Run") != nullptr,
+                            .wrong_server = head.status == 421};
+        if (const auto* limit = head.headers.find("Limit")) {
+            r.signals.rate_limit = std::stod(*limit);
+        }
+        if (const auto* wait = head.headers.find("Wait")) {
+            r.signals.retry_after = std::chrono::seconds{std::stoi(*wait)};
+        }
+        r.signals.leaving = head.headers.find("Leaving") != nullptr;
+        return r;
     }
 
     [[nodiscard]] http::response_head error_response(
