--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -34,43 +34,12 @@
 constexpr base::duration stop_margin = 700ms;
 /// Limit on the body of a request to the operator or readiness address.
 constexpr std::size_t max_internal_body_bytes = std::size_t{1024} * 1024;
-/// Number of usage windows whose counts are sent to peers: the current one and those not reported yet.
-constexpr std::uint64_t beacon_window_count = 3;
-/// Number of usage windows before the current one whose counts are kept.
-constexpr std::uint64_t retained_window_count = 12;
-/// Part of the fleet's retry budget that is divided among the daemons. The rest is a reserve, because the
-/// daemons do not spend their shares evenly over time.
-constexpr double usable_retry_budget_ratio = 0.85;
-/// Time for which this daemon must be behind a peer before it fetches the data from the peer. Usually its own
-/// watch delivers the change earlier.
-constexpr base::duration peer_fetch_delay = 250ms;
-
-/// The same for a peer in another zone of a large fleet: the time in which the change reaches this zone.
-constexpr base::duration other_zone_fetch_delay = 1500ms;
-/// Delay between two failed calls to the store, multiplied by the number of daemons in the zone: together
-/// these make at most 25 calls a second for each kind of object.
-constexpr base::duration store_retry_delay_per_daemon = 40ms;
-/// Number of daemons that is assumed after the start, until the peers are known. A smaller one would let each
-/// of many daemons that start together use the retry budget of the whole fleet.
-constexpr std::size_t assumed_fleet_size = 50;
-constexpr base::duration fleet_discovery_time = 3s;
-
-/// Changes of the server list are batched for a time that grows with the fleet, because the store calls of
-/// each daemon are charged and a larger fleet has more servers. The maximum is well below the drain time.
-constexpr base::duration server_batch_delay_per_daemon = 6ms;
-constexpr base::duration max_server_batch_delay = 500ms;
-
 /// Log output that is buffered while its reader stalls: a few seconds of output on the day of highest load.
 constexpr std::size_t max_log_buffer_bytes = std::size_t{256} * 1024;
 
-/// Longest wait of a watch of a mirror. A mirror that hangs is detected after this time, and the changes that
-/// it missed must still be applied in time.
-constexpr base::duration max_mirrored_watch_wait = 800ms;
-/// Longest wait of a mirror's watch of the store. Longer, because these calls are charged; daemons whose
-/// mirror has silently lost the store hear of changes from the beacons of others.
-constexpr base::duration max_mirror_store_wait = 1500ms;
-/// Time after the last response of the store within which a mirror answers that nothing has changed.
-constexpr base::duration max_mirror_confirmation_age = max_mirror_store_wait + 800ms;
+/// Time after the last response of the store within which a mirror answers that nothing has changed: its
+/// longest wait for the store, and a margin.
+constexpr base::duration max_mirror_confirmation_age = 2300ms;
 
 /// @return time since the store or a mirror last confirmed the cache; nothing before the first list.
 std::optional<base::duration> confirmation_age(const platform::object_cache& cache, base::time_point now) {
@@ -108,7 +77,9 @@
     return ec ? std::filesystem::file_time_type::min() : t;
 }
 
-proxy::router_options router_options(const settings::edge_settings& s) {
+}  // namespace
+
+proxy::router_options edge_daemon::router_options(const settings::edge_settings& s) {
     const auto daemons = static_cast<double>(assumed_fleet_size);
     return {.self = s.vm,
             .zone = s.zone,
@@ -118,8 +89,6 @@
             .max_open_requests = s.memory_limit_bytes / request_memory_divisor / memory_bytes_per_request};
 }
 
-}  // namespace
-
 void edge_daemon::request_stop() noexcept {
     stop_requested = true;
 }
@@ -365,19 +334,6 @@
     metrics_->set_gauge("starts_deferred_by_signals", static_cast<double>(signals.deferred_starts()));
 }
 
-// One daemon of the fleet: the holder of the lease, or the first by name where there are no duties.
-bool edge_daemon::may_try_quarantined_parts() const {
-    if (duties_.held_term() != 0) {
-        return true;
-    }
-    const auto now = loop_.now();
-    if (settings_.cloud_api) {
-        return false;
-    }
-    const auto peers = peer_exchange_.peers().live_peers(now);
-    return std::all_of(peers.begin(), peers.end(), [&](const auto* p) { return settings_.vm < p->vm; });
-}
-
 bool edge_daemon::ready() const {
     return catalog_ && servers_known_ && !stopping_;
 }
@@ -467,168 +423,11 @@
     }
 }
 
-void edge_daemon::compose_beacon(sharing::beacon& b, bool with_counts) {
-    b.configuration_version = catalog_ ? catalog_->version : 0;
-    b.servers_revision = server_cache_.last_changed_revision();
-    b.servers_final_revision = directory_.removals_final(loop_.now()) ? server_cache_.revision() : 0;
-    b.stopping = stopping_;
-    b.store_unreachable = store_unreachable();
-    b.lease_term = duties_.held_term();
-    b.crashes = router_.prompt_guard().report(loop_.now());
-    b.signals = router_.server_signals().report(loop_.now());
-    for (auto& [id, load] : router_.local_loads()) {
-        b.services.emplace(id, std::move(load));
-    }
-    if (!with_counts) {
-        return;
-    }
-    const auto wall = peer_exchange_.peers().median_wall_time(base::wall_clock_now(), loop_.now());
-    const auto current = static_cast<std::uint64_t>(metering::window_at(wall, settings_.duties.usage_window));
-    for (std::uint64_t i = 0; i < beacon_window_count; ++i) {
-        const metering::window_number w{current - i};
-        if (const auto& counts = meter_.local_counts(w); !counts.empty()) {
-            b.windows.emplace(w, counts);
-        }
-    }
-    meter_.discard_before(metering::window_number{current - retained_window_count});
-}
-
-void edge_daemon::on_beacon(const sharing::beacon& b) {
-    const auto lifetime = sharing::peer_timeout(peer_exchange_.peers().known_count());
-    if (!b.services.empty()) {
-        router_.set_peer_load(b.vm, {b.services.begin(), b.services.end()}, lifetime);
-    }
-    if (!b.zone_services.empty() && b.zone != settings_.zone) {
-        // One entry per zone, so that reports of a new zone representative replace those of the previous one.
-        router_.set_peer_load(base::vm_id{"zone " + b.zone.str()},
-                              {b.zone_services.begin(), b.zone_services.end()}, lifetime);
-    }
-    if (!b.crashes.empty()) {
-        router_.prompt_guard().merge(b.crashes, loop_.now());
-    }
-    router_.server_signals().merge(b.vm, b.zone, b.signals, b.stopping, loop_.now());
-    for (const auto& [w, counts] : b.windows) {
-        meter_.merge({b.vm, b.incarnation}, w, counts);
-    }
-    // The lists of both daemons are equal if the revisions at which they are valid overlap.
-    if (b.servers_final_revision >= server_cache_.last_changed_revision() &&
-        b.servers_revision <= server_cache_.revision() && b.servers_final_revision != 0) {
-        on_removals_final(b.vm.str().c_str());
-    }
-    const auto version = catalog_ ? catalog_->version : 0;
-    if (b.configuration_version > version) {
-        fetch_from_peer(configuration_cache_, configuration_fetch_pending_, b);
-    }
-    if (b.servers_revision > server_cache_.revision()) {
-        fetch_from_peer(server_cache_, servers_fetch_pending_, b);
-    }
-}
-
-platform::watch_options edge_daemon::next_watch_options(base::duration deadline, int mirror_failures) {
-    const auto max_wait = platform::watch_wait_for(deadline);
-    if (!peer_exchange_.zone_has_mirrors()) {
-        return {.max_wait = max_wait};
-    }
-    const auto zone_size = peer_exchange_.peers().live_peer_count_in_zone(settings_.zone, loop_.now()) + 1;
-    platform::watch_options options{
-        .mirror = nullptr,
-        .max_wait = std::min(max_mirror_store_wait, max_wait),
-        .min_retry_delay = store_retry_delay_per_daemon * static_cast<int>(zone_size)};
-    if (const auto address = peer_exchange_.mirror(mirror_failures)) {
-        mirror_client_.set_address(*address);
-        options.mirror = &mirror_client_;
-        options.max_wait = std::min(max_mirrored_watch_wait, max_wait);
-    }
-    return options;
-}
-
-bool edge_daemon::store_unreachable() const {
-    return configuration_cache_.store_failing() || server_cache_.store_failing();
-}
-
-bool edge_daemon::may_compete_for_lease() const {
-    const auto fleet_size = peer_exchange_.peers().fleet_size(settings_.zone, loop_.now());
-    return !sharing::uses_zone_digests(fleet_size) ||
-           (peer_exchange_.is_representative() && !store_unreachable());
-}
-
-void edge_daemon::fetch_from_peer(platform::object_cache& cache, bool& pending, const sharing::beacon& b) {
-    if (std::exchange(pending, true)) {
-        return;
-    }
-    const auto before = cache.revision();
-    // In a large fleet the representatives fetch from other zones, and the other daemons from them.
-    const bool waits_for_zone =
-        b.zone != settings_.zone && b.zone_daemons > 0 && !peer_exchange_.is_representative();
-    loop_.after(waits_for_zone ? other_zone_fetch_delay : peer_fetch_delay,
-                [this, &cache, &pending, before, from = b.operator_address] {
-                    pending = false;
-                    if (cache.revision() != before) {
-                        return;  // the watch has delivered the change
-                    }
-                    peer_exchange_.fetch(
-                        from, platform::kind_path(cache.kind()), [&cache, from](const std::string& copy) {
-                            if (cache.replace_if_newer(copy)) {
-                                base::log_line{base::log_level::info, "daemon",
-                                               "Fetched newer store objects from a peer."}
-                                    .field("peer", net::to_string(from))
-                                    .field("revision", static_cast<long long>(cache.revision()));
-                            }
-                        });
-                });
-}
-
 void edge_daemon::count_started_request(const base::workspace_id& workspace) {
     const auto wall = peer_exchange_.peers().median_wall_time(base::wall_clock_now(), loop_.now());
     meter_.count_request(metering::window_at(wall, settings_.duties.usage_window), workspace);
 }
 
-void edge_daemon::apply_fleet_size() {
-    const auto live = peer_exchange_.peers().live_count(loop_.now());
-    const bool discovering = loop_.now() - started_at_ < fleet_discovery_time;
-    const auto daemons = discovering ? std::max(live, assumed_fleet_size) : live;
-    if (std::exchange(applied_fleet_size_, daemons) == daemons) {
-        return;
-    }
-    base::log_line{base::log_level::info, "fleet", "Number of live daemons changed."}.field(
-        "count", static_cast<long long>(daemons));
-    server_cache_.set_batch_delay(
-        std::min(server_batch_delay_per_daemon * static_cast<int>(daemons), max_server_batch_delay));
-    router_.prompt_guard().set_settle_time(sharing::news_delay(daemons));
-    const auto& r = settings_.retries;
-    router_.set_retry_budget_share(
-        {.ratio = r.ratio * usable_retry_budget_ratio,
-         .extra_retries =
-             static_cast<int>(r.extra_retries * usable_retry_budget_ratio / static_cast<double>(daemons)),
-         .window = r.window});
-}
-
-void edge_daemon::add_signals(const base::service_id& service, duties::service_demand& d) const {
-    const auto now = loop_.now();
-    const auto& signals = router_.server_signals();
-    for (const auto& s : signals.status(now)) {
-        if (s.limit && s.service == service) {
-            d.server_limits.emplace(s.server, *s.limit);
-        }
-    }
-    // In a large fleet only the daemons of this zone tell their demand.
-    const double covered = static_cast<double>(signals.demands().known_demand_daemons(now)) /
-                           static_cast<double>(peer_exchange_.peers().live_count(now));
-    d.arrivals_per_s = signals.demands().known_demand(service, now) / std::min(1.0, covered);
-}
-
-void edge_daemon::apply_fleet_to_signals() {
-    const auto now = loop_.now();
-    const auto& peers = peer_exchange_.peers();
-    const bool within_zones = sharing::uses_zone_digests(peers.fleet_size(settings_.zone, now));
-    const auto others = within_zones ? peers.addresses_in_zone(settings_.zone) : peers.addresses();
-    const auto known = within_zones ? others.size() + 1 : peers.known_count();
-    router_.server_signals().set_fleet({.within_zones = within_zones,
-                                        .settle_time = sharing::news_delay(applied_fleet_size_),
-                                        .silence_time = sharing::peer_timeout(known),
-                                        .known_daemons = others.size() + 1});
-}
-
 void edge_daemon::check_settings_file() {
     if (modification_time(settings_path_) != settings_modified_at_) {
         reload();
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -56,6 +56,11 @@
     static void request_reload() noexcept;
 
 private:
+    /// Number of daemons that is assumed after the start, until the peers are known. A smaller one would let
+    /// each of many daemons that start together use the retry budget of the whole fleet.
+    static constexpr std::size_t assumed_fleet_size = 50;
+
+    [[nodiscard]] static proxy::router_options router_options(const settings::edge_settings& s);
     void accept_caller(const Poco::Net::StreamSocket& socket);
     void accept_readiness(const Poco::Net::StreamSocket& socket);
     void accept_operator(const Poco::Net::StreamSocket& socket);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -5,6 +5,7 @@
 #include "placement.h"
 #include "prefill_speed_estimator.h"
 #include "server_state.h"
+#include "signal_wait.h"
 #include "token_gap_monitor.h"
 #include "wait_queue.h"
 
@@ -49,8 +50,6 @@
 /// Bounds of the retry delay of rejected callers, before jitter.
 constexpr base::duration min_retry_after = 250ms;
 constexpr base::duration max_retry_after = 3s;
-/// Upper bound while all servers have named limits or times without requests.
-constexpr base::duration max_retry_after_signals = 30s;
 /// Maximum jitter as a fraction of the retry delay, so that callers rejected together do not retry together.
 constexpr double retry_jitter_fraction = 0.5;
 /// Maximum number of waiting requests that are tried for a free slot, so that a large request does not block
@@ -455,43 +454,15 @@
         return std::chrono::duration_cast<base::duration>(d * factor);
     }
 
-    /// @param ahead requests that start before.
-    /// @return time until the servers' own limits let a request start; nothing if one of the servers has
-    /// none.
-    [[nodiscard]] std::optional<base::duration> wait_for_servers(std::size_t ahead,
+    [[nodiscard]] std::optional<base::duration> wait_for_signals(std::size_t ahead,
                                                                  base::time_point now) const {
-        if (options_.signals == nullptr) {
-            return std::nullopt;
-        }
-        std::optional<base::duration> paused;
-        std::optional<base::duration> first_start;
-        double starts_per_s = 0;
-        for (const auto* s : sorted_servers_) {
-            const auto f = s->info.draining || s->health.ejected(now)
-                               ? std::nullopt
-                               : options_.signals->forecast(s->signal_key, now);
-            if (!f) {
-                continue;
-            }
-            auto& earliest = f->rate ? first_start : paused;
-            earliest = std::min(earliest.value_or(f->first), f->first);
-            starts_per_s += f->rate.value_or(0);
-        }
-        if (paused && *paused <= base::duration{}) {
-            return std::nullopt;
-        }
-        auto wait = paused.value_or(max_retry_after_signals);
-        if (first_start) {
-            const std::chrono::duration<double> others{static_cast<double>(ahead) / starts_per_s};
-            wait = std::min(wait, *first_start + std::chrono::duration_cast<base::duration>(
-                                                     std::min(others, std::chrono::duration<double>{wait})));
-        }
-        // Without a server for this daemon, another daemon may have one.
-        return paused || first_start ? wait : max_retry_after;
+        return options_.signals == nullptr
+                   ? std::nullopt
+                   : scheduling::wait_for_signals(sorted_servers_, *options_.signals, ahead, now);
     }
 
     base::duration expected_wait(std::uint8_t priority_rank, base::time_point now) {
-        if (const auto wait = wait_for_servers(queue_.count_ahead(priority_rank), now)) {
+        if (const auto wait = wait_for_signals(queue_.count_ahead(priority_rank), now)) {
             return *wait;
         }
         drop_old_starts(now);
@@ -512,7 +483,7 @@
         const auto wait = expected_wait(e.request.priority_rank, now);
         const double jitter =
             retry_jitter_fraction * static_cast<double>(random_() % 1024) / 1024.0;  // in 1024 steps
-        const auto longest = wait_for_servers(0, now) ? max_retry_after_signals : max_retry_after;
+        const auto longest = wait_for_signals(0, now) ? longest_signal_wait : max_retry_after;
         const auto retry = scaled(std::clamp(wait, min_retry_after, longest), 1 + jitter);
         const auto id = e.request.id;
         decisions_.emplace_back(reject_decision{id, code, retry});
