Let servers name limits and waits in the soak

Two more faults, drawn from a generator of their own so that the earlier faults of each seed stay the same: a server names a limit of 0 to 4 a second for 4 to 9 s and its arrivals are checked against 1.5 times the limit + 5 in 4 s, whatever else happens; a server refuses with 503 and Retry-After.

--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -4,6 +4,7 @@
 #include "site.h"
 #include "standin/configuration.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <csignal>
@@ -29,14 +30,25 @@
 constexpr base::duration drain_bound = 3s;
 /// Least number of servers of a service.
 constexpr std::size_t least_servers = 2;
+/// Limits that servers name, in requests per second, and for how long.
+constexpr std::uint64_t highest_limit = 4;
+constexpr base::duration shortest_limit = 4s;
+constexpr std::uint64_t limit_spread_ms = 5000;
+constexpr base::duration signal_interval = 1200ms;
 
 }  // namespace
 
-fault_plan::fault_plan(net::loop& l, site& s, promises& p, base::random_function random)
-    : loop_{l}, site_{s}, promises_{p}, random_{std::move(random)} {}
+fault_plan::fault_plan(net::loop& l, site& s, promises& p, base::random_function random,
+                       base::random_function signal_random)
+    : loop_{l},
+      site_{s},
+      promises_{p},
+      random_{std::move(random)},
+      signal_random_{std::move(signal_random)} {}
 
 fault_plan::~fault_plan() {
     loop_.cancel(draw_timer_);
+    loop_.cancel(signal_timer_);
     loop_.cancel(check_timer_);
     for (auto& [number, timer] : timers_) {
         loop_.cancel(timer);
@@ -46,11 +58,13 @@
 void fault_plan::start() {
     check_timer_ = loop_.every(check_interval, [this] { check_processes(); });
     draw();
+    draw_signal();
 }
 
 void fault_plan::stop() {
     stopped_ = true;
     loop_.cancel(draw_timer_);
+    loop_.cancel(signal_timer_);
     for (auto& [number, timer] : timers_) {
         loop_.cancel(timer);
     }
@@ -82,6 +96,17 @@
         loop_.after(shortest_gap + std::chrono::milliseconds{random_() % gap_spread_ms}, [this] { draw(); });
 }
 
+// Drawn apart from the faults, so that these stay the same for each seed.
+void fault_plan::draw_signal() {
+    const auto id = site_.servers()[signal_random_() % site_.servers().size()].server->options().id;
+    if (signal_random_() % 3 == 0) {
+        announce_wait(id);
+    } else {
+        limit_server(id);
+    }
+    signal_timer_ = loop_.after(signal_interval, [this] { draw_signal(); });
+}
+
 void fault_plan::note(const std::string& name, const std::string& where) {
     ++applied_[name];
     const auto ms =
@@ -278,6 +303,49 @@
     revert_after(length(300ms, 3s), [set] { set(link_fault::none, {}); });
 }
 
+site_server* fault_plan::find_server(const std::string& id) {
+    const auto it = std::find_if(site_.servers().begin(), site_.servers().end(),
+                                 [&](const auto& s) { return s.server->options().id == id; });
+    return it == site_.servers().end() ? nullptr : &*it;
+}
+
+void fault_plan::limit_server(const std::string& id) {
+    if (!limited_servers_.insert(id).second) {
+        return;
+    }
+    const auto limit = static_cast<double>(signal_random_() % (highest_limit + 1));
+    note("limit", id + ' ' + std::to_string(limit));
+    find_server(id)->server->set_response_field("Server-Limit", std::to_string(limit));
+    const auto begin = loop_.now();
+    const auto spread = std::chrono::milliseconds{signal_random_() % limit_spread_ms};
+    revert_after(shortest_limit + spread, [this, id, begin, limit] {
+        limited_servers_.erase(id);
+        const auto* s = find_server(id);
+        if (s == nullptr) {
+            return;
+        }
+        const auto& arrivals = s->server->arrivals();
+        const auto named = std::lower_bound(arrivals.begin(), arrivals.end(), begin);
+        if (named != arrivals.end()) {
+            promises_.check_limit(id, arrivals, *named, limit);
+        }
+        s->server->set_response_field("Server-Limit", "");
+    });
+}
+
+void fault_plan::announce_wait(const std::string& id) {
+    note("wait", id);
+    const auto set = [this, id](server_fault f, const std::string& seconds) {
+        if (const auto* s = find_server(id)) {
+            s->server->set_fault(f);
+            s->server->set_response_field("Retry-After", seconds);
+        }
+    };
+    set(server_fault::overloaded, "1.5");
+    revert_after(std::chrono::milliseconds{300 + signal_random_() % 1700},
+                 [set] { set(server_fault::none, ""); });
+}
+
 void fault_plan::crash_server() {
     auto& s = site_.servers()[pick(site_.servers().size())];
     note("crash", s.server->options().id);
--- a/testing/soak/src/fault_plan.h
+++ b/testing/soak/src/fault_plan.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 
 class promises;
 class site;
+struct site_server;
 
 /// Draws faults from a seed and applies them, in series that overlap.
 ///
@@ -23,7 +25,8 @@
 /// ended and all daemons run.
 class fault_plan {
 public:
-    fault_plan(net::loop& l, site& s, promises& p, base::random_function random);
+    fault_plan(net::loop& l, site& s, promises& p, base::random_function random,
+               base::random_function signal_random);
     ~fault_plan();
     fault_plan(const fault_plan&) = delete;
     fault_plan& operator=(const fault_plan&) = delete;
@@ -38,6 +41,9 @@
     using fault = void (fault_plan::*)();
 
     void draw();
+    void draw_signal();
+    /// @return nothing if the server has left.
+    [[nodiscard]] site_server* find_server(const std::string& id);
     void check_processes();
     void note(const std::string& name, const std::string& where);
     [[nodiscard]] base::duration length(base::duration shortest, base::duration longest);
@@ -61,6 +67,10 @@
     void harm_caller_link();
     void harm_server();
     void harm_server_link();
+    /// A server names a limit in its responses for some seconds; its arrivals are checked at the end.
+    void limit_server(const std::string& id);
+    /// A server refuses requests and names a time without requests.
+    void announce_wait(const std::string& id);
     void crash_server();
     void replace_server();
     void change_configuration();
@@ -71,6 +81,9 @@
     site& site_;
     promises& promises_;
     base::random_function random_;
+    base::random_function signal_random_;
+    std::set<std::string> limited_servers_;
+    net::timer_id signal_timer_ = net::timer_id::none;
     std::map<std::string, std::size_t> applied_;
     std::map<std::size_t, std::function<void()>> reverts_;
     std::map<std::size_t, net::timer_id> timers_;
--- a/testing/soak/src/main.cpp
+++ b/testing/soak/src/main.cpp
@@ -112,7 +112,9 @@
                      .subnet = o.subnet}};
     soak::promises promises{site.runs()};
     soak::traffic traffic{loop, site, promises, [&] { return traffic_generator(); }, o.callers};
-    soak::fault_plan faults{loop, site, promises, [&] { return faults_generator(); }};
+    std::mt19937_64 signals_generator{o.seed + 2};
+    soak::fault_plan faults{loop, site, promises, [&] { return faults_generator(); },
+                            [&] { return signals_generator(); }};
     run_for(loop, start_time);
     traffic.start();
     faults.start();
--- a/testing/soak/src/promises.cpp
+++ b/testing/soak/src/promises.cpp
@@ -1,5 +1,7 @@
 #include "promises.h"
 
+#include <algorithm>
+#include <chrono>
 #include <sstream>
 
 namespace chicorygap::soak {
@@ -10,6 +12,13 @@
 constexpr int status_busy = 429;
 constexpr int status_unavailable = 503;
 
+/// Requests that a server with a limit may get in a window: a factor of what the limit allows, and some more.
+constexpr base::duration limit_window = std::chrono::seconds{4};
+constexpr double limit_factor = 1.5;
+constexpr double limit_slack = 5;
+/// Time from the first response with a limit until the fleet must keep to it.
+constexpr base::duration limit_reaction_time = std::chrono::seconds{3};
+
 bool is_stream(request_kind k) {
     return k == request_kind::chat || k == request_kind::draft;
 }
@@ -75,6 +84,21 @@
     }
 }
 
+void promises::check_limit(const std::string& server, const std::vector<base::time_point>& arrivals,
+                           base::time_point named_at, double limit_per_s) {
+    const auto allowed =
+        limit_slack + limit_factor * limit_per_s * std::chrono::duration<double>{limit_window}.count();
+    const auto begin = std::lower_bound(arrivals.begin(), arrivals.end(), named_at + limit_reaction_time);
+    for (auto first = begin; first != arrivals.end(); ++first) {
+        const auto n = std::lower_bound(first, arrivals.end(), *first + limit_window) - first;
+        if (static_cast<double>(n) > allowed) {
+            broken_.push_back(server + ": " + std::to_string(n) + " requests in a window at a limit of " +
+                              std::to_string(limit_per_s) + " a second");
+            return;
+        }
+    }
+}
+
 void promises::check_runs() {
     for (const auto& [id, e] : ended_) {
         const auto& runs = runs_.executions_of(id);
--- a/testing/soak/src/promises.h
+++ b/testing/soak/src/promises.h
@@ -37,6 +37,12 @@
 
     void note(const sent_request& r, const standin::call_outcome& o);
 
+    /// Checks that a server got no more requests than the limit that it named allows.
+    /// @param arrivals times of all requests at the server.
+    /// @param named_at first response with the limit.
+    void check_limit(const std::string& server, const std::vector<base::time_point>& arrivals,
+                     base::time_point named_at, double limit_per_s);
+
     /// Checks what can be known only when nothing runs any more.
     void check_runs();
 
