--- a/packages/backpressure/src/demand_table.cpp
+++ b/packages/backpressure/src/demand_table.cpp
@@ -95,13 +95,16 @@
 }
 
 base::zone_id demand_table::sending_zone(server_key server, const base::zone_id& server_zone) const {
+    const bool has_daemons =
+        server_zone == zone_ || std::any_of(peers_.begin(), peers_.end(),
+                                            [&](const auto& p) { return p.second.zone == server_zone; });
+    if (has_daemons) {
+        return server_zone;
+    }
     std::set<base::zone_id> zones{zone_};
     for (const auto& [vm, p] : peers_) {
         zones.insert(p.zone);
     }
-    if (zones.contains(server_zone)) {
-        return server_zone;
-    }
     return *std::max_element(zones.begin(), zones.end(), [server](const auto& a, const auto& b) {
         return rendezvous_weight(server, hash_of(a.str())) < rendezvous_weight(server, hash_of(b.str()));
     });
