--- a/packages/backpressure/tests/signal_table_test.cpp
+++ b/packages/backpressure/tests/signal_table_test.cpp
@@ -28,6 +28,7 @@
 
     void name_limits(int count) {
         std::vector<catalog::backend_server> list;
+        list.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i) {
             list.push_back(make_server(i));
         }
