Send news without loads, and few known limits to other zones

Cause: the daemons are those that represent their zone while its two large VMs restart. They pass the digests of three other zones on to 14 daemons over a link of 10 Mbit/s. The limits made digests larger, and each change of a limit sent a digest with all loads. Seen: all connects of edge-dk-east-d-11 timed out from 26 to 40 s, with few requests and little processor time; it ranks behind the two large VMs.

News now carry no loads (0.6 KB instead of 3.4 KB; receivers keep the loads that they have), and periodic digests repeat four limits that other zones know. Changes are sent until all were told once, twice in turn.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -165,6 +165,12 @@
           store_,
           random(),
           {.compose = [this](sharing::beacon& b, bool with_counts) { compose_beacon(b, with_counts); },
+           .signals =
+               [this](backpressure::audience to) { return router_.server_signals().report(to, loop_.now()); },
+           .has_unsent_signals =
+               [this](backpressure::audience to) {
+                   return router_.server_signals().has_unreported_changes(to);
+               },
            .received = [this](const sharing::beacon& b) { on_beacon(b); },
            .store_unreachable = [this] { return store_unreachable(); }}},
       meter_{{settings_.vm, peer_exchange_.incarnation()}},
--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -66,7 +66,6 @@
     b.store_unreachable = store_unreachable();
     b.lease_term = duties_.held_term();
     b.crashes = router_.prompt_guard().report(loop_.now());
-    b.signals = router_.server_signals().report(loop_.now());
     for (auto& [id, load] : router_.local_loads()) {
         b.services.emplace(id, std::move(load));
     }
--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -97,7 +97,8 @@
     }
     const bool digests = sharing::uses_zone_digests(fleet_size);
     const bool mesh_beacon_due = fleet_beacon_due && !digests;
-    const auto b = make_beacon(mesh_beacon_due || sequence_ % beacons_per_usage_counts == 0);
+    auto b = make_beacon(mesh_beacon_due || sequence_ % beacons_per_usage_counts == 0);
+    b.signals = hooks_.signals(backpressure::audience::peers);
     send(b, peers_.addresses_in_zone(settings_.zone));
     if (mesh_beacon_due) {
         send(b, peers_.addresses_outside_zone(settings_.zone));
@@ -112,7 +113,7 @@
     if (now >= next_digest_ && is_representative()) {
         const auto zone_size = peers_.addresses_in_zone(settings_.zone).size() + 1;
         next_digest_ = now + sharing::digest_interval(zone_size);
-        send_digest();
+        send_digest(true);
     }
     check_for_new_lease_holder();
 }
@@ -122,10 +123,14 @@
            sharing::representatives_per_zone;
 }
 
-void peer_exchange::send_digest() {
+void peer_exchange::send_digest(bool with_loads) {
     auto b = make_beacon(false);
     peers_.add_zone_summary(b, loop_.now());
     b.services.clear();
+    if (!with_loads) {
+        b.zone_services.clear();
+    }
+    b.signals = hooks_.signals(backpressure::audience::other_zones);
     send(b, peers_.representatives_outside_zone(settings_.zone, loop_.now()));
 }
 
@@ -168,17 +173,30 @@
         loop_.after(std::max<base::duration>(news_collection_time, earliest_next_news_ - now), [this] {
             news_timer_ = net::timer_id::none;
             earliest_next_news_ = loop_.now() + min_news_interval;
-            const bool digests = sharing::uses_zone_digests(peers_.fleet_size(settings_.zone, loop_.now()));
-            if (std::exchange(own_news_, false)) {
-                const auto b = make_beacon(false);
-                send(b, digests ? peers_.addresses_in_zone(settings_.zone) : peers_.addresses());
-            }
-            if (digests && is_representative()) {
-                send_digest();
-            }
+            send_news();
         });
 }
 
+// News have no loads, which the regular beacons repeat often enough.
+void peer_exchange::send_news() {
+    const bool digests = sharing::uses_zone_digests(peers_.fleet_size(settings_.zone, loop_.now()));
+    bool more_own_news = false;
+    if (std::exchange(own_news_, false)) {
+        auto b = make_beacon_without_loads();
+        b.signals = hooks_.signals(backpressure::audience::peers);
+        send(b, digests ? peers_.addresses_in_zone(settings_.zone) : peers_.addresses());
+        more_own_news = hooks_.has_unsent_signals(backpressure::audience::peers);
+    }
+    bool more_fleet_news = false;
+    if (digests && is_representative()) {
+        send_digest(false);
+        more_fleet_news = hooks_.has_unsent_signals(backpressure::audience::other_zones);
+    }
+    if (more_own_news || more_fleet_news) {
+        send_soon(more_own_news);
+    }
+}
+
 sharing::beacon peer_exchange::make_identity_beacon() const {
     return {.vm = settings_.vm,
             .zone = settings_.zone,
--- a/apps/daemon/src/peer_exchange.h
+++ b/apps/daemon/src/peer_exchange.h
@@ -2,6 +2,7 @@
 /// Exchange of beacons between the daemons of the fleet.
 #pragma once
 
+#include "backpressure/signal_report.h"
 #include "base/random.h"
 #include "base/time.h"
 #include "http/async_client.h"
@@ -20,9 +21,13 @@
 namespace chicorygap::daemon_app {
 
 struct peer_exchange_hooks {
-    /// Adds the state of this daemon to a beacon that is about to be sent, with usage counts if the flag is
-    /// set.
+    /// Adds the state of this daemon, without the signals of servers, to a beacon that is about to be sent,
+    /// with usage counts if the flag is set.
     std::function<void(sharing::beacon&, bool with_counts)> compose;
+    /// @return what the servers say of themselves, for the receivers of a beacon.
+    std::function<backpressure::signal_report(backpressure::audience)> signals;
+    /// @return true if changes of these signals were not sent to the receivers.
+    std::function<bool(backpressure::audience)> has_unsent_signals;
     /// Called for each new beacon of a peer.
     std::function<void(const sharing::beacon&)> received;
     /// @return true if recent calls to the store failed, so that this daemon cannot mirror it for others.
@@ -90,7 +95,11 @@
     void send(const sharing::beacon& b, const std::vector<net::address>& to);
     void send_due_beacons();
     /// Sends the digest of this zone to the representatives of the other zones.
-    void send_digest();
+    /// @param with_loads false to send news only, which representatives with thin links pass on to their
+    /// zones.
+    void send_digest(bool with_loads);
+    /// Sends what has changed to the peers, and as a representative to the other zones.
+    void send_news();
     /// Sends the usage counts to a lease holder in another zone.
     void send_counts_to_lease_holder();
     /// Sends the usage counts early to a new lease holder.
--- a/packages/backpressure/include/backpressure/rate_limit.h
+++ b/packages/backpressure/include/backpressure/rate_limit.h
@@ -39,6 +39,8 @@
     /// @return true if the limit has changed noticeably.
     bool merge(const limit_record& r, base::time_point now);
 
+    /// @return true if the server has named a limit.
+    [[nodiscard]] bool known() const noexcept { return statement_ != 0; }
     /// @return false if the server names no limit any more, or never did.
     [[nodiscard]] bool active() const noexcept;
     /// @return requests per second that all daemons together may send; meaningful while the limit is active.
--- a/packages/backpressure/include/backpressure/signal_report.h
+++ b/packages/backpressure/include/backpressure/signal_report.h
@@ -30,6 +30,12 @@
     bool operator==(const limit_record&) const = default;
 };
 
+/// Receivers of reports. What each of them was told is kept apart.
+enum class audience : std::uint8_t {
+    peers,        ///< daemons that divide limits with the sender
+    other_zones,  ///< zones of a large fleet, which send nothing to the sender's servers with limits
+};
+
 /// What one daemon has observed or was told, and its own demand. Merging records in any order and any number
 /// of times gives the same result.
 struct signal_report {
--- a/packages/backpressure/include/backpressure/signal_table.h
+++ b/packages/backpressure/include/backpressure/signal_table.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "catalog/backend_server.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -94,8 +95,11 @@
 
     [[nodiscard]] const demand_table& demands() const noexcept { return demands_; }
 
-    /// @return what peers should know, of bounded size: what was reported least often since it has changed.
-    [[nodiscard]] signal_report report(base::time_point now);
+    /// @return what the receivers should know, of bounded size: what was reported to them least often since
+    /// it has changed.
+    [[nodiscard]] signal_report report(audience to, base::time_point now);
+    /// @return true if there are changes that were not reported to the receivers.
+    [[nodiscard]] bool has_unreported_changes(audience to) const;
     /// Adds what a peer has observed or was told.
     /// @param stopping the peer is shutting down.
     void merge(const base::vm_id& peer, const base::zone_id& zone, const signal_report& r, bool stopping,
@@ -126,9 +130,12 @@
         allowance own;
         base::time_point paused_until;
         bool leaving = false;
-        std::uint32_t reports = 0;  ///< since the last change
+        std::array<std::uint32_t, 2> reports{};  ///< since the last change, by audience
     };
 
+    [[nodiscard]] static std::uint32_t& reports_of(server_state& s, audience to) {
+        return s.reports.at(static_cast<std::size_t>(to));
+    }
     [[nodiscard]] static bool has_signal(const server_state& s, base::time_point now);
     /// @return id of a new statement; never 0.
     [[nodiscard]] std::uint32_t next_statement();
--- a/packages/backpressure/src/signal_table.cpp
+++ b/packages/backpressure/src/signal_table.cpp
@@ -25,6 +25,10 @@
 /// often. Those of more servers are sent in turn.
 constexpr std::size_t max_reported_limits = 24;
 constexpr std::size_t max_reported_leaving = 24;
+/// Reports that tell a change: the second one covers for a lost datagram.
+constexpr std::uint32_t reports_of_change = 2;
+/// Limits that are repeated in one report to other zones, which a daemon there passes on to all of its zone.
+constexpr std::size_t max_repeated_to_other_zones = 4;
 constexpr std::uint64_t server_key_mask = (std::uint64_t{1} << 40) - 1;
 
 constexpr std::string_view source_server = "server";
@@ -104,7 +108,7 @@
 void signal_table::limit_changed(server_key key, server_state& s, bool was_active, std::string_view source,
                                  base::time_point now) {
     update_allowance(key, s, !was_active, now);
-    s.reports = 0;
+    s.reports = {};
     report_change(key, s, source, now);
     if (hooks_.news) {
         hooks_.news(source == source_server);
@@ -116,7 +120,7 @@
     if (std::exchange(s.leaving, true)) {
         return;
     }
-    s.reports = 0;
+    s.reports = {};
     report_change(key, s, source, now);
     if (hooks_.news) {
         hooks_.news(source == source_server);
@@ -218,18 +222,25 @@
                                                              : std::nullopt;
 }
 
-signal_report signal_table::report(base::time_point now) {
+signal_report signal_table::report(audience to, base::time_point now) {
     std::vector<std::map<server_key, server_state>::value_type*> entries;
     for (auto& entry : servers_) {
         entries.push_back(&entry);
     }
-    std::stable_sort(entries.begin(), entries.end(),
-                     [](const auto* a, const auto* b) { return a->second.reports < b->second.reports; });
+    std::stable_sort(entries.begin(), entries.end(), [to](auto* a, auto* b) {
+        return reports_of(a->second, to) < reports_of(b->second, to);
+    });
+    const auto most_repeated = to == audience::peers ? max_reported_limits : max_repeated_to_other_zones;
     signal_report out;
+    std::size_t repeated = 0;
     bool any_active = false;
     for (auto* entry : entries) {
         auto& [key, s] = *entry;
         any_active = any_active || s.limit.active();
+        const bool is_repetition = reports_of(s, to) >= reports_of_change;
+        if (is_repetition && repeated >= most_repeated) {
+            continue;
+        }
         const auto limit = s.limit.record(key, now);
         const bool limit_reported = limit.statement != 0 && out.limits.size() < max_reported_limits;
         const bool leaving_reported = s.leaving && out.leaving.size() < max_reported_leaving;
@@ -239,14 +250,25 @@
         if (leaving_reported) {
             out.leaving.push_back(key);
         }
-        s.reports += limit_reported || leaving_reported ? 1 : 0;
+        if (limit_reported || leaving_reported) {
+            ++reports_of(s, to);
+            repeated += is_repetition ? 1 : 0;
+        }
     }
-    if (any_active) {
+    if (any_active && to == audience::peers) {
         out.demands = demands_.local_demands(now);
     }
     return out;
 }
 
+bool signal_table::has_unreported_changes(audience to) const {
+    return std::any_of(servers_.begin(), servers_.end(), [to](const auto& entry) {
+        const auto& s = entry.second;
+        const bool reportable = s.leaving || s.limit.known();
+        return reportable && s.reports.at(static_cast<std::size_t>(to)) == 0;
+    });
+}
+
 void signal_table::merge(const base::vm_id& peer, const base::zone_id& zone, const signal_report& r,
                          bool stopping, base::time_point now) {
     demands_.observe_peer(peer, zone, r.demands, stopping, now);
--- a/packages/backpressure/tests/signal_fleet.h
+++ b/packages/backpressure/tests/signal_fleet.h
@@ -137,7 +137,7 @@
         if (d.next_beacon <= now_) {
             d.next_beacon = now_ + options_.beacon_interval;
             d.table->expire(now_);
-            send_beacon(i, d.table->report(now_));
+            send_beacon(i, d.table->report(audience::peers, now_));
         }
     }
 
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -46,7 +46,8 @@
     std::uint64_t lease_term = 0;
     /// CPU share of the sender's VM, as a fraction of one core.
     float processor_share = 1;
-    /// Loads from the sender's own requests. In a large fleet they are sent only within the sender's zone.
+    /// Loads from the sender's own requests; empty in beacons that tell no loads. In a large fleet they are
+    /// sent only within the sender's zone.
     service_loads services;
     /// Loads summed over the daemons of the sender's zone; sent only by zone representatives.
     service_loads zone_services;
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -167,6 +167,8 @@
     struct peer {
         beacon last_beacon;
         base::time_point received_at;
+        /// Time of the last beacon with loads.
+        base::time_point loads_received_at;
         /// Wall clock of the peer minus the local wall clock at receipt.
         std::chrono::milliseconds clock_offset{};
         zone_digest digest;
--- a/packages/sharing/src/peer_table.cpp
+++ b/packages/sharing/src/peer_table.cpp
@@ -102,7 +102,11 @@
     if (b.incarnation != p.last_beacon.incarnation) {
         p = {};
     }
+    // Beacons with news have no loads.
+    auto loads = b.services.empty() ? std::move(p.last_beacon.services) : b.services;
+    p.loads_received_at = b.services.empty() ? p.loads_received_at : now;
     p.last_beacon = b;
+    p.last_beacon.services = std::move(loads);
     p.received_at = now;
     p.clock_offset = b.wall_time - wall;
     if (b.zone_daemons > 0) {
@@ -297,7 +301,7 @@
     }
     for (const auto* p : live_peers_in_zone(self.zone, now)) {
         for (const auto& [id, load] : p->last_beacon.services) {
-            scheduling::add_load(sum[id], load, now - p->received_at);
+            scheduling::add_load(sum[id], load, now - p->loads_received_at);
         }
     }
     return sum;
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -62,6 +62,20 @@
     }
 }
 
+// Load: news are sent often while servers change their limits. Guards against a zone that seems idle because
+// the last beacon of a peer told news only.
+TEST(peer_table, loads_are_kept_when_a_beacon_tells_none) {
+    peer_table t{base::vm_id{"0"}};
+    auto b = make_beacon("1", 5, 1);
+    b.services[base::service_id{"s"}].waiting = 3;
+    t.observe(b, wall, start);
+    t.observe(make_beacon("1", 5, 2), wall, start + 100ms);
+    auto self = make_beacon("0");
+    EXPECT_EQ(t.zone_loads(self, start + 100ms)[base::service_id{"s"}].waiting, 3U);
+    t.observe(make_beacon("1", 6, 1), wall, start + 200ms);
+    EXPECT_TRUE(t.zone_loads(self, start + 200ms).empty()) << "a new process has no loads";
+}
+
 TEST(peer_table, outdated_beacons_are_ignored) {
     peer_table t{base::vm_id{"0"}};
     EXPECT_TRUE(t.observe(make_beacon("1", 5, 2), wall, start));
