Compare the requests of a server without a limit with those that were sent

The test that a limit ends asked for more than 12 requests in 2 s, which a slow machine may not send at all. It now asks for more than a sixth of what was sent, where a third is expected: 20 of 120 at the usual rate, which is more than before.

--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -40,7 +40,7 @@
 /// it missed must still be applied in time.
 constexpr base::duration max_mirrored_watch_wait = 800ms;
 /// Longest wait of a mirror's watch of the store. Longer, because these calls are charged; daemons whose
-/// mirror has silently lost the store hear of changes from the beacons of others.
+/// mirror has silently lost the store learn of changes from the beacons of others.
 constexpr base::duration max_mirror_store_wait = 1500ms;
 
 }  // namespace
--- a/packages/backpressure/include/backpressure/signal_table.h
+++ b/packages/backpressure/include/backpressure/signal_table.h
@@ -31,7 +31,7 @@
     /// The limit of a server, its wait or its leaving has changed.
     /// @param source "server" or "peer".
     std::function<void(const server_status&, std::string_view source)> changed;
-    /// There is something that peers should hear of soon.
+    /// There is a change that peers should be told soon.
     /// @param own true if a server told it, false if a peer did.
     std::function<void(bool own)> news;
     /// A listed server is about to stop.
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -56,7 +56,7 @@
     std::function<void(const request_record&)> request_ended;
     /// Called when the limit of a server, its wait or its leaving has changed, with the source of the news.
     std::function<void(const backpressure::server_status&, std::string_view source)> signals_changed;
-    /// Called when peers should hear of a signal soon, with false if a peer told it.
+    /// Called when peers should be told a signal soon, with false if a peer told it.
     std::function<void(bool own)> signal_news;
 };
 
--- a/testing/fleet/tests/server_signals_test.cpp
+++ b/testing/fleet/tests/server_signals_test.cpp
@@ -86,8 +86,10 @@
     limited().set_response_field("Server-Limit", "");
     send_requests(4s);
     const auto ended = base::boot_clock::now();
+    sent = 0;
     send_requests(2s);
-    EXPECT_GT(arrivals_between(limited(), ended, ended + 2s), 12);
+    EXPECT_GT(arrivals_between(limited(), ended, base::boot_clock::now()), sent / 6)
+        << "a third is the server's part";
 }
 
 // Failure: a daemon goes on sending to a server that has answered 503 with Retry-After.
