--- a/packages/sharing/src/peer_table.cpp
+++ b/packages/sharing/src/peer_table.cpp
@@ -102,11 +102,13 @@
     if (b.incarnation != p.last_beacon.incarnation) {
         p = {};
     }
-    // Beacons with news have no loads.
-    auto loads = b.services.empty() ? std::move(p.last_beacon.services) : b.services;
-    p.loads_received_at = b.services.empty() ? p.loads_received_at : now;
+    auto earlier_loads = std::move(p.last_beacon.services);
     p.last_beacon = b;
-    p.last_beacon.services = std::move(loads);
+    if (b.services.empty()) {
+        p.last_beacon.services = std::move(earlier_loads);  // a beacon with news has no loads
+    } else {
+        p.loads_received_at = now;
+    }
     p.received_at = now;
     p.clock_offset = b.wall_time - wall;
     if (b.zone_daemons > 0) {
