End the servers of router tests before others take their place

Both were faults of the tests: one removed stand-in servers whose connections the loop still served, so that a later request could go to one of them, and did not wait for the requests of a case; the other let a server write to a connection before the request, which a server on the same loop does only by chance.

--- a/packages/proxy/tests/router_fixture.h
+++ b/packages/proxy/tests/router_fixture.h
@@ -75,6 +75,7 @@
     std::set<std::shared_ptr<http::server_session>> sessions;
     net::listener listener{loop, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& s) { accept(s); }};
     std::vector<std::unique_ptr<scripted_server>> servers;
+    std::vector<std::unique_ptr<scripted_server>> removed_servers;
 
     void accept(const Poco::Net::StreamSocket& socket) {
         sessions.insert(http::server_session::start(
@@ -132,6 +133,16 @@
         router.set_servers(list);
     }
 
+    /// Ends all servers and forgets them. They live on, since the loop may still serve their connections.
+    void remove_servers() {
+        router.set_servers({});
+        for (auto& s : servers) {
+            s->end_process();
+            removed_servers.push_back(std::move(s));
+        }
+        servers.clear();
+    }
+
     std::shared_ptr<test_caller> send_request(const std::string& path, const std::string& id,
                                               const std::string& key = "k", const std::string& body = "",
                                               const std::string& prompt_parts = "") {
