Log late loops, unacknowledged requests and the traffic to peers

The logs could not tell whether a request reaches its server after its caller has left because the loop is late, because bytes wait in the kernel, or because messages to peers fill the link. No decision changes.

--- a/apps/daemon/src/decision_log.cpp
+++ b/apps/daemon/src/decision_log.cpp
@@ -60,6 +60,9 @@
     if (r.server_signals.leaving) {
         line.field("server_leaving", "yes");
     }
+    if (r.unacknowledged_bytes) {
+        line.field("unacknowledged_bytes", static_cast<long long>(*r.unacknowledged_bytes));
+    }
     if (!r.failure_cause.empty()) {
         line.field("cause", r.failure_cause);
     }
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -300,6 +300,10 @@
     metrics_->set_gauge("live_daemons", static_cast<double>(peer_exchange_.peers().live_count(loop_.now())));
     metrics_->set_gauge("lease_term", static_cast<double>(duties_.held_term()));
     metrics_->set_gauge("log_lines_dropped", static_cast<double>(log_output_.dropped()));
+    metrics_->set_gauge("longest_loop_busy_seconds", to_seconds(loop_.longest_busy_time()));
+    peer_exchange_.traffic().for_each([this](const char* purpose, std::uint64_t bytes) {
+        metrics_->set_gauge(std::string{"peer_bytes_sent_"} + purpose, static_cast<double>(bytes));
+    });
     metrics_->set_gauge("store_calls", static_cast<double>(store_.call_count()));
     metrics_->set_gauge("configuration_version", catalog_ ? static_cast<double>(catalog_->version) : 0);
     const auto now = loop_.now();
--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -90,6 +90,7 @@
 void peer_exchange::send_due_beacons() {
     const auto now = loop_.now();
     peers_.expire(now);
+    traffic_.log_if_due(now);
     const auto fleet_size = peers_.fleet_size(settings_.zone, now);
     const bool fleet_beacon_due = now >= next_fleet_beacon_;
     if (fleet_beacon_due) {
@@ -99,15 +100,15 @@
     const bool mesh_beacon_due = fleet_beacon_due && !digests;
     auto b = make_beacon(mesh_beacon_due || sequence_ % beacons_per_usage_counts == 0);
     b.signals = hooks_.signals(backpressure::audience::peers);
-    send(b, peers_.addresses_in_zone(settings_.zone));
+    send(b, peers_.addresses_in_zone(settings_.zone), peer_message::loads);
     if (mesh_beacon_due) {
-        send(b, peers_.addresses_outside_zone(settings_.zone));
+        send(b, peers_.addresses_outside_zone(settings_.zone), peer_message::loads);
     }
     if (!digests) {
         return;
     }
     if (fleet_beacon_due) {
-        send(make_beacon_without_loads(), peers_.unlocated_addresses());
+        send(make_beacon_without_loads(), peers_.unlocated_addresses(), peer_message::other);
         send_counts_to_lease_holder();
     }
     if (now >= next_digest_ && is_representative()) {
@@ -131,7 +132,7 @@
         b.zone_services.clear();
     }
     b.signals = hooks_.signals(backpressure::audience::other_zones);
-    send(b, peers_.representatives_outside_zone(settings_.zone, loop_.now()));
+    send(b, peers_.representatives_outside_zone(settings_.zone, loop_.now()), peer_message::digest);
 }
 
 void peer_exchange::send_counts_to_lease_holder() {
@@ -141,7 +142,7 @@
     }
     auto b = make_beacon(true);
     b.services.clear();
-    send(b, {holder->peer_address});
+    send(b, {holder->peer_address}, peer_message::other);
 }
 
 void peer_exchange::check_for_new_lease_holder() {
@@ -160,7 +161,7 @@
 
 void peer_exchange::send_now() {
     const auto b = make_beacon(true);
-    send(b, peers_.addresses());
+    send(b, peers_.addresses(), peer_message::news);
 }
 
 void peer_exchange::send_soon(bool own) {
@@ -184,7 +185,7 @@
     if (std::exchange(own_news_, false)) {
         auto b = make_beacon_without_loads();
         b.signals = hooks_.signals(backpressure::audience::peers);
-        send(b, digests ? peers_.addresses_in_zone(settings_.zone) : peers_.addresses());
+        send(b, digests ? peers_.addresses_in_zone(settings_.zone) : peers_.addresses(), peer_message::news);
         more_own_news = hooks_.has_unsent_signals(backpressure::audience::peers);
     }
     bool more_fleet_news = false;
@@ -245,8 +246,10 @@
     return b;
 }
 
-void peer_exchange::send(const sharing::beacon& b, const std::vector<net::address>& to) {
+void peer_exchange::send(const sharing::beacon& b, const std::vector<net::address>& to,
+                         peer_message purpose) {
     const auto bytes = sharing::encode(b);
+    traffic_.add(purpose, bytes.size() * to.size());
     for (const auto& address : to) {
         socket_.send(address, bytes);
     }
@@ -275,6 +278,7 @@
             // Unchanged, so that a daemon that receives it from both representatives uses it once.
             for (const auto& address : peers_.addresses_in_zone(settings_.zone)) {
                 socket_.send(address, bytes);
+                traffic_.add(peer_message::forwarded, bytes.size());
             }
         }
     }
@@ -288,7 +292,7 @@
     b.contacts = peers_.addresses_in_zone(to.zone);
     std::erase(b.contacts, to.peer_address);
     b.contacts.resize(std::min(b.contacts.size(), max_contacts));
-    send(b, {to.peer_address});
+    send(b, {to.peer_address}, peer_message::other);
 }
 
 sharing::registered_daemon peer_exchange::registration() const {
--- a/apps/daemon/src/peer_exchange.h
+++ b/apps/daemon/src/peer_exchange.h
@@ -8,6 +8,7 @@
 #include "http/async_client.h"
 #include "net/datagram_socket.h"
 #include "net/loop.h"
+#include "peer_traffic.h"
 #include "platform/store_client.h"
 #include "settings/edge_settings.h"
 #include "sharing/beacon.h"
@@ -64,6 +65,8 @@
     [[nodiscard]] sharing::peer_table& peers() noexcept { return peers_; }
     [[nodiscard]] const sharing::peer_table& peers() const noexcept { return peers_; }
 
+    [[nodiscard]] const peer_traffic& traffic() const noexcept { return traffic_; }
+
     /// @param failures number of consecutive failures of mirrors; another one is used after each.
     /// @return operator address of the daemon that mirrors the store for this one; nothing if this daemon
     /// watches the store itself.
@@ -92,7 +95,7 @@
     [[nodiscard]] sharing::beacon make_beacon_without_loads();
     [[nodiscard]] sharing::registered_daemon registration() const;
     [[nodiscard]] base::duration next_list_delay();
-    void send(const sharing::beacon& b, const std::vector<net::address>& to);
+    void send(const sharing::beacon& b, const std::vector<net::address>& to, peer_message purpose);
     void send_due_beacons();
     /// Sends the digest of this zone to the representatives of the other zones.
     /// @param with_loads false to send news only, which representatives with thin links pass on to their
@@ -121,6 +124,7 @@
     std::uint64_t sequence_ = 0;
     sharing::peer_table peers_;
     net::datagram_socket socket_;
+    peer_traffic traffic_;
     http::async_client client_;
     net::timer_id beacon_timer_ = net::timer_id::none;
     net::timer_id list_timer_ = net::timer_id::none;
--- a/packages/http/include/http/client_connection.h
+++ b/packages/http/include/http/client_connection.h
@@ -78,6 +78,8 @@
     [[nodiscard]] bool reusable() const noexcept;
     /// @return true if bytes of the current request may have reached the server.
     [[nodiscard]] bool sent() const noexcept { return stream_->is_connected(); }
+    /// @return bytes of the request that the server has not acknowledged, as far as the kernel tells.
+    [[nodiscard]] std::size_t unacknowledged() const { return stream_->unacknowledged(); }
     /// @return true if the connection was established for the current exchange.
     [[nodiscard]] bool fresh() const noexcept { return exchanges_ <= 1; }
     /// @return how long the server keeps the idle connection, if it said so.
--- a/packages/net/include/net/loop.h
+++ b/packages/net/include/net/loop.h
@@ -78,13 +78,21 @@
     /// Runs one round: waits for the next event, but not longer than `limit`, and calls what is due.
     void run_once(base::duration limit);
 
+    /// @return the longest time that callbacks have kept the loop from looking at its sockets.
+    [[nodiscard]] base::duration longest_busy_time() const noexcept { return longest_busy_time_; }
+
     /// Makes `run` return after the current round.
     void stop() noexcept { stopped_ = true; }
 
 private:
     class impl;
     std::unique_ptr<impl> impl_;
+    /// Records the time since the sockets were last looked at, and logs it if it was long.
+    void record_busy_time(base::duration d);
+
     base::time_point now_;
+    base::time_point polled_at_;  ///< end of the last wait for events
+    base::duration longest_busy_time_{};
     bool stopped_ = false;
 };
 
--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -61,6 +61,9 @@
     /// @return bytes given to `write` that the kernel has not taken.
     [[nodiscard]] std::size_t buffered() const noexcept { return output_.size() - written_; }
 
+    /// @return bytes given to `write` that the other side has not acknowledged, as far as the kernel tells.
+    [[nodiscard]] std::size_t unacknowledged() const;
+
     /// @return when the kernel last took bytes, or the buffer was last empty.
     [[nodiscard]] base::time_point last_progress() const noexcept { return last_progress_; }
 
--- a/packages/net/src/loop.cpp
+++ b/packages/net/src/loop.cpp
@@ -22,6 +22,9 @@
 /// the seconds that a shutdown takes.
 constexpr base::duration longest_wait = 100ms;
 
+/// Callbacks that take longer than this together are logged: callers and servers notice it.
+constexpr base::duration logged_busy_time = 250ms;
+
 int poll_mode(bool read, bool write) {
     int mode = Poco::Net::PollSet::POLL_ERROR;
     mode |= read ? Poco::Net::PollSet::POLL_READ : 0;
@@ -77,14 +80,18 @@
         return std::max(wait, base::duration::zero());
     }
 
-    void dispatch(base::duration wait) {
+    /// @param polled_at set to the end of the wait.
+    void dispatch(base::duration wait, base::time_point& polled_at) {
         if (sockets.empty()) {
             std::this_thread::sleep_for(wait);  // an empty poll set returns at once
+            polled_at = base::boot_clock::now();
             return;
         }
         // Rounded up: a wait that ends before the timer is due would only start another round.
         const auto micros = std::chrono::ceil<std::chrono::microseconds>(wait);
-        for (const auto& [socket, mode] : polled.poll(Poco::Timespan{micros.count()})) {
+        const auto ready = polled.poll(Poco::Timespan{micros.count()});
+        polled_at = base::boot_clock::now();
+        for (const auto& [socket, mode] : ready) {
             const auto it = sockets.find(socket.impl());
             if (it == sockets.end()) {
                 continue;  // unwatched by an earlier callback of this round
@@ -98,7 +105,7 @@
     }
 };
 
-loop::loop() : impl_{std::make_unique<impl>()}, now_{base::boot_clock::now()} {}
+loop::loop() : impl_{std::make_unique<impl>()}, now_{base::boot_clock::now()}, polled_at_{now_} {}
 loop::~loop() = default;
 
 timer_id loop::after(base::duration delay, task t) {
@@ -148,7 +155,17 @@
 void loop::run_once(base::duration limit) {
     now_ = base::boot_clock::now();
     impl_->fire_due(now_);
-    impl_->dispatch(impl_->wait_time(base::boot_clock::now(), limit));
+    const auto wait_started = base::boot_clock::now();
+    record_busy_time(wait_started - polled_at_);
+    impl_->dispatch(impl_->wait_time(wait_started, limit), polled_at_);
+}
+
+void loop::record_busy_time(base::duration d) {
+    longest_busy_time_ = std::max(longest_busy_time_, d);
+    if (d >= logged_busy_time) {
+        base::log_line{base::log_level::warning, "net", "Event loop was busy."}.field(
+            "busy_ms", std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+    }
 }
 
 }  // namespace chicorygap::net
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -5,10 +5,13 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace chicorygap::net {
@@ -115,6 +118,14 @@
     }
 }
 
+std::size_t stream::unacknowledged() const {
+    int queued = 0;
+    if (!closed_ && connected_ && ::ioctl(socket_.impl()->sockfd(), SIOCOUTQ, &queued) != 0) {
+        queued = 0;
+    }
+    return buffered() + static_cast<std::size_t>(std::max(queued, 0));
+}
+
 bool stream::has_unread_bytes() const {
     try {
         return !closed_ && socket_.available() > 0;
--- a/packages/proxy/include/proxy/request_record.h
+++ b/packages/proxy/include/proxy/request_record.h
@@ -36,6 +36,9 @@
     std::optional<base::duration> time_to_first_output;
     base::duration total_time{};
     std::uint64_t event_count = 0;
+    /// Bytes of the request that its server had not acknowledged when the attempt was given up; absent if
+    /// none was.
+    std::optional<std::size_t> unacknowledged_bytes;
     /// Longest time between two consecutive events of the stream.
     base::duration max_token_gap{};
     /// Tokens of the prompt; 0 for requests that are not generations.
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -348,6 +348,7 @@
 
 void proxied_request::abort_attempt() {
     if (const auto connection = std::exchange(connection_, nullptr)) {
+        record_.unacknowledged_bytes = connection->unacknowledged();
         connection->abort();
     }
 }
