--- a/packages/proxy/tests/router_fixture.h
+++ b/packages/proxy/tests/router_fixture.h
@@ -158,10 +158,11 @@
         return c;
     }
 
-    /// Runs the loop until `done` returns true, for at most 2.5 seconds.
+    /// Runs the loop until `done` returns true.
+    /// @param limit longest time.
     /// @return result of `done`.
-    bool run_until(const std::function<bool()>& done) {
-        const auto end = base::boot_clock::now() + 2500ms;
+    bool run_until(const std::function<bool()>& done, base::duration limit = 2500ms) {
+        const auto end = base::boot_clock::now() + limit;
         while (!done() && base::boot_clock::now() < end) {
             loop.run_once(20ms);
         }
