Look whether the caller is still there before its request is sent

Cause: the end of a connection was noticed only when the loop reported it. A daemon that is late reads a request, sends it, and reads the end that lies behind it afterwards; a timer starts a waiting request before the ends of that round are read; a connection that was established late carries the request out.

Each start of an attempt, first or repeated, and each newly established connection now looks at the caller's socket itself (one peek) and ends the request as not run if the caller has closed. So how late the loop is no longer decides whether a request is sent. Evidence: two of the tests of caller_left_test failed on the code before (3 of 4 and 1 of 1 requests sent), and one passed or failed by the order of two sockets in one round; all pass, three runs of the package's tests.

--- a/packages/http/include/http/client_connection.h
+++ b/packages/http/include/http/client_connection.h
@@ -31,6 +31,8 @@
 
 /// What one exchange reports. After `complete` or `failed` nothing else is reported.
 struct exchange_hooks {
+    /// The connection was established for this exchange, of which no byte was sent yet. May abort it.
+    std::function<void()> connected;
     std::function<void(response_head&&)> head;
     std::function<void(std::string_view)> body;
     std::function<void()> complete;
--- a/packages/http/include/http/server_session.h
+++ b/packages/http/include/http/server_session.h
@@ -78,6 +78,8 @@
     /// @return since when the caller has taken nothing of the buffered bytes.
     [[nodiscard]] base::time_point last_progress() const { return stream_->last_progress(); }
     [[nodiscard]] bool open() const { return stream_->open(); }
+    /// @return true if the caller has left, also if the loop has not reported it yet.
+    [[nodiscard]] bool caller_has_left() const { return stream_->peer_has_ended(); }
 
 private:
     server_session(net::loop& l, session_limits limits, session_hooks hooks);
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -137,6 +137,11 @@
     const auto self = shared_from_this();
     if (in_flight_ && stream_->has_unread_bytes()) {
         fail(exchange_failure::early_bytes);
+        return;
+    }
+    const auto hooks = hooks_;
+    if (in_flight_ && hooks->connected) {
+        hooks->connected();
     }
 }
 
--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -85,6 +85,10 @@
     [[nodiscard]] bool open() const noexcept { return !closed_; }
     [[nodiscard]] bool is_connected() const noexcept { return connected_; }
 
+    /// Looks at the connection itself, so that an end is seen before the loop reports it.
+    /// @return true if the other side has closed or reset the connection, and all it sent before was read.
+    [[nodiscard]] bool peer_has_ended() const;
+
     /// @return true if bytes have arrived that were not read yet.
     [[nodiscard]] bool has_unread_bytes() const;
 
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -126,6 +126,19 @@
     return buffered() + static_cast<std::size_t>(std::max(queued, 0));
 }
 
+bool stream::peer_has_ended() const {
+    if (closed_) {
+        return true;
+    }
+    char next = 0;
+    try {
+        auto socket = socket_;  // reading is no constant operation of Poco's sockets
+        return socket.receiveBytes(&next, 1, MSG_PEEK) == 0;
+    } catch (const Poco::Exception& e) {
+        return !would_block(e);
+    }
+}
+
 bool stream::has_unread_bytes() const {
     try {
         return !closed_ && socket_.available() > 0;
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -314,11 +314,12 @@
     abort_attempt();
     auto* const session = session_.get();
     const bool response_pending = session_ && session_->busy();
+    const bool aborted = response_started_ || code == result_code::caller_gone;
     router_.remove(id_, session);
     if (!service_.empty()) {
         scheduler().remove(id_);
     }
-    if (response_pending && response_started_) {
+    if (response_pending && aborted) {
         status = 0;
         session_->abort();
     } else if (response_pending) {
@@ -353,6 +354,16 @@
     }
 }
 
+bool proxied_request::ended_without_caller() {
+    if (session_ && !session_->caller_has_left()) {
+        return false;
+    }
+    router_.apply_decisions(
+        service_, scheduler().attempt_finished(id_, scheduling::outcome::cancelled, router_.loop.now()));
+    end(0, result_code::caller_gone);
+    return true;
+}
+
 void proxied_request::on_caller_disconnected() {
     const auto self = shared_from_this();
     session_.reset();
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -68,6 +68,8 @@
     [[nodiscard]] http::exchange_hooks attempt_hooks();
     [[nodiscard]] bool matches_request(const http::response_head& head) const;
 
+    /// Gives the attempt up if the caller has left while the connection was established.
+    void on_connected();
     void on_response_head(http::response_head&& head);
     void on_response_body(std::string_view data);
     void on_stream_body(std::string_view data);
@@ -90,6 +92,9 @@
     void complete_non_stream();
     void on_attempt_failed(retry::attempt_outcome outcome, scheduling::outcome server_outcome,
                            std::string failure_cause);
+    /// Ends the request if its caller has left, which the loop may report only later.
+    /// @return true if the request has ended.
+    bool ended_without_caller();
     void end_with_failure(base::result_code code);
     void end_with_response();
     void end(int status, base::result_code code);
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -51,6 +51,9 @@
 void proxied_request::start_attempt(const scheduling::start_decision& decision) {
     const auto& server = decision.server;
     const auto self = shared_from_this();
+    if (ended_without_caller()) {
+        return;
+    }
     if (remaining_time() <= 0ms) {
         router_.apply_decisions(
             service_, scheduler().attempt_finished(id_, scheduling::outcome::cancelled, router_.loop.now()));
@@ -117,7 +120,8 @@
             f(*self);
         }
     };
-    return {.head =
+    return {.connected = [with_self] { with_self([](proxied_request& r) { r.on_connected(); }); },
+            .head =
                 [with_self](http::response_head&& head) {
                     with_self([&](proxied_request& r) { r.on_response_head(std::move(head)); });
                 },
@@ -168,6 +172,15 @@
     }
 }
 
+void proxied_request::on_connected() {
+    if (session_ && session_->caller_has_left()) {
+        attempt_tracker_->finish(current_attempt_, {result_code::caller_gone, false});
+        current_attempt_ = 0;
+        abort_attempt();
+        ended_without_caller();
+    }
+}
+
 void proxied_request::on_response_head(http::response_head&& head) {
     response_metadata_ = router_.codec.decode(head);
     response_is_stream_ = route_->kind == catalog::request_kind::streaming && is_event_stream(head) &&
