Do not poll a failed connection while its reading is paused

A peer that resets a connection whose reading is paused (a server of a caller that reads slowly) was reported by the poll in each round, read by nobody, and kept the loop busy until reading went on: 268,665 rounds in 200 ms in stream_test.reset_while_reading_is_paused_does_not_keep_the_loop_busy, which failed before. Such a socket is now unwatched until reading goes on, which then reads the rest and the failure; at most 20 rounds.

--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -96,6 +96,7 @@
     stream(loop& l, const Poco::Net::StreamSocket& socket, stream_hooks hooks);
 
     void start(bool connected);
+    void watch();
     void on_ready(readiness r);
     void on_connected();
     void read_available();
@@ -116,6 +117,7 @@
     bool closed_ = false;
     bool closing_ = false;
     bool read_paused_ = false;
+    bool unwatched_ = false;  ///< failed while reading was paused
     bool wants_write_ = false;
 };
 
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -97,8 +97,12 @@
 void stream::start(bool connected) {
     connected_ = connected;
     wants_write_ = !connected;
+    watch();
+}
+
+void stream::watch() {
     const std::weak_ptr<stream> weak = weak_from_this();
-    loop_.watch(socket_, connected, wants_write_, [weak](readiness r) {
+    loop_.watch(socket_, connected_ && !read_paused_, wants_write_, [weak](readiness r) {
         if (const auto self = weak.lock()) {
             self->on_ready(r);
         }
@@ -150,7 +154,11 @@
 void stream::pause_reading(bool paused) {
     if (read_paused_ != paused) {
         read_paused_ = paused;
-        update_interest();
+        if (!closed_ && std::exchange(unwatched_, false)) {
+            watch();
+        } else {
+            update_interest();
+        }
     }
 }
 
@@ -230,9 +238,16 @@
     if (r.writable && !closed_) {
         flush();
     }
-    if ((r.readable || r.failed) && !closed_) {
-        read_available();
+    if (closed_ || (!r.readable && !r.failed)) {
+        return;
+    }
+    if (r.failed && read_paused_) {
+        // The failure would be reported in each round. It is read with the bytes before it later.
+        loop_.unwatch(socket_);
+        unwatched_ = true;
+        return;
     }
+    read_available();
 }
 
 void stream::on_connected() {
@@ -330,7 +345,7 @@
 }
 
 void stream::update_interest() {
-    if (!closed_) {
+    if (!closed_ && !unwatched_) {
         loop_.update(socket_, connected_ && !read_paused_, wants_write_);
     }
 }
--- a/packages/net/tests/stream_test.cpp
+++ b/packages/net/tests/stream_test.cpp
@@ -80,5 +80,26 @@
     EXPECT_EQ(accepted_end, stream_end::reset);
 }
 
+// Failure: a peer resets a connection whose reading is paused. Guards against a loop that is told of it in
+// each round and uses all of the processor.
+TEST_F(stream_test, reset_while_reading_is_paused_does_not_keep_the_loop_busy) {
+    const auto sender = stream::connect(l, in.local(), 1s, {});
+    ASSERT_TRUE(run_until([&] { return accepted && sender->is_connected(); }));
+    accepted->pause_reading(true);
+    sender->write("unread");
+    l.run_once(10ms);
+    sender->reset();
+    int rounds = 0;
+    const auto end = base::boot_clock::now() + 200ms;
+    for (; base::boot_clock::now() < end; ++rounds) {
+        l.run_once(50ms);
+    }
+    EXPECT_LE(rounds, 20);
+    EXPECT_EQ(accepted_end, std::nullopt);
+    accepted->pause_reading(false);
+    ASSERT_TRUE(run_until([&] { return accepted_end.has_value(); }));
+    EXPECT_EQ(accepted_end, stream_end::reset);
+}
+
 }  // namespace
 }  // namespace chicorygap::net
