Read on behind a request, so that the end of its caller is seen

Input beyond the limit is now read and dropped, the connection closes after the answer (requests behind it were not read, which HTTP/1.1 allows and callers repeat), and a caller that sends more than a whole request without waiting is cut off. caller_left_test.attempt_ends_if_the_caller_leaves_behind_more_input failed before (server at work after 0.5 s, closed and reset) and passes.

--- a/packages/http/include/http/server_session.h
+++ b/packages/http/include/http/server_session.h
@@ -86,6 +86,8 @@
 
     void received(std::string_view bytes);
     void process_input();
+    /// Counts input that is not processed, and ends the session if it is more than a whole request.
+    void drop_input(std::size_t n);
     void request_complete();
     void refuse_input(int status);
     void ended();
@@ -110,6 +112,8 @@
     bool no_answer_body_ = false;
     bool body_too_large_ = false;
     bool body_time_added_ = false;
+    bool dropping_input_ = false;
+    std::size_t dropped_bytes_ = 0;
 };
 
 }  // namespace chicorygap::http
--- a/packages/http/src/server_session.cpp
+++ b/packages/http/src/server_session.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Input of later requests that is kept while one is answered. More stays in the kernel.
+/// Input of later requests that is kept while one is answered. With more, these requests are not served and
+/// the connection is closed after the answer.
 constexpr std::size_t early_input_limit = std::size_t{64} * 1024;
 
 bool has_no_body(int status) {
@@ -66,10 +67,25 @@
 
 void server_session::received(std::string_view bytes) {
     const auto self = shared_from_this();
+    if (dropping_input_) {
+        drop_input(bytes.size());
+        return;
+    }
     input_.append(bytes);
     process_input();
     if (busy_ && input_.size() > early_input_limit) {
-        stream_->pause_reading(true);
+        dropping_input_ = true;
+        close_after_current_ = true;
+        drop_input(std::exchange(input_, {}).size());
+    }
+}
+
+// The connection is read on, because an end of it behind unread input would not be seen.
+void server_session::drop_input(std::size_t n) {
+    dropped_bytes_ += n;
+    if (dropped_bytes_ > limits_.head_bytes + limits_.body_bytes && stream_->open()) {
+        stream_->close();
+        ended();
     }
 }
 
@@ -206,11 +222,9 @@
     busy_ = false;
     if (close_after_current_ || !stream_->open()) {
         input_.clear();
-        stream_->pause_reading(false);
         stream_->close_when_drained();  // reports its end to `ended`
         return;
     }
-    stream_->pause_reading(false);
     set_timer(limits_.idle_time);
     if (!input_.empty()) {
         process_input();
