Give up an order whose caller has left before its server has all of it

It is kept now only if the server has acknowledged all of it; otherwise the connection is reset and the rest is not delivered. The caller has gone, so nobody is told that the order did not run, and nothing is repeated.

--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -99,8 +99,8 @@
     /// Starts a request. Responds with 503 as long as no catalog is set.
     void handle(http::server_session& session, http::request&& r);
 
-    /// Cancels the session's request after its caller disconnected. A non-idempotent request that has been
-    /// sent to a server runs to its end.
+    /// Cancels the session's request after its caller disconnected. A non-idempotent request that a server
+    /// has received whole runs to its end.
     void caller_disconnected(http::server_session& session);
 
     /// Resumes reading from the server after the session's buffered output has been written to the caller.
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -368,7 +368,8 @@
     const auto self = shared_from_this();
     session_.reset();
     const bool running = current_attempt_ != 0 && attempt_sent();
-    if (running && route_->kind == catalog::request_kind::non_idempotent) {
+    const bool delivered = awaiting_server_check_ || (connection_ && connection_->unacknowledged() == 0);
+    if (running && delivered && route_->kind == catalog::request_kind::non_idempotent) {
         return;  // aborting the attempt would not undo its effects
     }
     if (current_attempt_ != 0) {
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -44,7 +44,7 @@
     /// @param code reason for the rejection.
     /// @param retry_after delay before the caller should retry.
     void on_rejected(base::result_code code, base::duration retry_after);
-    /// Cancels the request, unless it is non-idempotent and has been sent to a server.
+    /// Cancels the request, unless it is non-idempotent and a server has received all of it.
     void on_caller_disconnected();
     /// Resumes reading from the server.
     void on_caller_drained();
