Tell daemons and their peers the speed of the VM's network link

Needed to choose daemons that can pass digests on, and to bound what they pass on. New setting link_mbits (empty if unknown), filled in from the platform's settings; beacons and registrations carry it. Earlier releases leave it out, which counts as unknown. Nothing decides by it yet.

--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -204,7 +204,8 @@
             .incarnation = incarnation_,
             .peer_address = settings_.peers,
             .operator_address = settings_.operators,
-            .processor_share = static_cast<float>(settings_.processor_share)};
+            .processor_share = static_cast<float>(settings_.processor_share),
+            .link_mbits = static_cast<float>(settings_.link_mbits)};
 }
 
 sharing::beacon peer_exchange::make_beacon_without_loads() {
@@ -299,7 +300,8 @@
     return {.vm = settings_.vm,
             .peer_address = settings_.peers,
             .zone = settings_.zone,
-            .processor_share = static_cast<float>(settings_.processor_share)};
+            .processor_share = static_cast<float>(settings_.processor_share),
+            .link_mbits = static_cast<float>(settings_.link_mbits)};
 }
 
 void peer_exchange::register_self() {
--- a/packages/settings/include/settings/edge_settings.h
+++ b/packages/settings/include/settings/edge_settings.h
@@ -50,6 +50,7 @@
     /// Interface for usage reports and capacity requests; absent if the deployment has no duties.
     std::optional<net::address> cloud_api;
     double processor_share = 1;  ///< CPU cores available to this VM; may be a fraction
+    double link_mbits = 0;       ///< speed of this VM's network link in Mbit/s; 0 if unknown
     std::size_t memory_limit_bytes = 0;
     std::size_t max_descriptors = 0;  ///< limit on open file descriptors
     base::duration stop_timeout{};    ///< time from SIGTERM until the process is killed
--- a/packages/settings/src/edge_settings.cpp
+++ b/packages/settings/src/edge_settings.cpp
@@ -93,6 +93,7 @@
 
 void read_limits(section_reader& r, edge_settings& s) {
     s.processor_share = r.real("processor_share", {0.01, 1024}, 1);
+    s.link_mbits = has_no_value(r, "link_mbits") ? 0 : r.real("link_mbits", {0, 10'000'000});
     s.memory_limit_bytes = r.number("memory_mib", {16, 1'048'576}) * bytes_per_mib;
     s.max_descriptors = r.number("descriptors", {64, 10'000'000});
 }
--- a/packages/settings/tests/edge_settings_test.cpp
+++ b/packages/settings/tests/edge_settings_test.cpp
@@ -28,6 +28,7 @@
 orders = 10.2.0.2:8742
 [limits]
 processor_share = 0.25
+link_mbits = 10
 memory_mib = 110
 descriptors = 4100
 [times]
@@ -73,6 +74,7 @@
     EXPECT_EQ(net::to_string(s.readiness), "10.1.0.2:8749");
     EXPECT_EQ(s.seeds.size(), 2U);
     EXPECT_EQ(s.processor_share, 0.25);
+    EXPECT_EQ(s.link_mbits, 10);
     EXPECT_EQ(s.memory_limit_bytes, std::size_t{110} * 1024 * 1024);
     EXPECT_EQ(s.drain_time, base::duration{2s});
     EXPECT_EQ(s.configuration_deadline, base::duration{4s});
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -46,6 +46,8 @@
     std::uint64_t lease_term = 0;
     /// CPU share of the sender's VM, as a fraction of one core.
     float processor_share = 1;
+    /// Speed of the network link of the sender's VM in Mbit/s; 0 if unknown.
+    float link_mbits = 0;
     /// Loads from the sender's own requests; empty in beacons that tell no loads. In a large fleet they are
     /// sent only within the sender's zone.
     service_loads services;
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -48,6 +48,7 @@
     net::address peer_address;
     base::zone_id zone;         ///< empty if unknown
     float processor_share = 0;  ///< CPU share of its VM, as a fraction of one core
+    float link_mbits = 0;       ///< speed of its VM's network link in Mbit/s; 0 if unknown
 
     bool operator==(const registered_daemon&) const = default;
 };
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -48,6 +48,8 @@
   leavingServers @25 :List(UInt64);
   # Requests per second that callers send to the sender; only while servers name limits.
   demands @26 :List(ServiceDemand);
+  # Speed of the network link of the sender's VM in Mbit/s; 0 if unknown.
+  linkMbits @27 :Float32;
 }
 
 # What is known of the rate limit of a server; of two statements the newer one counts.
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -206,6 +206,7 @@
     b.stopping = in.getStopping();
     b.lease_term = in.getLeaseTerm();
     b.processor_share = in.getProcessorShare();
+    b.link_mbits = in.getLinkMbits();
     b.services = read_loads(in.getServices());
     b.zone_services = read_loads(in.getZoneServices());
     b.zone_daemons = in.getZoneDaemons();
@@ -241,6 +242,7 @@
     out.setStopping(b.stopping);
     out.setLeaseTerm(b.lease_term);
     out.setProcessorShare(b.processor_share);
+    out.setLinkMbits(b.link_mbits);
     write_loads(b.services, out.initServices(static_cast<unsigned>(b.services.size())));
     write_loads(b.zone_services, out.initZoneServices(static_cast<unsigned>(b.zone_services.size())));
     out.setZoneDaemons(b.zone_daemons);
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -37,6 +37,7 @@
     load.prefill_tokens_per_ms = 81.5F;
     load.servers = {{base::backend_server_id{"i-1"}, 4, 30'000, 900, 12'000, true}};
     b.processor_share = 0.25F;
+    b.link_mbits = 10;
     b.zone_services[base::service_id{"s"}].servers = {{base::backend_server_id{"i-2"}, 9, 1, 2, 3}};
     b.zone_daemons = 60;
     b.zone_lease_term = 4;
