Bound what a representative passes on, and let thin links rank last

The receivers of each digest are divided among the representatives by a hash of digest and receiver, so that none depends on one of them; a representative uses a tenth of its link (setting link_mbits) for what it passes on. Where that is too little, daemons get the loads of other zones in turn and the short rest of each digest always. Representatives and mirrors are ranked by link before processor share.

--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -57,6 +57,7 @@
       incarnation_{new_incarnation()},
       peers_{s.vm},
       socket_{l, s.peers, [this](std::string_view bytes) { on_datagram(bytes); }},
+      forwarder_{s.link_mbits},
       client_{l} {}
 
 peer_exchange::~peer_exchange() {
@@ -120,8 +121,15 @@
 }
 
 bool peer_exchange::is_representative() const {
-    return peers_.higher_ranked_in_zone(make_identity_beacon(), loop_.now()).size() <
-           sharing::representatives_per_zone;
+    const auto place = place_in_zone();
+    return place.index < place.count;
+}
+
+sharing::representative_place peer_exchange::place_in_zone() const {
+    const auto now = loop_.now();
+    const auto zone_size = peers_.live_peer_count_in_zone(settings_.zone, now) + 1;
+    return {.index = peers_.higher_ranked_in_zone(make_identity_beacon(), now).size(),
+            .count = std::min(sharing::representatives_per_zone, zone_size)};
 }
 
 void peer_exchange::send_digest(bool with_loads) {
@@ -249,7 +257,11 @@
 
 void peer_exchange::send(const sharing::beacon& b, const std::vector<net::address>& to,
                          peer_message purpose) {
-    const auto bytes = sharing::encode(b);
+    send_bytes(sharing::encode(b), to, purpose);
+}
+
+void peer_exchange::send_bytes(std::string_view bytes, const std::vector<net::address>& to,
+                               peer_message purpose) {
     traffic_.add(purpose, bytes.size() * to.size());
     for (const auto& address : to) {
         socket_.send(address, bytes);
@@ -276,16 +288,22 @@
             send_contacts(*b);
         }
         if (b->zone_daemons > 0 && is_representative()) {
-            // Unchanged, so that a daemon that receives it from both representatives uses it once.
-            for (const auto& address : peers_.addresses_in_zone(settings_.zone)) {
-                socket_.send(address, bytes);
-                traffic_.add(peer_message::forwarded, bytes.size());
-            }
+            forward_digest(*b, bytes);
         }
     }
     hooks_.received(*b);
 }
 
+void peer_exchange::forward_digest(const sharing::beacon& digest, std::string_view bytes) {
+    auto short_form = digest;
+    short_form.zone_services.clear();
+    const auto short_bytes = sharing::encode(short_form);
+    const auto plan = forwarder_.plan(digest, bytes.size(), short_bytes.size(),
+                                      peers_.addresses_in_zone(settings_.zone), place_in_zone(), loop_.now());
+    send_bytes(bytes, plan.whole, peer_message::forwarded);
+    send_bytes(short_bytes, plan.without_loads, peer_message::forwarded);
+}
+
 // A daemon that restarts while the store is unreachable knows only the seeds, which may all be in other
 // zones.
 void peer_exchange::send_contacts(const sharing::beacon& to) {
--- a/apps/daemon/src/peer_exchange.h
+++ b/apps/daemon/src/peer_exchange.h
@@ -12,6 +12,7 @@
 #include "platform/store_client.h"
 #include "settings/edge_settings.h"
 #include "sharing/beacon.h"
+#include "sharing/digest_forwarder.h"
 #include "sharing/peer_table.h"
 
 #include <functional>
@@ -72,6 +73,9 @@
     /// watches the store itself.
     [[nodiscard]] std::optional<net::address> mirror(int failures) const;
 
+    /// @return the place of this daemon among the representatives of its zone, as if it were one.
+    [[nodiscard]] sharing::representative_place place_in_zone() const;
+
     /// @return true if this daemon is one of the few of its zone that compete for the lease and exchange
     /// digests.
     [[nodiscard]] bool is_representative() const;
@@ -111,6 +115,10 @@
     void send_contacts(const sharing::beacon& to);
     void schedule_beacon();
     void on_datagram(std::string_view bytes);
+    /// Passes a digest of another zone on within this zone.
+    /// @param bytes the digest as it was received.
+    void forward_digest(const sharing::beacon& digest, std::string_view bytes);
+    void send_bytes(std::string_view bytes, const std::vector<net::address>& to, peer_message purpose);
     void register_self();
     void list_daemons(const std::string& after);
     void registration_done(platform::store_status s);
@@ -125,6 +133,7 @@
     sharing::peer_table peers_;
     net::datagram_socket socket_;
     peer_traffic traffic_;
+    sharing::digest_forwarder forwarder_;
     http::async_client client_;
     net::timer_id beacon_timer_ = net::timer_id::none;
     net::timer_id list_timer_ = net::timer_id::none;
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -116,7 +116,8 @@
     [[nodiscard]] std::vector<net::address> addresses_outside_zone(const base::zone_id& zone) const;
 
     /// Finds the daemons to prefer as zone representative or store mirror. Daemons of a zone are ranked by
-    /// descending CPU share, then by VM id, so that all of them compute the same order.
+    /// their link, thin ones last, then by descending CPU share, then by VM id, so that all of them compute
+    /// the same order.
     /// @param self current beacon of this daemon.
     /// @return last beacons of the live peers in this daemon's zone that rank higher and are not shutting
     /// down, in order of rank.
--- a/packages/sharing/src/peer_table.cpp
+++ b/packages/sharing/src/peer_table.cpp
@@ -36,10 +36,18 @@
 /// Added to the time that news take through the fleet for delayed beacons.
 constexpr base::duration news_margin = 100ms;
 
-/// Order in which daemons are preferred as representatives and mirrors, equal on all daemons.
-/// @tparam T type with `processor_share` and `vm`.
+/// Links from this speed on carry the messages of a representative beside the requests of callers.
+constexpr float ample_link_mbits = 50;
+
+/// Order in which daemons are preferred as representatives and mirrors, equal on all daemons. Where the speed
+/// of a link is unknown it counts as ample.
+/// @tparam T type with `link_mbits`, `processor_share` and `vm`.
 template <typename T>
 bool ranks_higher(const T& a, const T& b) {
+    const auto thin = [](const T& x) { return x.link_mbits > 0 && x.link_mbits < ample_link_mbits; };
+    if (thin(a) != thin(b)) {
+        return thin(b);
+    }
     return a.processor_share != b.processor_share ? a.processor_share > b.processor_share : a.vm < b.vm;
 }
 
