Make the era of the store part of each position in it

Cause: caches compared revisions of two histories as numbers. A list after 410 looked older than the cache and was dropped, the old revision was watched again, and once its number had been given out again the watch went on in a history whose changes below it were never seen. Mirrors, beacons and copies of peers compared in the same way.

base::store_position orders by era and then by revision, and everything that names a position uses it: lists, watches, mirrors, copies of peers, beacons, log lines. One owner of the era (base::store_era) sees each response; a response of an older era is dropped, an update across a change of era counts as lost, and the caches list anew at once. A version of the configuration that the copy lacks stays in force, is served to peers, and is taken over by daemons that started meanwhile; a version that is written again with other content is applied. Earlier releases and platforms tell no era, which is 0 and is followed as before.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -119,7 +119,7 @@
                .signal_news = [this](bool own) { peer_exchange_.send_soon(own); }}},
       quarantine_endpoint_{router_.prompt_guard()},
       signal_endpoint_{router_.server_signals()},
-      store_{loop_, settings_.store},
+      store_{loop_, settings_.store, store_era_},
       configuration_cache_{
           loop_,
           store_,
@@ -134,6 +134,7 @@
            .contact = nullptr,
            .removals_final = nullptr,
            .history_lost = [this] { server_cache_.restart_watch(); },
+           .outlives = platform::is_later_configuration,
            .next_watch = [this](int n) { return next_watch_options(settings_.configuration_deadline, n); }}},
       server_cache_{loop_,
                     store_,
@@ -148,13 +149,16 @@
                          [this](bool value) {
                              base::log_line{base::log_level::info, "platform",
                                             value ? "Store is reachable." : "Store is unreachable."}
-                                 .field("revision", static_cast<long long>(server_cache_.revision()));
+                                 .field("era", static_cast<long long>(server_cache_.position().era))
+                                 .field("revision",
+                                        static_cast<long long>(server_cache_.position().revision));
                          },
                      .contact = [this](platform::store_contact c) { on_store_contact(c); },
                      .removals_final = [this] { on_removals_final("mirror"); },
                      .history_lost = [this] { configuration_cache_.restart_watch(); },
+                     .outlives = nullptr,
                      .next_watch = [this](int n) { return next_watch_options(settings_.drain_time, n); }}},
-      mirror_client_{loop_, settings_.store},
+      mirror_client_{loop_, settings_.store, store_era_, platform::store_source::mirror},
       configuration_mirror_{loop_, configuration_cache_, max_mirror_confirmation_age},
       server_mirror_{loop_, server_cache_, max_mirror_confirmation_age,
                      [this] { return directory_.removals_final(loop_.now()); }},
@@ -213,6 +217,8 @@
         .field("vm", settings_.vm.str())
         .field("zone", settings_.zone.str())
         .field("callers", net::to_string(settings_.callers));
+    store_era_.set_changed_hook(
+        [this](std::uint64_t previous, std::uint64_t current) { on_store_era(previous, current); });
     configuration_cache_.start();
     server_cache_.start();
     peer_exchange_.start();
@@ -305,6 +311,7 @@
         metrics_->set_gauge(std::string{"peer_bytes_sent_"} + purpose, static_cast<double>(bytes));
     });
     metrics_->set_gauge("store_calls", static_cast<double>(store_.call_count()));
+    metrics_->set_gauge("store_era", static_cast<double>(store_era_.current()));
     metrics_->set_gauge("configuration_version", catalog_ ? static_cast<double>(catalog_->version) : 0);
     const auto now = loop_.now();
     metrics_->set_gauge("configuration_age_seconds", to_seconds(confirmation_age(configuration_cache_, now)));
@@ -357,7 +364,13 @@
 }
 
 void edge_daemon::apply_catalog(std::shared_ptr<const catalog::snapshot> s, const char* source) {
-    if (!s || (catalog_ && s->version <= catalog_->version)) {
+    if (!s) {
+        return;
+    }
+    // After the store has returned from a copy, a version may be written again with other content.
+    const bool rewritten =
+        catalog_ && s->version == catalog_->version && s->content_hash != catalog_->content_hash;
+    if (catalog_ && s->version <= catalog_->version && !rewritten) {
         return;
     }
     catalog_ = std::move(s);
@@ -365,9 +378,27 @@
     base::log_line{base::log_level::info, "daemon", "Configuration applied."}
         .field("version", static_cast<long long>(catalog_->version))
         .field("routes", static_cast<long long>(catalog_->route_count()))
+        .field("era", static_cast<long long>(configuration_cache_.position().era))
+        .field("revision", static_cast<long long>(configuration_cache_.position().revision))
         .field("source", source);
 }
 
+void edge_daemon::on_store_era(std::uint64_t previous, std::uint64_t current) {
+    const bool restored = previous != 0;
+    base::log_line{
+        restored ? base::log_level::warning : base::log_level::info, "platform",
+        restored ? "Store has returned from a copy; changes may be lost." : "Era of the store known."}
+        .field("era", static_cast<long long>(current))
+        .field("previous_era", static_cast<long long>(previous))
+        .field("servers_revision", static_cast<long long>(server_cache_.position().revision))
+        .field("configuration_revision", static_cast<long long>(configuration_cache_.position().revision))
+        .field("version", static_cast<long long>(catalog_ ? catalog_->version : 0));
+    if (restored) {
+        configuration_cache_.store_restored();
+        server_cache_.store_restored();
+    }
+}
+
 void edge_daemon::on_servers_changed() {
     std::vector<catalog::backend_server> listed;
     for (const auto& [name, item] : server_cache_.items()) {
@@ -398,7 +429,8 @@
     base::log_line{base::log_level::info, "daemon",
                    "Missing servers removed; a peer knows that they have left."}
         .field("source", source)
-        .field("revision", static_cast<long long>(server_cache_.revision()));
+        .field("era", static_cast<long long>(server_cache_.position().era))
+        .field("revision", static_cast<long long>(server_cache_.position().revision));
     apply_servers();
 }
 
@@ -408,7 +440,8 @@
     base::log_line{base::log_level::info, "daemon", "Server list updated."}
         .field("count", static_cast<long long>(servers.size()))
         .field("kept", static_cast<long long>(directory_.kept_count()))
-        .field("revision", static_cast<long long>(server_cache_.revision()))
+        .field("era", static_cast<long long>(server_cache_.position().era))
+        .field("revision", static_cast<long long>(server_cache_.position().revision))
         .field("source", platform::to_string(server_cache_.source()))
         .field("store_reachable", server_cache_.reachable() ? "yes" : "no");
 }
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -2,6 +2,7 @@
 /// Daemon that routes requests on the users' platform.
 #pragma once
 
+#include "base/store_era.h"
 #include "base/time.h"
 #include "catalog/server_directory.h"
 #include "catalog/snapshot.h"
@@ -70,6 +71,9 @@
     [[nodiscard]] bool may_try_quarantined_parts() const;
     void on_configuration_changed();
     void on_servers_changed();
+    /// Tells the owners of what is kept in the store that it has returned from a copy.
+    /// @param previous 0 if no era was known.
+    void on_store_era(std::uint64_t previous, std::uint64_t current);
     void on_store_contact(platform::store_contact c);
     /// Removes servers whose entries are missing in the current list.
     /// @param source peer that knows that these servers have left, for the log.
@@ -133,6 +137,7 @@
     proxy::request_router router_;
     quarantine_endpoint quarantine_endpoint_;
     signal_endpoint signal_endpoint_;
+    base::store_era store_era_;
     platform::store_client store_;
     platform::object_cache configuration_cache_;
     platform::object_cache server_cache_;
--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -60,8 +60,9 @@
 
 void edge_daemon::compose_beacon(sharing::beacon& b, bool with_counts) {
     b.configuration_version = catalog_ ? catalog_->version : 0;
-    b.servers_revision = server_cache_.last_changed_revision();
-    b.servers_final_revision = directory_.removals_final(loop_.now()) ? server_cache_.revision() : 0;
+    b.store_era = server_cache_.position().era;
+    b.servers_revision = server_cache_.last_changed().revision;
+    b.servers_final_revision = directory_.removals_final(loop_.now()) ? server_cache_.position().revision : 0;
     b.stopping = stopping_;
     b.store_unreachable = store_unreachable();
     b.lease_term = duties_.held_term();
@@ -101,15 +102,16 @@
         meter_.merge({b.vm, b.incarnation}, w, counts);
     }
     // The lists of both daemons are equal if the revisions at which they are valid overlap.
-    if (b.servers_final_revision >= server_cache_.last_changed_revision() &&
-        b.servers_revision <= server_cache_.revision() && b.servers_final_revision != 0) {
+    const auto position = server_cache_.position();
+    if (b.store_era == position.era && b.servers_final_revision >= server_cache_.last_changed().revision &&
+        b.servers_revision <= position.revision && b.servers_final_revision != 0) {
         on_removals_final(b.vm.str().c_str());
     }
     const auto version = catalog_ ? catalog_->version : 0;
     if (b.configuration_version > version) {
         fetch_from_peer(configuration_cache_, configuration_fetch_pending_, b);
     }
-    if (b.servers_revision > server_cache_.revision()) {
+    if (base::store_position{b.store_era, b.servers_revision} > position) {
         fetch_from_peer(server_cache_, servers_fetch_pending_, b);
     }
 }
@@ -146,14 +148,14 @@
     if (std::exchange(pending, true)) {
         return;
     }
-    const auto before = cache.revision();
+    const auto before = cache.position();
     // In a large fleet the representatives fetch from other zones, and the other daemons from them.
     const bool waits_for_zone =
         b.zone != settings_.zone && b.zone_daemons > 0 && !peer_exchange_.is_representative();
     loop_.after(waits_for_zone ? other_zone_fetch_delay : peer_fetch_delay,
                 [this, &cache, &pending, before, from = b.operator_address] {
                     pending = false;
-                    if (cache.revision() != before) {
+                    if (cache.position() != before) {
                         return;  // the watch has delivered the change
                     }
                     peer_exchange_.fetch(
@@ -162,7 +164,8 @@
                                 base::log_line{base::log_level::info, "daemon",
                                                "Fetched newer store objects from a peer."}
                                     .field("peer", net::to_string(from))
-                                    .field("revision", static_cast<long long>(cache.revision()));
+                                    .field("era", static_cast<long long>(cache.position().era))
+                                    .field("revision", static_cast<long long>(cache.position().revision));
                             }
                         });
                 });
--- a/packages/catalog/include/catalog/snapshot.h
+++ b/packages/catalog/include/catalog/snapshot.h
@@ -43,6 +43,8 @@
 class snapshot {
 public:
     std::uint64_t version = 0;
+    /// Hash of the document, which tells two of the same version apart.
+    std::size_t content_hash = 0;
     caller_limits limits;
     /// Requests need an API key unless their route is anonymous.
     bool api_keys_required = false;
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -35,6 +35,8 @@
     /// Wall clock of the sender when it sent the beacon.
     base::wall_time wall_time;
     std::uint64_t configuration_version = 0;
+    /// Era of the store that the two revisions below belong to; 0 if unknown, as in earlier releases.
+    std::uint64_t store_era = 0;
     /// Store revision of the latest change to the server list that the sender has seen.
     std::uint64_t servers_revision = 0;
     /// Not 0 if servers that are missing in the sender's list are known to have left. The list is then the
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -50,6 +50,8 @@
   demands @26 :List(ServiceDemand);
   # Speed of the network link of the sender's VM in Mbit/s; 0 if unknown.
   linkMbits @27 :Float32;
+  # Era of the store that serversRevision and serversFinalRevision belong to; 0 if unknown.
+  storeEra @28 :UInt64;
 }
 
 # What is known of the rate limit of a server; of two statements the newer one counts.
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -201,6 +201,7 @@
     b.operator_address = net::parse_address(in.getOperatorAddress().cStr()).value_or(net::address{});
     b.wall_time = base::wall_time{std::chrono::milliseconds{in.getWallTimeMs()}};
     b.configuration_version = in.getConfigurationVersion();
+    b.store_era = in.getStoreEra();
     b.servers_revision = in.getServersRevision();
     b.servers_final_revision = in.getServersFinalRevision();
     b.stopping = in.getStopping();
@@ -237,6 +238,7 @@
     out.setOperatorAddress(net::to_string(b.operator_address).c_str());
     out.setWallTimeMs(b.wall_time.time_since_epoch().count());
     out.setConfigurationVersion(b.configuration_version);
+    out.setStoreEra(b.store_era);
     out.setServersRevision(b.servers_revision);
     out.setServersFinalRevision(b.servers_final_revision);
     out.setStopping(b.stopping);
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -26,6 +26,7 @@
 TEST(beacon, round_trips_through_encoding) {
     auto b = make_beacon("1", 7, 9);
     b.configuration_version = 41;
+    b.store_era = 2;
     b.servers_revision = 77;
     b.servers_final_revision = 79;
     b.stopping = true;
--- a/testing/fleet/tests/restored_store_test.cpp
+++ b/testing/fleet/tests/restored_store_test.cpp
@@ -103,6 +103,25 @@
     EXPECT_EQ(send(0).status, 401);
 }
 
+// Failure: a daemon starts while only the copy is in the store. Guards against one that serves what a version
+// that its peers know has taken away.
+TEST_F(restored_store, daemon_that_starts_after_the_return_serves_the_later_version) {
+    add_server("s1", standin::order_service);
+    start_daemons();
+    store.save_copy();
+    configuration.api_keys["north"] = {};
+    configure();
+    run_for(500ms);
+    daemons[0].process->kill();
+    lose_store();
+    run_for(500ms);
+    return_store();
+    daemons[0].process->start();
+    ASSERT_TRUE(run_until([&] { return send(0, standin::read_path, "key-south").status == 200; }));
+    run_for(configuration_deadline);
+    EXPECT_EQ(send(0).status, 401);
+}
+
 // Failure: 9,677 calls to the store in a day instead of 3,500. Guards against a circle of 410 and list.
 TEST_F(restored_store, calls_to_the_store_do_not_rise) {
     add_server("s1", standin::order_service);
