Do not use servers again because a restored store lists them

Cause: the directory takes each list for the state of the servers, and a store that has returned from a copy lists those that have left since, or as ready those that drain.

The directory remembers departures for 120 s, by id and start time. An entry that comes from the copy, that is with a revision of no later than the first list of the era, does not bring such a server back; another instance does, and so does an entry that its server has written since. Missing entries are kept for the time in which servers register again, as after an outage, and nothing is final for peers meanwhile.

restored_store.server_that_left_before_the_return_is_not_used failed before and passes; two tests of the directory.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <set>
 #include <string_view>
 #include <unistd.h>
 #include <utility>
@@ -317,6 +318,7 @@
     metrics_->set_gauge("configuration_age_seconds", to_seconds(confirmation_age(configuration_cache_, now)));
     metrics_->set_gauge("servers_age_seconds", to_seconds(confirmation_age(server_cache_, now)));
     metrics_->set_gauge("servers_kept", static_cast<double>(directory_.kept_count()));
+    metrics_->set_gauge("servers_ignored", static_cast<double>(directory_.ignored_count()));
     const auto parts = router_.prompt_guard().status(now);
     const auto quarantined =
         std::count_if(parts.begin(), parts.end(), [](const auto& p) { return p.quarantined; });
@@ -395,20 +397,25 @@
         .field("version", static_cast<long long>(catalog_ ? catalog_->version : 0));
     if (restored) {
         configuration_cache_.store_restored();
+        directory_.store_restored(loop_.now());
         server_cache_.store_restored();
     }
 }
 
 void edge_daemon::on_servers_changed() {
     std::vector<catalog::backend_server> listed;
+    std::set<base::backend_server_id> from_copy;
     for (const auto& [name, item] : server_cache_.items()) {
         if (auto s = platform::decode_server(name, item.spec)) {
+            if (item.revision <= server_cache_.restored_at().value_or(0)) {
+                from_copy.insert(s->id);
+            }
             listed.push_back(*std::move(s));
         }
     }
-    directory_.observe(listed, loop_.now());
+    directory_.observe(listed, loop_.now(), from_copy);
     if (server_cache_.removals_final()) {
-        directory_.confirm_removals();
+        directory_.confirm_removals(loop_.now());
     }
     servers_known_ = true;
     apply_servers();
@@ -423,7 +430,7 @@
 }
 
 void edge_daemon::on_removals_final(const char* source) {
-    if (!directory_.confirm_removals()) {
+    if (!directory_.confirm_removals(loop_.now())) {
         return;
     }
     base::log_line{base::log_level::info, "daemon",
@@ -440,6 +447,7 @@
     base::log_line{base::log_level::info, "daemon", "Server list updated."}
         .field("count", static_cast<long long>(servers.size()))
         .field("kept", static_cast<long long>(directory_.kept_count()))
+        .field("ignored", static_cast<long long>(directory_.ignored_count()))
         .field("era", static_cast<long long>(server_cache_.position().era))
         .field("revision", static_cast<long long>(server_cache_.position().revision))
         .field("source", platform::to_string(server_cache_.source()))
--- a/packages/catalog/include/catalog/server_directory.h
+++ b/packages/catalog/include/catalog/server_directory.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace chicorygap::catalog {
@@ -20,6 +21,10 @@
 /// outage is judged by a daemon that was in contact with the store: this one, or the peer that a list or a
 /// beacon came from. Its judgement holds for the list of that revision, on all daemons.
 ///
+/// A store that has returned from a copy lists servers that have left since the copy was taken. The directory
+/// remembers servers that have left or drain, and uses such an entry only after its server has written it
+/// again.
+///
 /// Usage: pass each list to `observe`, each change of the contact to the store to `set_store_reachable` and
 /// `record_store_failure`, and the judgement of a peer to `confirm_removals`; call `expire` regularly.
 /// `servers` returns the result.
@@ -35,9 +40,15 @@
     /// Records a failed call or a gap between two responses that may have hidden an outage.
     void record_store_failure(base::time_point now) { last_failure_ = now; }
 
+    /// Takes note that the store has returned from a copy: missing entries are kept until servers have had
+    /// time to register again.
+    void store_restored(base::time_point now);
+
     /// Updates the directory with the current content of the store.
     /// @param listed all entries of the store.
-    void observe(const std::vector<backend_server>& listed, base::time_point now);
+    /// @param from_copy ids of those that come from the copy to which the store has returned.
+    void observe(const std::vector<backend_server>& listed, base::time_point now,
+                 const std::set<base::backend_server_id>& from_copy = {});
 
     /// Removes entries that are no longer in the store, once servers have had time to register again.
     /// @return true if `servers` has changed.
@@ -46,7 +57,7 @@
     /// Removes the entries that are missing in the observed list, because a peer has confirmed that their
     /// servers have left.
     /// @return true if `servers` has changed.
-    bool confirm_removals();
+    bool confirm_removals(base::time_point now);
 
     /// @return true if the entries that are missing in the observed list certainly belong to servers that
     /// have left, so that peers may rely on it.
@@ -55,6 +66,10 @@
     /// @return the known servers, including draining ones.
     [[nodiscard]] std::vector<backend_server> servers() const;
 
+    /// @return number of listed servers that are not used, because they left before the store returned from a
+    /// copy.
+    [[nodiscard]] std::size_t ignored_count() const noexcept { return ignored_count_; }
+
     /// @return number of known servers whose entry is missing in the store.
     [[nodiscard]] std::size_t kept_count() const;
 
@@ -64,15 +79,26 @@
         bool listed = true;
     };
 
+    /// Server that has left or drains, and when this became known.
+    struct departure {
+        std::int64_t incarnation = 0;
+        base::time_point at;
+    };
+
+    /// @return true if this instance of the server is known to have left or to drain.
+    [[nodiscard]] bool has_departed(const backend_server& s) const;
+    void record_departure(const backend_server& s, base::time_point now);
     /// @return true if the contact of this daemon to the store shows that missing entries belong to removed
     /// servers.
     [[nodiscard]] bool can_remove(base::time_point now) const;
     /// Removes the entries that are missing in the observed list.
     /// @return true if there were any.
-    bool remove_missing();
+    bool remove_missing(base::time_point now);
 
     base::duration registration_grace_;
     std::map<base::backend_server_id, entry> entries_;
+    std::map<base::backend_server_id, departure> departures_;
+    std::size_t ignored_count_ = 0;
     bool reachable_ = true;
     bool confirmed_by_peer_ = false;  ///< the removals of the observed list
     std::optional<base::time_point> first_observed_at_;
--- a/packages/catalog/src/server_directory.cpp
+++ b/packages/catalog/src/server_directory.cpp
@@ -15,6 +15,8 @@
 /// long before the drain time of that server ends, so that requests already on their way still arrive in
 /// time.
 constexpr base::duration drain_margin = 200ms;
+/// Time for which departures are remembered: well above the age of a copy that the store returns from.
+constexpr base::duration departure_lifetime = 120s;
 
 }  // namespace
 
@@ -29,14 +31,45 @@
     reachable_ = reachable;
 }
 
-void server_directory::observe(const std::vector<backend_server>& listed, base::time_point now) {
+void server_directory::store_restored(base::time_point now) {
+    recovered_at_ = now;
+    last_failure_ = now;
+    confirmed_by_peer_ = false;
+}
+
+bool server_directory::has_departed(const backend_server& s) const {
+    const auto it = departures_.find(s.id);
+    return it != departures_.end() && it->second.incarnation == s.incarnation;
+}
+
+void server_directory::record_departure(const backend_server& s, base::time_point now) {
+    departures_.insert_or_assign(s.id, departure{s.incarnation, now});
+}
+
+void server_directory::observe(const std::vector<backend_server>& listed, base::time_point now,
+                               const std::set<base::backend_server_id>& from_copy) {
     first_observed_at_ = first_observed_at_.value_or(now);
     confirmed_by_peer_ = false;
+    ignored_count_ = 0;
+    std::erase_if(departures_, [&](const auto& d) { return now - d.second.at > departure_lifetime; });
     for (auto& [id, e] : entries_) {
         e.listed = false;
     }
     for (const auto& s : listed) {
-        entries_.insert_or_assign(s.id, entry{s, true});
+        const bool outdated = from_copy.contains(s.id) && has_departed(s);
+        const auto known = entries_.find(s.id);
+        if (outdated && known == entries_.end()) {
+            ++ignored_count_;
+            continue;
+        }
+        entry e{s, true};
+        e.server.draining = s.draining || outdated;
+        if (e.server.draining) {
+            record_departure(s, now);
+        } else {
+            departures_.erase(s.id);
+        }
+        entries_.insert_or_assign(s.id, std::move(e));
     }
     expire(now);
 }
@@ -45,12 +78,12 @@
     if (!can_remove(now)) {
         return false;
     }
-    return remove_missing();
+    return remove_missing(now);
 }
 
-bool server_directory::confirm_removals() {
+bool server_directory::confirm_removals(base::time_point now) {
     confirmed_by_peer_ = true;
-    return remove_missing();
+    return remove_missing(now);
 }
 
 // Stricter than the condition for removing entries here: a single failed call may be all that this daemon saw
@@ -63,8 +96,13 @@
                                   undisturbed(last_failure_));
 }
 
-bool server_directory::remove_missing() {
-    return std::erase_if(entries_, [](const auto& e) { return !e.second.listed; }) > 0;
+bool server_directory::remove_missing(base::time_point now) {
+    return std::erase_if(entries_, [&](const auto& e) {
+               if (!e.second.listed) {
+                   record_departure(e.second.server, now);
+               }
+               return !e.second.listed;
+           }) > 0;
 }
 
 std::vector<backend_server> server_directory::servers() const {
--- a/packages/catalog/tests/server_directory_test.cpp
+++ b/packages/catalog/tests/server_directory_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace chicorygap::catalog {
 namespace {
 
@@ -73,7 +75,7 @@
     d.observe({make_server("b")}, start + 8s);
     EXPECT_EQ(server_count(d), 2U);
     EXPECT_FALSE(d.removals_final(start + 8s));
-    EXPECT_TRUE(d.confirm_removals());
+    EXPECT_TRUE(d.confirm_removals(start + 8s));
     EXPECT_EQ(server_count(d), 1U);
     EXPECT_TRUE(d.removals_final(start + 8s)) << "what a peer confirmed may be passed on";
 }
@@ -83,7 +85,7 @@
     server_directory d{2s};
     d.observe({make_server("a"), make_server("b")}, start);
     d.set_store_reachable(false, start + 1s);
-    d.confirm_removals();
+    d.confirm_removals(start + 8s);
     d.observe({make_server("b")}, start + 8s);
     EXPECT_EQ(server_count(d), 2U);
     EXPECT_FALSE(d.removals_final(start + 8s));
@@ -105,6 +107,44 @@
     EXPECT_TRUE(d.removals_final(start + 12s));
 }
 
+// Failure: the store returns from a copy that lists a server that has left since, and one that drains, as
+// ready.
+TEST(server_directory, servers_that_left_are_not_used_because_a_copy_lists_them) {
+    server_directory d{2s};
+    d.observe({make_server("a"), make_server("b"), make_server("c")}, start);
+    auto draining = make_server("b");
+    draining.draining = true;
+    d.observe({draining, make_server("c")}, start + 1s);
+    d.store_restored(start + 5s);
+    const std::set ids{base::backend_server_id{"a"}, base::backend_server_id{"b"},
+                       base::backend_server_id{"c"}};
+    d.observe({make_server("a"), make_server("b"), make_server("c")}, start + 5s, ids);
+    ASSERT_EQ(server_count(d), 2U);
+    EXPECT_TRUE(d.servers()[0].draining);
+    EXPECT_FALSE(d.servers()[1].draining);
+    EXPECT_EQ(d.ignored_count(), 1U);
+    EXPECT_FALSE(d.removals_final(start + 6s)) << "not for the new history";
+    // Another instance under the same id is another server, and so is one that has written its entry again.
+    auto restarted = make_server("a");
+    restarted.incarnation = 7;
+    d.observe({restarted, make_server("b"), make_server("c")}, start + 6s, ids);
+    EXPECT_EQ(server_count(d), 3U);
+    d.observe({restarted, make_server("b"), make_server("c")}, start + 7s);
+    EXPECT_FALSE(d.servers()[1].draining);
+}
+
+// Failure: the copy lacks a server that has come since.
+TEST(server_directory, servers_that_the_copy_lacks_have_time_to_register_again) {
+    server_directory d{5s};
+    d.observe({make_server("a"), make_server("b")}, start);
+    d.store_restored(start + 4s);
+    d.observe({make_server("a")}, start + 4s);
+    EXPECT_EQ(server_count(d), 2U);
+    EXPECT_FALSE(d.expire(start + 4s + 1900ms));
+    EXPECT_TRUE(d.expire(start + 4s + 2s));
+    EXPECT_EQ(server_count(d), 1U);
+}
+
 TEST(server_directory, new_incarnation_replaces_the_old_one) {
     server_directory d{2s};
     d.observe({make_server("a")}, start);
