Make the era of the store the upper part of fencing tokens

Cause: a term was the term of the record read plus one, and the copy holds an earlier record or none; and a record that is missing was taken for a lease that nobody holds, while its holder believes in it until it ends.

A term now has the era, which rises with each return, in its upper 32 bits, and lies above all terms seen from peers, so that no memory of the store is needed. After a change of era the holder gives up and acquires the lease anew at once while its old lease lasts; nobody else can have acquired it meanwhile. All others, daemons that have just learned an era included, wait for a whole lease first.

--- a/apps/daemon/src/duty_agent.cpp
+++ b/apps/daemon/src/duty_agent.cpp
@@ -77,6 +77,12 @@
     }
 }
 
+void duty_agent::on_store_era(std::uint64_t era, bool restored) {
+    if (cloud_) {
+        handle(lease::era_changed{era, restored});
+    }
+}
+
 std::uint64_t duty_agent::held_term() const {
     return lease_.may_act(base::boot_clock::now()) ? lease_.term() : 0;
 }
@@ -102,6 +108,9 @@
     if (candidate != std::exchange(candidate_, candidate)) {
         handle(lease::candidacy_changed{candidate});
     }
+    if (const auto holder = peers_.lease_holder(now)) {
+        handle(lease::term_observed{holder->term});
+    }
     handle(lease::tick{});
     if (!may_act()) {
         return;
--- a/apps/daemon/src/duty_agent.h
+++ b/apps/daemon/src/duty_agent.h
@@ -58,6 +58,10 @@
     /// Releases the lease and stops competing for it.
     void stop();
 
+    /// Takes note of a new era of the store.
+    /// @param restored the store has returned from a copy; false if no era was known before.
+    void on_store_era(std::uint64_t era, bool restored);
+
     /// @return the fencing token if the lease is held, else 0.
     [[nodiscard]] std::uint64_t held_term() const;
 
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -395,6 +395,7 @@
         .field("servers_revision", static_cast<long long>(server_cache_.position().revision))
         .field("configuration_revision", static_cast<long long>(configuration_cache_.position().revision))
         .field("version", static_cast<long long>(catalog_ ? catalog_->version : 0));
+    duties_.on_store_era(current, restored);
     if (restored) {
         configuration_cache_.store_restored();
         directory_.store_restored(loop_.now());
--- a/packages/lease/include/lease/role_lease.h
+++ b/packages/lease/include/lease/role_lease.h
@@ -40,11 +40,20 @@
 struct candidacy_changed {
     bool candidate = false;
 };
+/// Event: a response of the store told a new era.
+struct era_changed {
+    std::uint64_t era = 0;
+    bool restored = false;  ///< the store has returned from a copy; false if no era was known before
+};
+/// Event: another daemon was seen to hold the role.
+struct term_observed {
+    std::uint64_t term = 0;
+};
 /// Event: release the lease, so that another daemon can acquire it at once. No order may be in flight.
 struct release_requested {};
 
-using lease_event =
-    std::variant<tick, base::store_reply, object_observed, candidacy_changed, release_requested>;
+using lease_event = std::variant<tick, base::store_reply, object_observed, candidacy_changed, era_changed,
+                                 term_observed, release_requested>;
 
 /// Action: this daemon has acquired the role.
 struct acquired {
@@ -66,6 +75,10 @@
 /// *observed* the same version for longer than that, by its own clock. The clocks of two VMs are never
 /// compared.
 ///
+/// The store may return from a copy that lacks the last changes of the object. Its era, which rises with each
+/// return, is the upper part of the term, so that no term is given out twice. The daemon that holds the lease
+/// at that time acquires it anew at once; all others wait until that lease has certainly ended.
+///
 /// Usage: pass every event to `handle` and execute the returned actions. Call `may_act` after connecting to
 /// the receiver of an order and again immediately before writing to it; send nothing if it returns false.
 class role_lease {
@@ -102,6 +115,8 @@
     void on(const base::store_reply& e, base::time_point now);
     void on(const object_observed& e, base::time_point now);
     void on(const candidacy_changed& e, base::time_point now);
+    void on(const era_changed& e, base::time_point now);
+    void on(const term_observed& e, base::time_point now);
     void on(const release_requested& e, base::time_point now);
 
     void advance(base::time_point now);
@@ -113,6 +128,10 @@
     void observe(const std::optional<base::stored_object>& object, base::time_point now);
     void lose_role();
     [[nodiscard]] bool takeover_due(base::time_point now) const;
+    /// @return true while a holder that the store has forgotten may still act.
+    [[nodiscard]] bool forgotten_holder_may_act(base::time_point now) const;
+    /// @return a term above all that were given out.
+    [[nodiscard]] std::uint64_t next_term() const;
     [[nodiscard]] bool is_own_record() const;
     [[nodiscard]] std::string key() const { return "lease/" + options_.role; }
 
@@ -138,6 +157,12 @@
     base::time_point poll_at_;
 
     std::uint64_t next_correlation_ = 1;
+
+    std::uint64_t era_ = 0;
+    base::time_point era_known_since_;
+    /// End of the lease that this daemon held when the store returned from a copy.
+    base::time_point held_in_last_era_until_;
+    std::uint64_t highest_observed_term_ = 0;
 };
 
 }  // namespace chicorygap::lease
--- a/packages/lease/src/role_lease.cpp
+++ b/packages/lease/src/role_lease.cpp
@@ -5,6 +5,13 @@
 
 namespace chicorygap::lease {
 
+namespace {
+
+/// Position of the era in a term. Terms stay exact as floating-point numbers for the first 2 million eras.
+constexpr int era_shift = 32;
+
+}  // namespace
+
 role_lease::role_lease(lease_options o) : options_{std::move(o)} {}
 
 std::vector<lease_action> role_lease::handle(const lease_event& e, base::time_point now) {
@@ -51,6 +58,29 @@
     advance(now);
 }
 
+void role_lease::on(const era_changed& e, base::time_point now) {
+    era_ = e.era;
+    era_known_since_ = now;
+    if (!e.restored) {
+        return;
+    }
+    held_in_last_era_until_ = held_ ? act_until_ : base::time_point{};
+    if (held_) {
+        lose_role();
+    }
+    write_.abandon();
+    get_in_flight_.reset();
+    object_known_ = false;
+    observed_.reset();
+    version_ = 0;
+    poll_at_ = {};
+    advance(now);
+}
+
+void role_lease::on(const term_observed& e, base::time_point /*now*/) {
+    highest_observed_term_ = std::max(highest_observed_term_, e.term);
+}
+
 void role_lease::on(const release_requested& /*e*/, base::time_point now) {
     candidate_ = false;
     releasing_ = true;
@@ -85,16 +115,32 @@
 
 void role_lease::try_acquire(base::time_point now) {
     if (takeover_due(now)) {
-        start_write(write_kind::acquire, (observed_ ? observed_->term : 0) + 1, now);
+        start_write(write_kind::acquire, next_term(), now);
     } else {
         poll(now);
     }
 }
 
+std::uint64_t role_lease::next_term() const {
+    const auto known = std::max({observed_ ? observed_->term : 0, term_, highest_observed_term_});
+    return std::max(known, era_ << era_shift) + 1;
+}
+
+bool role_lease::forgotten_holder_may_act(base::time_point now) const {
+    const bool own = now < held_in_last_era_until_;
+    return era_ != 0 && !own && now < era_known_since_ + options_.lease_duration + options_.takeover_margin;
+}
+
 bool role_lease::takeover_due(base::time_point now) const {
     if (!object_known_) {
         return false;
     }
+    if (now < held_in_last_era_until_) {
+        return true;  // nobody else can have acquired the lease since
+    }
+    if (forgotten_holder_may_act(now)) {
+        return false;
+    }
     if (version_ == 0) {
         return true;
     }
--- a/packages/lease/tests/role_lease_test.cpp
+++ b/packages/lease/tests/role_lease_test.cpp
@@ -265,6 +265,86 @@
     EXPECT_TRUE(b.machine.may_act(now));
 }
 
+struct restored_lease_test : role_lease_test {
+    void SetUp() override {
+        for (auto* p : {&a, &b}) {
+            p->send(era_changed{1, false}, now);
+        }
+        run(20s, {&a, &b});
+        holder = a.machine.may_act(now) ? &a : &b;
+        other = holder == &a ? &b : &a;
+        ASSERT_TRUE(holder->machine.may_act(now));
+    }
+
+    daemon* holder = nullptr;
+    daemon* other = nullptr;
+};
+
+// Failure: ONE, two holders with fencing token 2. The store returns from a copy without the lease.
+TEST_F(restored_lease_test, term_is_not_given_out_again_after_the_store_has_lost_the_lease) {
+    store = {};
+    const auto term = holder->machine.term();
+    // The holder is lost with the outage.
+    other->send(era_changed{2, true}, now);
+    EXPECT_LE(time_until_acting(*other), 15s);
+    EXPECT_GT(other->machine.term(), term);
+}
+
+// Failure: the holder cannot be reached by the store's return, and acts until its lease ends.
+TEST_F(restored_lease_test, lease_that_the_store_has_lost_is_waited_for) {
+    store.save_copy();
+    run(5s, {holder, other});
+    store = {};
+    other->send(era_changed{2, true}, now);
+    for (const auto end = now + 20s; now < end; now += 100ms) {
+        other->send(tick{}, now);  // the holder gets no responses
+        ASSERT_FALSE(holder->machine.may_act(now) && other->machine.may_act(now));
+    }
+    EXPECT_TRUE(other->machine.may_act(now));
+}
+
+// Guards against duties that rest for a lease because the holder waits for itself.
+TEST_F(restored_lease_test, holder_acquires_the_lease_anew_at_once_with_a_higher_term) {
+    const auto term = holder->machine.term();
+    store = {};
+    for (auto* p : {holder, other}) {
+        p->send(era_changed{2, true}, now);
+    }
+    run(1s, {other, holder});
+    EXPECT_TRUE(holder->machine.may_act(now));
+    EXPECT_GT(holder->machine.term(), term);
+    run(30s, {other, holder});
+    EXPECT_TRUE(holder->machine.may_act(now));
+}
+
+// Failure: the copy holds the record of an earlier holder, which has restarted or lives on.
+TEST_F(restored_lease_test, earlier_holder_does_not_take_its_old_record_for_its_lease) {
+    store.save_copy();
+    run(12s, {other});  // the holder is paused, and the other daemon takes over
+    run(10s, {other});
+    ASSERT_TRUE(other->machine.may_act(now));
+    const auto term = other->machine.term();
+    store.return_from_copy();  // names the first holder again
+    for (auto* p : {holder, other}) {
+        p->send(era_changed{2, true}, now);
+    }
+    run(30s, {holder, other});
+    EXPECT_TRUE(other->machine.may_act(now) || holder->machine.may_act(now));
+    EXPECT_GT(std::max(other->machine.term(), holder->machine.term()), term);
+}
+
+// Failure: a daemon that has just started cannot know when the store returned.
+TEST_F(restored_lease_test, new_daemon_waits_before_it_takes_a_lease_that_nobody_seems_to_hold) {
+    store = {};
+    daemon started{store, options("c")};
+    started.send(era_changed{2, false}, now);
+    for (const auto end = now + 30s; now < end; now += 100ms) {
+        started.send(tick{}, now);
+        ASSERT_FALSE(holder->machine.may_act(now) && started.machine.may_act(now));
+    }
+    EXPECT_TRUE(started.machine.may_act(now));
+}
+
 // Guards against a record whose duration overflows the clock, so that the lease seems to have expired.
 TEST(lease_record, duration_outside_the_clock_range_is_rejected) {
     for (const std::string length : {"9223372036854775807", "-1"}) {
--- a/testing/fakes/include/fakes/message_store.h
+++ b/testing/fakes/include/fakes/message_store.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -68,6 +69,11 @@
         return {l.correlation, base::store_result::read, 0, {}, list(l.prefix)};
     }
 
+    /// Takes a copy of all objects, to which `return_from_copy` goes back.
+    void save_copy() { saved_ = {objects_, last_version_}; }
+    /// Loses all updates since the copy; their versions are given out again.
+    void return_from_copy() { std::tie(objects_, last_version_) = saved_; }
+
     /// Lets the delayed updates take effect in the order of their calls.
     void deliver_delayed() {
         auto calls = std::exchange(delayed_, {});
@@ -122,6 +128,7 @@
     }
 
     std::map<std::string, base::stored_object> objects_;
+    std::pair<std::map<std::string, base::stored_object>, std::uint64_t> saved_;
     std::deque<store_fault> faults_;
     std::vector<base::store_put> delayed_;
     std::uint64_t last_version_ = 0;
