Register daemons again when the store has returned from a copy

The copy may lack the registrations of daemons, which were written at the start and after a failure only: a daemon that starts after the return finds few peers for up to 20 s, and representatives choose among fewer. The event of a new era now registers each daemon at once. By test: 0 of 3 registered within 2 s before, 3 of 3 now. Both chains of timers end the earlier one, so that a call under way starts no second chain.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -400,6 +400,7 @@
         configuration_cache_.store_restored();
         directory_.store_restored(loop_.now());
         server_cache_.store_restored();
+        peer_exchange_.store_restored();
     }
 }
 
--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -336,12 +336,18 @@
                   });
 }
 
+void peer_exchange::store_restored() {
+    loop_.cancel(list_timer_);
+    register_self();
+}
+
 void peer_exchange::registration_done(platform::store_status s) {
     if (s == platform::store_status::ok) {
         registered_ = true;
         list_daemons({});
         return;
     }
+    loop_.cancel(list_timer_);
     list_timer_ = loop_.after(retry_delay, [this] { register_self(); });
 }
 
@@ -363,6 +369,7 @@
         if (ok) {
             peers_.add_registered(std::exchange(listed_daemons_, {}), settings_.zone);
         }
+        loop_.cancel(list_timer_);
         list_timer_ = loop_.after(ok ? next_list_delay() : retry_delay, [this] { list_daemons({}); });
     });
 }
--- a/apps/daemon/src/peer_exchange.h
+++ b/apps/daemon/src/peer_exchange.h
@@ -55,6 +55,10 @@
     /// Registers this daemon in the store and starts sending beacons.
     void start();
 
+    /// Registers this daemon again, because the store has returned from a copy that may lack its
+    /// registration.
+    void store_restored();
+
     /// Sends a beacon to all known addresses at once, for urgent changes such as the shutdown.
     void send_now();
 
--- a/testing/fleet/tests/restored_store_test.cpp
+++ b/testing/fleet/tests/restored_store_test.cpp
@@ -190,6 +190,19 @@
     }
 }
 
+// Failure: the copy lacks the daemons' registrations, which were written again with the next list only, after
+// 20 s.
+TEST_F(restored_store, daemons_register_again_at_once) {
+    add_server("s1", standin::order_service);
+    store.save_copy();
+    start_daemons();
+    ASSERT_EQ(store.count("chicorygap-daemons"), daemon_count);
+    lose_store();
+    run_for(500ms);
+    return_store();
+    EXPECT_TRUE(run_until([&] { return store.count("chicorygap-daemons") == daemon_count; }, 2s));
+}
+
 // Failure: ONE, two holders with fencing token 2. The copy holds an earlier term, or no lease.
 TEST_F(restored_store, fencing_tokens_are_not_given_out_again) {
     add_server("s1", standin::order_service);
