Lose one odd entry of the store instead of the whole list

Another writer's entry (nesting of 200, 1e999, an integer of 20 digits, a lone surrogate, bytes that are no UTF-8) made a daemon refuse the whole list, stop following the store and call it again and again; a revision of 2^64-1 left the decoder as an exception, after which a cache made no further call. Slots of 2^32+1 were read as 1, and 0 slots as sound. The operator's configuration was refused as a whole for one such route. Cause: the JSON library decodes a response as one document, so that one value it refuses takes all others along.

An object without valid metadata is skipped with a line that shows its beginning, an invalid server with its name, once for each version of its entry, and counted in the metric servers_invalid.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <set>
 #include <string_view>
 #include <unistd.h>
 #include <utility>
@@ -318,6 +317,7 @@
     metrics_->set_gauge("configuration_age_seconds", to_seconds(confirmation_age(configuration_cache_, now)));
     metrics_->set_gauge("servers_age_seconds", to_seconds(confirmation_age(server_cache_, now)));
     metrics_->set_gauge("servers_kept", static_cast<double>(directory_.kept_count()));
+    metrics_->set_gauge("servers_invalid", static_cast<double>(server_list_.invalid_count()));
     metrics_->set_gauge("servers_ignored", static_cast<double>(directory_.ignored_count()));
     const auto parts = router_.prompt_guard().status(now);
     const auto quarantined =
@@ -405,17 +405,8 @@
 }
 
 void edge_daemon::on_servers_changed() {
-    std::vector<catalog::backend_server> listed;
-    std::set<base::backend_server_id> from_copy;
-    for (const auto& [name, item] : server_cache_.items()) {
-        if (auto s = platform::decode_server(name, item.spec)) {
-            if (item.revision <= server_cache_.restored_at().value_or(0)) {
-                from_copy.insert(s->id);
-            }
-            listed.push_back(*std::move(s));
-        }
-    }
-    directory_.observe(listed, loop_.now(), from_copy);
+    server_list_.update(server_cache_.items(), server_cache_.restored_at());
+    directory_.observe(server_list_.servers(), loop_.now(), server_list_.from_copy());
     if (server_cache_.removals_final()) {
         directory_.confirm_removals(loop_.now());
     }
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -16,6 +16,7 @@
 #include "platform/object_cache.h"
 #include "platform/object_mirror.h"
 #include "platform/platform_header_codec.h"
+#include "platform/server_list.h"
 #include "platform/store_client.h"
 #include "proxy/request_router.h"
 #include "quarantine_endpoint.h"
@@ -144,6 +145,7 @@
     platform::store_client mirror_client_;
     platform::object_mirror configuration_mirror_;
     platform::object_mirror server_mirror_;
+    platform::server_list server_list_;
     catalog::server_directory directory_;
     peer_exchange peer_exchange_;
     metering::meter meter_;
