Answer or refuse every request before the end of a planned stop

Causes: requests that may last beyond the end were refused only from 2.6 s on, so that a shorter grace refused nothing and a time-out above the grace was taken until then; the time-out of a request was its route's, and its answer was due 60 ms after that, when the loop had stopped; the loop stopped with requests open.

The times of a stop follow from the grace (stop_schedule). Orders that may last beyond the end, by their own or their route's time-out and with the time of the answer, are refused as not run from the beginning; what may be repeated or is a stream is taken while new connections come. At the end open requests get their answer, 503 only if no server can have run them, and there is time to send it.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -27,11 +27,6 @@
 constexpr base::duration housekeeping_interval = 100ms;
 /// Interval of the checks of the settings file, which may change without a signal.
 constexpr base::duration settings_check_interval = 2s;
-/// Time after a stop request until the platform's load balancer opens no new connections to this daemon. It
-/// probes readiness once a second and removes a daemon after two failed probes.
-constexpr base::duration load_balancer_removal_time = 2600ms;
-/// Time between the exit of the process and the time at which the platform would kill it.
-constexpr base::duration stop_margin = 700ms;
 /// Limit on the body of a request to the operator or readiness address.
 constexpr std::size_t max_internal_body_bytes = std::size_t{1024} * 1024;
 /// Log output that is buffered while its reader stalls: a few seconds of output on the day of highest load.
@@ -512,6 +507,9 @@
 void edge_daemon::begin_stop() {
     stopping_ = true;
     stop_started_at_ = loop_.now();
+    stop_schedule_ = make_stop_schedule(settings_.stop_timeout);
+    router_.set_shutdown({.accept_all_until = stop_started_at_ + stop_schedule_.accept_all_until,
+                          .deadline = stop_started_at_ + stop_schedule_.end_requests_at});
     duties_.stop();
     peer_exchange_.send_now();
     for (const auto& s : caller_sessions_) {
@@ -523,15 +521,14 @@
 
 void edge_daemon::finish_stop_if_due() {
     const auto elapsed = loop_.now() - stop_started_at_;
-    const bool deadline_reached = elapsed >= settings_.stop_timeout - stop_margin;
-    if (elapsed >= load_balancer_removal_time) {
-        // New requests arrive only on open connections. Those that may not end before the exit are rejected,
-        // so that another daemon can serve them.
-        router_.set_shutdown_deadline(stop_started_at_ + settings_.stop_timeout - stop_margin);
+    if (elapsed >= stop_schedule_.end_requests_at && router_.open_requests() > 0) {
+        base::log_line{base::log_level::warning, "daemon", "Requests ended by the shutdown."}.field(
+            "open_requests", static_cast<long long>(router_.open_requests()));
+        router_.end_requests();
     }
-    const bool idle =
-        elapsed >= load_balancer_removal_time && router_.open_requests() == 0 && caller_sessions_.empty();
-    if (idle || deadline_reached) {
+    const bool idle = elapsed >= stop_schedule_.accept_all_until && router_.open_requests() == 0 &&
+                      caller_sessions_.empty();
+    if (idle || elapsed >= stop_schedule_.exit_at) {
         loop_.stop();
     }
 }
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -22,6 +22,7 @@
 #include "quarantine_endpoint.h"
 #include "settings/edge_settings.h"
 #include "signal_endpoint.h"
+#include "stop_schedule.h"
 
 #include <filesystem>
 #include <memory>
@@ -165,6 +166,7 @@
     base::time_point started_at_ = base::boot_clock::now();
     bool stopping_ = false;
     base::time_point stop_started_at_;
+    stop_schedule stop_schedule_;
 };
 
 }  // namespace chicorygap::daemon_app
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -40,6 +40,14 @@
     base::duration window = std::chrono::seconds{10};
 };
 
+/// Times of a planned stop.
+struct shutdown_times {
+    /// Until then requests are taken that may last beyond the deadline, except for non-idempotent ones.
+    base::time_point accept_all_until;
+    /// Requests are ended then.
+    base::time_point deadline;
+};
+
 struct router_options {
     base::vm_id self;
     base::zone_id zone;
@@ -92,9 +100,12 @@
     /// Changes this daemon's share of the retry budget.
     void set_retry_budget_share(const retry_budget_share& share);
 
-    /// Sets the time at which the process exits. From now on, requests whose route timeout extends beyond it
-    /// are rejected.
-    void set_shutdown_deadline(base::time_point deadline);
+    /// Begins a planned stop: requests that may last beyond its end are rejected as it says.
+    void set_shutdown(const shutdown_times& times);
+
+    /// Ends all open requests, each with a response if it has not begun: 503 if no server can have run it,
+    /// otherwise 502.
+    void end_requests();
 
     /// Starts a request. Responds with 503 as long as no catalog is set.
     void handle(http::server_session& session, http::request&& r);
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -100,7 +100,7 @@
         workspace_ = workspace->id;
         tier_ = workspace->tier.value_or(tier_);
     }
-    if (router_.shutdown_deadline && received_at_ + route_->timeout > *router_.shutdown_deadline) {
+    if (too_late_for_shutdown()) {
         retry_after_ = retry_after_shutdown;
         end(status_unavailable, result_code::draining);
         return;
@@ -111,10 +111,23 @@
     submit();
 }
 
+base::duration proxied_request::timeout() const {
+    return std::min(route_->timeout, metadata_.timeout.value_or(route_->timeout));
+}
+
+bool proxied_request::too_late_for_shutdown() const {
+    if (!router_.shutdown ||
+        received_at_ + timeout() + request_timeout_margin <= router_.shutdown->deadline) {
+        return false;
+    }
+    // Usually a request ends long before its time-out, but an order that is cut can be sent to nobody else.
+    return route_->kind == catalog::request_kind::non_idempotent ||
+           received_at_ >= router_.shutdown->accept_all_until;
+}
+
 void proxied_request::init_deadline_and_retries() {
-    const auto timeout = std::min(route_->timeout, metadata_.timeout.value_or(route_->timeout));
-    deadline_ = received_at_ + timeout;
-    request_timer_ = router_.loop.after(timeout + request_timeout_margin, [weak = weak_from_this()] {
+    deadline_ = received_at_ + timeout();
+    request_timer_ = router_.loop.after(timeout() + request_timeout_margin, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_request_timeout();
         }
@@ -277,6 +290,16 @@
 void proxied_request::on_request_timeout() {
     const auto self = shared_from_this();
     request_timer_ = net::timer_id::none;
+    end_early(result_code::deadline_unreachable);
+}
+
+void proxied_request::on_shutdown() {
+    const auto self = shared_from_this();
+    retry_after_ = retry_after_shutdown;
+    end_early(result_code::draining);
+}
+
+void proxied_request::end_early(result_code code) {
     if (current_attempt_ != 0) {
         const bool sent = attempt_sent();
         abort_attempt();
@@ -285,7 +308,7 @@
         router_.apply_decisions(
             service_, scheduler().attempt_finished(id_, scheduling::outcome::cancelled, router_.loop.now()));
     }
-    end_with_failure(result_code::deadline_unreachable);
+    end_with_failure(code);
 }
 
 void proxied_request::end_with_failure(result_code code) {
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -48,6 +48,8 @@
     void on_caller_disconnected();
     /// Resumes reading from the server.
     void on_caller_drained();
+    /// Ends the request because the process exits.
+    void on_shutdown();
 
 private:
     void submit();
@@ -83,6 +85,12 @@
     void on_exchange_failed(http::exchange_failure failure);
     void on_attempt_timeout();
     void on_request_timeout();
+    /// Gives up the attempt in flight, if any, and ends the request.
+    void end_early(base::result_code code);
+    /// @return time in which the caller or the route wants the response.
+    [[nodiscard]] base::duration timeout() const;
+    /// @return true if the request may last beyond the planned stop and another daemon should take it.
+    [[nodiscard]] bool too_late_for_shutdown() const;
     void report_run_started();
     /// Records the time since the previous event and reports it to the scheduler if it exceeds the route's
     /// target.
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -25,8 +25,11 @@
 void request_router::set_retry_budget_share(const retry_budget_share& s) {
     impl_->set_retry_budget_share(s);
 }
-void request_router::set_shutdown_deadline(base::time_point deadline) {
-    impl_->shutdown_deadline = deadline;
+void request_router::set_shutdown(const shutdown_times& times) {
+    impl_->shutdown = times;
+}
+void request_router::end_requests() {
+    impl_->end_requests();
 }
 void request_router::handle(http::server_session& session, http::request&& r) {
     impl_->handle(session, std::move(r));
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -180,6 +180,13 @@
     }
 }
 
+void request_router::impl::end_requests() {
+    const auto requests = active_requests;  // each removes itself
+    for (const auto& [id, request] : requests) {
+        request->on_shutdown();
+    }
+}
+
 bool request_router::impl::is_serving(const base::service_id& service,
                                       const base::backend_server_id& id) const {
     const auto it = servers_by_service_.find(service);
--- a/packages/proxy/src/request_router_impl.h
+++ b/packages/proxy/src/request_router_impl.h
@@ -43,6 +43,7 @@
     void handle(http::server_session& session, http::request&& r);
     void caller_disconnected(http::server_session& session);
     void drained(http::server_session& session);
+    void end_requests();
     /// Passes on what a server said of itself.
     /// @param server server that the request was sent to.
     /// @param wrong_server another server at this address has answered.
@@ -82,8 +83,7 @@
     std::shared_ptr<const catalog::snapshot> catalog;
     std::optional<base::time_point> server_list_updated_at;
     std::optional<base::time_point> peer_load_received_at;
-    /// Time at which the process exits.
-    std::optional<base::time_point> shutdown_deadline;
+    std::optional<shutdown_times> shutdown;
     std::unordered_map<scheduling::local_request_id, std::shared_ptr<proxied_request>> active_requests;
 
 private:
--- a/packages/proxy/tests/request_router_test.cpp
+++ b/packages/proxy/tests/request_router_test.cpp
@@ -283,7 +283,7 @@
 TEST_F(request_router_test, shutdown_rejects_requests_that_may_exceed_the_deadline) {
     load_catalog();
     add_server([](const connection& c, const std::string&) { c->write(make_response("1", "x")); });
-    router.set_shutdown_deadline(base::boot_clock::now() + 1s);
+    router.set_shutdown({.accept_all_until = {}, .deadline = base::boot_clock::now() + 1s});
     const auto c = send_request("/order/", "1");
     ASSERT_TRUE(wait_for_records());
     EXPECT_TRUE(contains(c->received, "503"));
--- a/testing/fleet/tests/fleet.h
+++ b/testing/fleet/tests/fleet.h
@@ -56,6 +56,7 @@
 
     standin::server& add_server(const std::string& id, const std::string& service) {
         standin::server_options o{.id = id, .service = service, .zone = "a"};
+        o.processing_time = processing_time;
         o.event_count = service == standin::assistant_service ? 4 : 0;
         servers.push_back(std::make_unique<standin::server>(loop, o, store, runs));
         servers.back()->register_self(servers.back()->address());
@@ -76,7 +77,8 @@
                                         .host = "127.0.60." + std::to_string(i + 1),
                                         .store = d.to_store->address(),
                                         .cloud_api = duties.address(),
-                                        .seeds = {{"127.0.60.1", standin::daemon_process::operators_port}}});
+                                        .seeds = {{"127.0.60.1", standin::daemon_process::operators_port}},
+                                        .stop_timeout = stop_timeout});
             d.process->start();
             d.caller = std::make_shared<standin::caller>(loop, d.process->caller_address());
             daemons.push_back(std::move(d));
@@ -135,6 +137,10 @@
     }
     void reconnect_to_store(std::size_t i) { daemons.at(i).to_store->set_fault(standin::link_fault::none); }
 
+    /// Time from SIGTERM until a daemon must have ended.
+    base::duration stop_timeout = std::chrono::seconds{6};
+    /// Time until the response of the servers that are added.
+    base::duration processing_time = std::chrono::milliseconds{10};
     net::loop loop;
     standin::execution_log runs;
     standin::object_store store{loop, {"127.0.0.1", 0}};
