Make the replaced version the lower part of fencing tokens

A new model, restored_lease, lets the store return from a copy at any time. It found that a term could still be given out twice: a write that was sent in the earlier era with the number of a version that is in use again replaces the record of the holder, and the next candidate no longer sees its term, only its own lower one.

Each acquisition replaces a version, versions rise within an era, and a term is now (era, replaced version) + 1. The test term_is_not_given_out_again_after_a_late_write_of_an_earlier_era fails on the code before and passes.

--- a/packages/lease/include/lease/role_lease.h
+++ b/packages/lease/include/lease/role_lease.h
@@ -76,8 +76,9 @@
 /// compared.
 ///
 /// The store may return from a copy that lacks the last changes of the object. Its era, which rises with each
-/// return, is the upper part of the term, so that no term is given out twice. The daemon that holds the lease
-/// at that time acquires it anew at once; all others wait until that lease has certainly ended.
+/// return, is the upper part of the term, and the version that the acquisition replaces the lower one, so
+/// that no term is given out twice. The daemon that holds the lease at that time acquires it anew at once;
+/// all others wait until that lease has certainly ended.
 ///
 /// Usage: pass every event to `handle` and execute the returned actions. Call `may_act` after connecting to
 /// the receiver of an order and again immediately before writing to it; send nothing if it returns false.
--- a/packages/lease/src/role_lease.cpp
+++ b/packages/lease/src/role_lease.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Position of the era in a term. Terms stay exact as floating-point numbers for the first 2 million eras.
-constexpr int era_shift = 32;
+/// Position of the era in a term. The lower part has room for the revisions of the store, and terms stay
+/// exact as floating-point numbers for the first 8,000 eras.
+constexpr int era_shift = 40;
 
 }  // namespace
 
@@ -123,7 +124,9 @@
 
 std::uint64_t role_lease::next_term() const {
     const auto known = std::max({observed_ ? observed_->term : 0, term_, highest_observed_term_});
-    return std::max(known, era_ << era_shift) + 1;
+    // Each acquisition raises the version, so that no two of one era choose the same term, even if a write
+    // that was meant for an earlier era has replaced the record since.
+    return era_ == 0 ? known + 1 : std::max(known, (era_ << era_shift) + version_) + 1;
 }
 
 bool role_lease::forgotten_holder_may_act(base::time_point now) const {
--- a/packages/lease/tests/role_lease_test.cpp
+++ b/packages/lease/tests/role_lease_test.cpp
@@ -290,6 +290,22 @@
     EXPECT_GT(other->machine.term(), term);
 }
 
+// Failure: a write that was meant for an earlier era meets its expected version in the new one and replaces
+// the record of the holder; found by models/restored_lease.pml.
+TEST_F(restored_lease_test, term_is_not_given_out_again_after_a_late_write_of_an_earlier_era) {
+    store = {};
+    other->send(era_changed{2, true}, now);
+    time_until_acting(*other);
+    const auto term = other->machine.term();
+    const auto key = "lease/zone-control-a";
+    const auto version = store.find(key)->version;
+    store.call(base::store_put{1, key, encode(lease_record{"x", 1, 12, 9s, false, "x/1/1"}), version});
+    daemon c{store, options("c")};
+    c.send(era_changed{2, false}, now);
+    EXPECT_LE(time_until_acting(c), 30s);
+    EXPECT_GT(c.machine.term(), term);
+}
+
 // Failure: the holder cannot be reached by the store's return, and acts until its lease ends.
 TEST_F(restored_lease_test, lease_that_the_store_has_lost_is_waited_for) {
     store.save_copy();
--- a/scripts/model-check.sh
+++ b/scripts/model-check.sh
@@ -64,6 +64,11 @@
 faulty configuration_versions -DNO_COMPARE
 faulty configuration_versions -DNO_PEER_CHECK
 faulty configuration_versions -DNO_GOSSIP
+holds restored_lease
+faulty restored_lease -DNO_ERA_WAIT
+faulty restored_lease -DNO_ERA_TERM
+faulty restored_lease -DNO_VERSION_TERM
+faulty restored_lease -DNO_ERA_CHECK
 holds mirrored_watch
 holds mirrored_watch -DBOTH
 faulty mirrored_watch -DNO_FRESH
