Let the store return from a copy in the soak

Drawn from a seed of its own, so that the other faults of each seed stay as they were: copies of 0.5 to 4.5 s, outages of 0.2 to 1.7 s, and afterwards operator and servers write again what was lost, and entries of servers that have left expire.

--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -35,20 +35,26 @@
 constexpr base::duration shortest_limit = 4s;
 constexpr std::uint64_t limit_spread_ms = 5000;
 constexpr base::duration signal_interval = 1200ms;
+/// Age of the copy that the store returns from, its random part, and the time until the next copy is taken.
+constexpr base::duration shortest_copy_age = 500ms;
+constexpr std::uint64_t copy_age_spread_ms = 4000;
+constexpr base::duration restore_pause = 1500ms;
 
 }  // namespace
 
 fault_plan::fault_plan(net::loop& l, site& s, promises& p, base::random_function random,
-                       base::random_function signal_random)
+                       base::random_function signal_random, base::random_function restore_random)
     : loop_{l},
       site_{s},
       promises_{p},
       random_{std::move(random)},
-      signal_random_{std::move(signal_random)} {}
+      signal_random_{std::move(signal_random)},
+      restore_random_{std::move(restore_random)} {}
 
 fault_plan::~fault_plan() {
     loop_.cancel(draw_timer_);
     loop_.cancel(signal_timer_);
+    loop_.cancel(restore_timer_);
     loop_.cancel(check_timer_);
     for (auto& [number, timer] : timers_) {
         loop_.cancel(timer);
@@ -59,12 +65,14 @@
     check_timer_ = loop_.every(check_interval, [this] { check_processes(); });
     draw();
     draw_signal();
+    draw_restore();
 }
 
 void fault_plan::stop() {
     stopped_ = true;
     loop_.cancel(draw_timer_);
     loop_.cancel(signal_timer_);
+    loop_.cancel(restore_timer_);
     for (auto& [number, timer] : timers_) {
         loop_.cancel(timer);
     }
@@ -107,6 +115,18 @@
     signal_timer_ = loop_.after(signal_interval, [this] { draw_signal(); });
 }
 
+// Takes a copy, from which the store may return some seconds later.
+void fault_plan::draw_restore() {
+    site_.store().save_copy();
+    const auto age = shortest_copy_age + std::chrono::milliseconds{restore_random_() % copy_age_spread_ms};
+    restore_timer_ = loop_.after(age, [this] {
+        if (restore_random_() % 2 == 0) {
+            restore_store();
+        }
+        restore_timer_ = loop_.after(restore_pause, [this] { draw_restore(); });
+    });
+}
+
 void fault_plan::note(const std::string& name, const std::string& where) {
     ++applied_[name];
     const auto ms =
@@ -235,6 +255,20 @@
     site_.store().discard_history();
 }
 
+void fault_plan::restore_store() {
+    note("restore", "");
+    ++site_.store_faults;
+    site_.store().set_fault(store_fault::unavailable);
+    revert_after(std::chrono::milliseconds{200 + restore_random_() % 1500}, [this] {
+        site_.store().return_from_copy();
+        site_.write_again();
+        if (--site_.store_faults == 0) {
+            site_.store().set_fault(store_fault::none);
+            site_.store_calm_since = loop_.now();
+        }
+    });
+}
+
 void fault_plan::harm_store_link() {
     static constexpr std::array faults{link_fault::delay, link_fault::drop_forward, link_fault::drop_backward,
                                        link_fault::drop_all, link_fault::refuse_connections};
--- a/testing/soak/src/fault_plan.h
+++ b/testing/soak/src/fault_plan.h
@@ -26,7 +26,7 @@
 class fault_plan {
 public:
     fault_plan(net::loop& l, site& s, promises& p, base::random_function random,
-               base::random_function signal_random);
+               base::random_function signal_random, base::random_function restore_random);
     ~fault_plan();
     fault_plan(const fault_plan&) = delete;
     fault_plan& operator=(const fault_plan&) = delete;
@@ -42,6 +42,7 @@
 
     void draw();
     void draw_signal();
+    void draw_restore();
     /// @return nothing if the server has left.
     [[nodiscard]] site_server* find_server(const std::string& id);
     void check_processes();
@@ -63,6 +64,8 @@
     void reload_daemon();
     void harm_store();
     void forget_history();
+    /// The store goes away for a moment and returns from the copy that was taken last.
+    void restore_store();
     void harm_store_link();
     void harm_caller_link();
     void harm_server();
@@ -82,8 +85,10 @@
     promises& promises_;
     base::random_function random_;
     base::random_function signal_random_;
+    base::random_function restore_random_;
     std::set<std::string> limited_servers_;
     net::timer_id signal_timer_ = net::timer_id::none;
+    net::timer_id restore_timer_ = net::timer_id::none;
     std::map<std::string, std::size_t> applied_;
     std::map<std::size_t, std::function<void()>> reverts_;
     std::map<std::size_t, net::timer_id> timers_;
--- a/testing/soak/src/main.cpp
+++ b/testing/soak/src/main.cpp
@@ -113,8 +113,13 @@
     soak::promises promises{site.runs()};
     soak::traffic traffic{loop, site, promises, [&] { return traffic_generator(); }, o.callers};
     std::mt19937_64 signals_generator{o.seed + 2};
-    soak::fault_plan faults{loop, site, promises, [&] { return faults_generator(); },
-                            [&] { return signals_generator(); }};
+    std::mt19937_64 restores_generator{o.seed + 3};
+    soak::fault_plan faults{loop,
+                            site,
+                            promises,
+                            [&] { return faults_generator(); },
+                            [&] { return signals_generator(); },
+                            [&] { return restores_generator(); }};
     run_for(loop, start_time);
     traffic.start();
     faults.start();
--- a/testing/soak/src/site.cpp
+++ b/testing/soak/src/site.cpp
@@ -11,6 +11,8 @@
 using namespace std::chrono_literals;
 
 const char* const zones[] = {"a", "b", "c"};
+/// Time after which an entry that its server does not renew expires.
+constexpr base::duration expiry_time = 3600ms;
 
 std::string loopback(std::uint8_t subnet, std::size_t host) {
     return "127.0." + std::to_string(subnet) + '.' + std::to_string(host);
@@ -50,7 +52,12 @@
 }
 
 void site::configure() {
-    standin::configuration c{.version = ++version_};
+    ++version_;
+    write_configuration();
+}
+
+void site::write_configuration() {
+    standin::configuration c{.version = version_};
     for (const auto* workspace : {"north", "south", "west"}) {
         if (key_granted(workspace)) {
             c.api_keys[workspace] = {key_of(workspace)};
@@ -87,7 +94,25 @@
     servers_.push_back(std::move(s));
 }
 
+void site::write_again() {
+    write_configuration();
+    for (const auto& s : servers_) {
+        if (s.drained) {
+            s.server->drain();
+        } else {
+            s.server->register_self(s.link->address());
+        }
+    }
+    loop_.cancel(expiry_timer_);
+    expiry_timer_ = loop_.after(expiry_time, [this] {
+        for (const auto& id : departed_) {
+            store_.remove("servers", id);
+        }
+    });
+}
+
 void site::remove_server(std::size_t index) {
+    departed_.push_back(servers_.at(index).server->options().id);
     servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(index));
 }
 
--- a/testing/soak/src/site.h
+++ b/testing/soak/src/site.h
@@ -69,6 +69,9 @@
     void add_server(const std::string& service);
     /// Forgets a server that has left.
     void remove_server(std::size_t index);
+    /// What the operator and the servers do after the store has returned from a copy: they write what they
+    /// wrote since again, and entries of servers that have left expire.
+    void write_again();
 
     /// @return true if the daemon answers that it is ready; asked by a blocking call only at the start.
     [[nodiscard]] std::vector<site_daemon>& daemons() noexcept { return daemons_; }
@@ -82,6 +85,8 @@
     base::time_point store_calm_since;
 
 private:
+    void write_configuration();
+
     net::loop& loop_;
     site_options options_;
     standin::execution_log runs_;
@@ -92,6 +97,8 @@
     std::set<std::string> withdrawn_;
     std::uint64_t version_ = 0;
     std::size_t next_server_ = 0;
+    std::vector<std::string> departed_;  ///< servers that have left
+    net::timer_id expiry_timer_ = net::timer_id::none;
 };
 
 }  // namespace chicorygap::soak
