--- a/packages/base/include/base/store_position.h
+++ b/packages/base/include/base/store_position.h
@@ -16,7 +16,8 @@
     std::uint64_t era = 0;  ///< 0 if the store tells none
     std::uint64_t revision = 0;
 
-    auto operator<=>(const store_position&) const = default;
+    // The linter takes the comparison with 0 that the compiler generates for one with a null pointer.
+    auto operator<=>(const store_position&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 }  // namespace chicorygap::base
--- a/packages/proxy/tests/caller_left_test.cpp
+++ b/packages/proxy/tests/caller_left_test.cpp
@@ -58,6 +58,7 @@
         set_slots(static_cast<std::uint32_t>(n));
         held = false;
         std::vector<std::shared_ptr<test_caller>> callers;
+        callers.reserve(static_cast<std::size_t>(n));
         const auto before = records.size();
         for (int i = 0; i < n; ++i) {
             callers.push_back(send_request("/read/", "warm" + std::to_string(i)));
