--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -36,17 +36,6 @@
 /// longest wait for the store, and a margin.
 constexpr base::duration max_mirror_confirmation_age = 2300ms;
 
-/// @return time since the store or a mirror last confirmed the cache; nothing before the first list.
-std::optional<base::duration> confirmation_age(const platform::object_cache& cache, base::time_point now) {
-    return cache.last_confirmed() == base::time_point{}
-               ? std::nullopt
-               : std::optional<base::duration>{now - cache.last_confirmed()};
-}
-
-double to_seconds(std::optional<base::duration> d) {
-    return d ? std::chrono::duration<double>{*d}.count() : 0;
-}
-
 /// Memory reserved for one open request: its header, its part of the buffered output and the connection to
 /// its server. Bodies are small in comparison.
 constexpr std::size_t memory_bytes_per_request = std::size_t{48} * 1024;
@@ -108,7 +97,7 @@
                .request_ended =
                    [this](const proxy::request_record& r) {
                        metrics_->record(r);
-                       log_request(r, confirmation_age(configuration_cache_, loop_.now()));
+                       log_request(r, confirmation_age(configuration_cache_));
                    },
                .signals_changed = log_server_signals,
                .signal_news = [this](bool own) { peer_exchange_.send_soon(own); }}},
@@ -284,164 +273,10 @@
         loop_, socket, {.body_bytes = max_internal_body_bytes}, std::move(hooks)));
 }
 
-void edge_daemon::respond_to_operator(http::server_session& s, const http::request& r) {
-    if (configuration_mirror_.handle(s, r) || server_mirror_.handle(s, r)) {
-        return;
-    }
-    if (quarantine_endpoint_.handle(s, r, loop_.now()) || signal_endpoint_.handle(s, r, loop_.now())) {
-        return;
-    }
-    if (r.head.target != "/metrics") {
-        s.respond({.status = 404}, {});
-        return;
-    }
-    metrics_->set_gauge("open_requests", static_cast<double>(router_.open_requests()));
-    metrics_->set_gauge("callers_turned_away", static_cast<double>(rejected_connections_));
-    metrics_->set_gauge("connections_opened", static_cast<double>(router_.connections_opened()));
-    metrics_->set_gauge("live_daemons", static_cast<double>(peer_exchange_.peers().live_count(loop_.now())));
-    metrics_->set_gauge("lease_term", static_cast<double>(duties_.held_term()));
-    metrics_->set_gauge("log_lines_dropped", static_cast<double>(log_output_.dropped()));
-    metrics_->set_gauge("longest_loop_busy_seconds", to_seconds(loop_.longest_busy_time()));
-    peer_exchange_.traffic().for_each([this](const char* purpose, std::uint64_t bytes) {
-        metrics_->set_gauge(std::string{"peer_bytes_sent_"} + purpose, static_cast<double>(bytes));
-    });
-    metrics_->set_gauge("store_calls", static_cast<double>(store_.call_count()));
-    metrics_->set_gauge("store_era", static_cast<double>(store_era_.current()));
-    metrics_->set_gauge("configuration_version", catalog_ ? static_cast<double>(catalog_->version) : 0);
-    const auto now = loop_.now();
-    metrics_->set_gauge("configuration_age_seconds", to_seconds(confirmation_age(configuration_cache_, now)));
-    metrics_->set_gauge("servers_age_seconds", to_seconds(confirmation_age(server_cache_, now)));
-    metrics_->set_gauge("servers_kept", static_cast<double>(directory_.kept_count()));
-    metrics_->set_gauge("servers_invalid", static_cast<double>(server_list_.invalid_count()));
-    metrics_->set_gauge("servers_ignored", static_cast<double>(directory_.ignored_count()));
-    const auto parts = router_.prompt_guard().status(now);
-    const auto quarantined =
-        std::count_if(parts.begin(), parts.end(), [](const auto& p) { return p.quarantined; });
-    metrics_->set_gauge("prompt_parts_quarantined", static_cast<double>(quarantined));
-    metrics_->set_gauge("prompt_parts_in_doubt",
-                        static_cast<double>(parts.size()) - static_cast<double>(quarantined));
-    set_signal_gauges(now);
-    http::response_head head{.status = 200};
-    head.headers.add("Content-Type", "text/plain; version=0.0.4");
-    s.respond(std::move(head), metrics_->text());
-}
-
-void edge_daemon::set_signal_gauges(base::time_point now) {
-    const auto& signals = router_.server_signals();
-    std::size_t limited = 0;
-    std::size_t paused = 0;
-    std::size_t leaving = 0;
-    double limits = 0;
-    double share = 0;
-    for (const auto& s : signals.status(now)) {
-        limited += s.limit ? 1 : 0;
-        limits += s.limit.value_or(0);
-        share += s.share;
-        paused += s.wait > base::duration{} ? 1 : 0;
-        leaving += s.leaving ? 1 : 0;
-    }
-    metrics_->set_gauge("servers_limited", static_cast<double>(limited));
-    metrics_->set_gauge("server_limits_per_second", limits);
-    metrics_->set_gauge("server_limit_share_per_second", share);
-    metrics_->set_gauge("servers_paused", static_cast<double>(paused));
-    metrics_->set_gauge("servers_leaving", static_cast<double>(leaving));
-    metrics_->set_gauge("starts_deferred_by_signals", static_cast<double>(signals.deferred_starts()));
-}
-
 bool edge_daemon::ready() const {
     return catalog_ && servers_known_ && !stopping_;
 }
 
-void edge_daemon::on_configuration_changed() {
-    const auto it = configuration_cache_.items().find(platform::configuration_name);
-    if (it == configuration_cache_.items().end()) {
-        return;
-    }
-    apply_catalog(platform::decode_configuration(it->second.spec), "store");
-}
-
-void edge_daemon::apply_catalog(std::shared_ptr<const catalog::snapshot> s, const char* source) {
-    if (!s) {
-        return;
-    }
-    // After the store has returned from a copy, a version may be written again with other content.
-    const bool rewritten =
-        catalog_ && s->version == catalog_->version && s->content_hash != catalog_->content_hash;
-    if (catalog_ && s->version <= catalog_->version && !rewritten) {
-        return;
-    }
-    catalog_ = std::move(s);
-    router_.set_catalog(catalog_);
-    base::log_line{base::log_level::info, "daemon", "Configuration applied."}
-        .field("version", static_cast<long long>(catalog_->version))
-        .field("routes", static_cast<long long>(catalog_->route_count()))
-        .field("era", static_cast<long long>(configuration_cache_.position().era))
-        .field("revision", static_cast<long long>(configuration_cache_.position().revision))
-        .field("source", source);
-}
-
-void edge_daemon::on_store_era(std::uint64_t previous, std::uint64_t current) {
-    const bool restored = previous != 0;
-    base::log_line{
-        restored ? base::log_level::warning : base::log_level::info, "platform",
-        restored ? "Store has returned from a copy; changes may be lost." : "Era of the store known."}
-        .field("era", static_cast<long long>(current))
-        .field("previous_era", static_cast<long long>(previous))
-        .field("servers_revision", static_cast<long long>(server_cache_.position().revision))
-        .field("configuration_revision", static_cast<long long>(configuration_cache_.position().revision))
-        .field("version", static_cast<long long>(catalog_ ? catalog_->version : 0));
-    duties_.on_store_era(current, restored);
-    if (restored) {
-        configuration_cache_.store_restored();
-        directory_.store_restored(loop_.now());
-        server_cache_.store_restored();
-        peer_exchange_.store_restored();
-    }
-}
-
-void edge_daemon::on_servers_changed() {
-    server_list_.update(server_cache_.items(), server_cache_.restored_at());
-    directory_.observe(server_list_.servers(), loop_.now(), server_list_.from_copy());
-    if (server_cache_.removals_final()) {
-        directory_.confirm_removals(loop_.now());
-    }
-    servers_known_ = true;
-    apply_servers();
-}
-
-void edge_daemon::on_store_contact(platform::store_contact c) {
-    if (c == platform::store_contact::disturbed) {
-        directory_.record_store_failure(loop_.now());
-    } else {
-        directory_.set_store_reachable(c == platform::store_contact::established, loop_.now());
-    }
-}
-
-void edge_daemon::on_removals_final(const char* source) {
-    if (!directory_.confirm_removals(loop_.now())) {
-        return;
-    }
-    base::log_line{base::log_level::info, "daemon",
-                   "Missing servers removed; a peer knows that they have left."}
-        .field("source", source)
-        .field("era", static_cast<long long>(server_cache_.position().era))
-        .field("revision", static_cast<long long>(server_cache_.position().revision));
-    apply_servers();
-}
-
-void edge_daemon::apply_servers() {
-    const auto servers = directory_.servers();
-    router_.set_servers(servers);
-    base::log_line{base::log_level::info, "daemon", "Server list updated."}
-        .field("count", static_cast<long long>(servers.size()))
-        .field("kept", static_cast<long long>(directory_.kept_count()))
-        .field("ignored", static_cast<long long>(directory_.ignored_count()))
-        .field("era", static_cast<long long>(server_cache_.position().era))
-        .field("revision", static_cast<long long>(server_cache_.position().revision))
-        .field("source", platform::to_string(server_cache_.source()))
-        .field("store_reachable", server_cache_.reachable() ? "yes" : "no");
-}
-
 void edge_daemon::housekeeping() {
     if (directory_.expire(loop_.now())) {
         apply_servers();
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -68,6 +68,8 @@
     void accept_readiness(const Poco::Net::StreamSocket& socket);
     void accept_operator(const Poco::Net::StreamSocket& socket);
     void respond_to_operator(http::server_session& s, const http::request& r);
+    /// @return time since the store or a mirror last confirmed the cache; nothing before the first list.
+    [[nodiscard]] std::optional<base::duration> confirmation_age(const platform::object_cache& cache) const;
     [[nodiscard]] crash_guard::prompt_guard_hooks prompt_guard_hooks();
     /// @return true if this daemon, of all in the fleet, may try a part whose quarantine is over.
     [[nodiscard]] bool may_try_quarantined_parts() const;
@@ -108,6 +110,7 @@
     void apply_fleet_size();
     /// Tells the signals of servers how many daemons divide their limits, and how fast these learn of news.
     void apply_fleet_to_signals();
+    void set_gauges();
     void set_signal_gauges(base::time_point now);
     /// Adds the limits of the servers and the demand of the fleet to the load of a service.
     void add_signals(const base::service_id& service, duties::service_demand& d) const;
--- /dev/null
+++ b/apps/daemon/src/edge_daemon_operators.cpp
@@ -0,0 +1,94 @@
+// What the daemon answers on its operator address.
+#include "edge_daemon.h"
+#include "edge_metrics.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace chicorygap::daemon_app {
+
+namespace {
+
+double to_seconds(std::optional<base::duration> d) {
+    return d ? std::chrono::duration<double>{*d}.count() : 0;
+}
+
+}  // namespace
+
+std::optional<base::duration> edge_daemon::confirmation_age(const platform::object_cache& cache) const {
+    return cache.last_confirmed() == base::time_point{}
+               ? std::nullopt
+               : std::optional<base::duration>{loop_.now() - cache.last_confirmed()};
+}
+
+void edge_daemon::respond_to_operator(http::server_session& s, const http::request& r) {
+    if (configuration_mirror_.handle(s, r) || server_mirror_.handle(s, r)) {
+        return;
+    }
+    if (quarantine_endpoint_.handle(s, r, loop_.now()) || signal_endpoint_.handle(s, r, loop_.now())) {
+        return;
+    }
+    if (r.head.target != "/metrics") {
+        s.respond({.status = 404}, {});
+        return;
+    }
+    set_gauges();
+    http::response_head head{.status = 200};
+    head.headers.add("Content-Type", "text/plain; version=0.0.4");
+    s.respond(std::move(head), metrics_->text());
+}
+
+void edge_daemon::set_gauges() {
+    metrics_->set_gauge("open_requests", static_cast<double>(router_.open_requests()));
+    metrics_->set_gauge("callers_turned_away", static_cast<double>(rejected_connections_));
+    metrics_->set_gauge("connections_opened", static_cast<double>(router_.connections_opened()));
+    metrics_->set_gauge("live_daemons", static_cast<double>(peer_exchange_.peers().live_count(loop_.now())));
+    metrics_->set_gauge("lease_term", static_cast<double>(duties_.held_term()));
+    metrics_->set_gauge("log_lines_dropped", static_cast<double>(log_output_.dropped()));
+    metrics_->set_gauge("longest_loop_busy_seconds", to_seconds(loop_.longest_busy_time()));
+    peer_exchange_.traffic().for_each([this](const char* purpose, std::uint64_t bytes) {
+        metrics_->set_gauge(std::string{"peer_bytes_sent_"} + purpose, static_cast<double>(bytes));
+    });
+    metrics_->set_gauge("store_calls", static_cast<double>(store_.call_count()));
+    metrics_->set_gauge("store_era", static_cast<double>(store_era_.current()));
+    metrics_->set_gauge("configuration_version", catalog_ ? static_cast<double>(catalog_->version) : 0);
+    const auto now = loop_.now();
+    metrics_->set_gauge("configuration_age_seconds", to_seconds(confirmation_age(configuration_cache_)));
+    metrics_->set_gauge("servers_age_seconds", to_seconds(confirmation_age(server_cache_)));
+    metrics_->set_gauge("servers_kept", static_cast<double>(directory_.kept_count()));
+    metrics_->set_gauge("servers_invalid", static_cast<double>(server_list_.invalid_count()));
+    metrics_->set_gauge("servers_ignored", static_cast<double>(directory_.ignored_count()));
+    const auto parts = router_.prompt_guard().status(now);
+    const auto quarantined =
+        std::count_if(parts.begin(), parts.end(), [](const auto& p) { return p.quarantined; });
+    metrics_->set_gauge("prompt_parts_quarantined", static_cast<double>(quarantined));
+    metrics_->set_gauge("prompt_parts_in_doubt",
+                        static_cast<double>(parts.size()) - static_cast<double>(quarantined));
+    set_signal_gauges(now);
+}
+
+void edge_daemon::set_signal_gauges(base::time_point now) {
+    const auto& signals = router_.server_signals();
+    std::size_t limited = 0;
+    std::size_t paused = 0;
+    std::size_t leaving = 0;
+    double limits = 0;
+    double share = 0;
+    for (const auto& s : signals.status(now)) {
+        limited += s.limit ? 1 : 0;
+        limits += s.limit.value_or(0);
+        share += s.share;
+        paused += s.wait > base::duration{} ? 1 : 0;
+        leaving += s.leaving ? 1 : 0;
+    }
+    metrics_->set_gauge("servers_limited", static_cast<double>(limited));
+    metrics_->set_gauge("server_limits_per_second", limits);
+    metrics_->set_gauge("server_limit_share_per_second", share);
+    metrics_->set_gauge("servers_paused", static_cast<double>(paused));
+    metrics_->set_gauge("servers_leaving", static_cast<double>(leaving));
+    metrics_->set_gauge("starts_deferred_by_signals", static_cast<double>(signals.deferred_starts()));
+}
+
+}  // namespace chicorygap::daemon_app
