End waiting requests first at the end of a planned stop

Found by reading: ending a request frees its place, which the scheduler gives to a waiting one; if that was ended later in the same pass, it was sent to a server and cut at once, answered 502 instead of 503. Whether it happened depended on the order of a hash table, so that the new test passed before as well. Requests without an attempt in flight are ended first now.

--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -50,6 +50,8 @@
     void on_caller_drained();
     /// Ends the request because the process exits.
     void on_shutdown();
+    /// @return true while an attempt is in flight.
+    [[nodiscard]] bool running() const noexcept { return current_attempt_ != 0; }
 
 private:
     void submit();
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -182,8 +182,13 @@
 
 void request_router::impl::end_requests() {
     const auto requests = active_requests;  // each removes itself
-    for (const auto& [id, request] : requests) {
-        request->on_shutdown();
+    // Those that wait end first, because they would take the places of the others.
+    for (const bool running : {false, true}) {
+        for (const auto& [id, request] : requests) {
+            if (request->running() == running) {
+                request->on_shutdown();
+            }
+        }
     }
 }
 
--- a/packages/proxy/tests/request_router_test.cpp
+++ b/packages/proxy/tests/request_router_test.cpp
@@ -1,5 +1,6 @@
 #include "router_fixture.h"
 
+#include <algorithm>
 #include <map>
 
 namespace chicorygap::proxy {
@@ -290,6 +291,30 @@
     EXPECT_EQ(servers[0]->request_count(), 0);
 }
 
+// Guards against waiting requests that take the places of those that are ended, and are sent and cut in turn.
+TEST_F(request_router_test, end_of_a_shutdown_sends_no_waiting_request) {
+    load_catalog();
+    add_server([](const connection&, const std::string&) {});  // four slots
+    std::vector<std::shared_ptr<test_caller>> callers;
+    callers.reserve(12);
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(send_request("/order/", std::to_string(i)));
+    }
+    ASSERT_TRUE(run_until([&] { return router.open_requests() == 12 && servers[0]->request_count() == 4; }));
+    router.end_requests();
+    ASSERT_TRUE(wait_for_records(12));
+    EXPECT_EQ(servers[0]->request_count(), 4);
+    const auto with_status = [&](int status) {
+        return std::count_if(records.begin(), records.end(),
+                             [&](const auto& r) { return r.status == status; });
+    };
+    EXPECT_EQ(with_status(503), 8);
+    EXPECT_EQ(with_status(502), 4);
+    for (const auto& r : records) {
+        EXPECT_EQ(r.run_state, r.status == 503 ? base::run_state::not_run : base::run_state::unknown);
+    }
+}
+
 // Guards against use after free of a connection: a write to a disconnected caller failed during the call and
 // crashed seven daemons.
 TEST_F(request_router_test, caller_resets_the_connection_during_a_stream) {
