--- a/testing/fleet/tests/fleet.h
+++ b/testing/fleet/tests/fleet.h
@@ -20,6 +20,7 @@
 #include <filesystem>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -130,6 +131,18 @@
         return out;
     }
 
+    /// @return servers that ran at least one of `n` requests to a daemon.
+    std::set<std::string> servers_used_by(std::size_t i, int n) {
+        std::set<std::string> out;
+        for (int k = 0; k < n; ++k) {
+            const auto o = send(i);
+            for (const auto& run : runs.executions_of(o.id)) {
+                out.insert(run.server);
+            }
+        }
+        return out;
+    }
+
     /// Closes the connections between a daemon and the store and refuses new ones.
     void disconnect_from_store(std::size_t i) {
         daemons.at(i).to_store->set_fault(standin::link_fault::refuse_connections);
--- a/testing/fleet/tests/restored_store_test.cpp
+++ b/testing/fleet/tests/restored_store_test.cpp
@@ -21,17 +21,6 @@
         store.set_fault(standin::store_fault::none);
     }
 
-    std::set<std::string> servers_used_by(std::size_t i, int n) {
-        std::set<std::string> out;
-        for (int k = 0; k < n; ++k) {
-            const auto o = send(i);
-            for (const auto& run : runs.executions_of(o.id)) {
-                out.insert(run.server);
-            }
-        }
-        return out;
-    }
-
     /// Changes objects that no daemon reads, so that the revision of the store rises.
     void raise_revision(int changes) {
         for (int i = 0; i < changes; ++i) {
--- a/testing/fleet/tests/stale_state_test.cpp
+++ b/testing/fleet/tests/stale_state_test.cpp
@@ -1,26 +1,11 @@
 #include "fleet.h"
 
-#include <algorithm>
-#include <set>
-
 namespace chicorygap::testing_fleet {
 namespace {
 
 using namespace std::chrono_literals;
 
-struct stale_state : fleet {
-    /// @return servers that ran at least one of `n` requests to a daemon.
-    std::set<std::string> servers_used_by(std::size_t i, int n) {
-        std::set<std::string> out;
-        for (int k = 0; k < n; ++k) {
-            const auto o = send(i);
-            for (const auto& run : runs.executions_of(o.id)) {
-                out.insert(run.server);
-            }
-        }
-        return out;
-    }
-};
+struct stale_state : fleet {};
 
 // Failure: the store turns one daemon away and serves the others while a server leaves.
 TEST_F(stale_state, server_that_left_is_not_used_by_a_daemon_that_the_store_turns_away) {
