--- a/packages/sharing/include/sharing/digest_forwarder.h
+++ b/packages/sharing/include/sharing/digest_forwarder.h
@@ -9,7 +9,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -55,6 +54,8 @@
 
     /// @return bytes that may be passed on in a second; 0 if there is no bound.
     [[nodiscard]] double bytes_per_s() const noexcept { return bytes_per_s_; }
+    /// @return number of receivers whose turns are remembered, once for each zone that sends digests.
+    [[nodiscard]] std::size_t remembered_routes() const noexcept { return loads_sent_at_.size(); }
 
 private:
     /// Receiver and zone of the digest.
--- a/packages/sharing/src/digest_forwarder.cpp
+++ b/packages/sharing/src/digest_forwarder.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <string>
+#include <utility>
 
 namespace chicorygap::sharing {
 
@@ -53,22 +55,28 @@
                                     const std::vector<net::address>& receivers, representative_place place,
                                     base::time_point now) {
     forward_plan out;
-    std::vector<std::pair<base::time_point, net::address>> due;
-    for (const auto& r : receivers) {
-        if (hash_of(digest, r) % std::max<std::size_t>(1, place.count) == place.index) {
-            due.emplace_back(loads_sent_at_[{r, digest.zone}], r);
-        }
+    std::vector<net::address> mine;
+    std::copy_if(receivers.begin(), receivers.end(), std::back_inserter(mine), [&](const auto& r) {
+        return hash_of(digest, r) % std::max<std::size_t>(1, place.count) == place.index;
+    });
+    if (bytes_per_s_ <= 0) {
+        out.whole = std::move(mine);
+        return out;
     }
-    if (bytes_per_s_ <= 0 || digest.zone_services.empty()) {
-        available_bytes_ -= static_cast<double>(due.size() * whole_size);
-        for (const auto& [sent_at, r] : due) {
-            out.whole.push_back(r);
-        }
+    if (digest.zone_services.empty()) {
+        available_bytes_ -= static_cast<double>(mine.size() * whole_size);
+        out.whole = std::move(mine);
         return out;
     }
     refill(now);
     // All get the short form at least; what is left goes to those that have waited longest.
-    available_bytes_ -= static_cast<double>(due.size() * short_size);
+    available_bytes_ -= static_cast<double>(mine.size() * short_size);
+    std::vector<std::pair<base::time_point, net::address>> due;
+    due.reserve(mine.size());
+    for (auto& r : mine) {
+        const auto it = loads_sent_at_.find({r, digest.zone});
+        due.emplace_back(it == loads_sent_at_.end() ? base::time_point{} : it->second, std::move(r));
+    }
     std::sort(due.begin(), due.end());
     const auto interval = turn_interval(whole_size, place);
     const auto extra = static_cast<double>(whole_size) - static_cast<double>(short_size);
--- a/packages/sharing/tests/digest_forwarder_test.cpp
+++ b/packages/sharing/tests/digest_forwarder_test.cpp
@@ -111,6 +111,26 @@
     EXPECT_EQ(f.plan(b, short_size, short_size, receivers, {}, now).whole.size(), zone_size);
 }
 
+// Load: VMs are replaced all day. Guards against routes that are remembered for good where no turns are
+// needed.
+TEST_F(digest_forwarder_test, receivers_are_forgotten) {
+    for (const double link_mbits : {0.0, 10.0}) {
+        digest_forwarder f{link_mbits};
+        beacon b;
+        b.vm = base::vm_id{"vm"};
+        b.zone = base::zone_id{"b"};
+        b.zone_daemons = 20;
+        for (std::uint64_t n = 1; n <= 1000; ++n) {
+            b.sequence = n;
+            b.zone_services[base::service_id{"s"}].waiting = 1;
+            static_cast<void>(
+                f.plan(b, whole_size, short_size, {{"10.0.1." + std::to_string(n), 7200}}, {}, now));
+            now += 1s;
+        }
+        EXPECT_LE(f.remembered_routes(), 60U) << "link " << link_mbits;
+    }
+}
+
 TEST(peer_table_rank, vm_with_a_thin_link_ranks_behind_those_with_an_ample_one) {
     peer_table t{base::vm_id{"self"}};
     beacon other;
