Log blocks of a stream that are not the event that is due

Cause: the log had no line for a block that was passed on, nor the framing of a response or the id of the last event, so that the hypotheses on spoiled streams could not be told apart. Change: the platform states what an event is (platform/event_format.h); the router gets it as a hook, and logs the first block of an attempt that is none, with fault, size, place and framing. Nothing is ended for it yet. "Attempt failed." and "Request ended." name the framing, the latter the last event's id as well.

--- a/apps/daemon/src/decision_log.cpp
+++ b/apps/daemon/src/decision_log.cpp
@@ -46,7 +46,11 @@
     if (r.time_to_first_output) {
         line.field("first_ms", to_ms(*r.time_to_first_output))
             .field("events", static_cast<long long>(r.event_count))
-            .field("longest_pause_ms", to_ms(r.max_token_gap));
+            .field("longest_pause_ms", to_ms(r.max_token_gap))
+            .field("last_event", r.last_event_id.value_or("none"));
+    }
+    if (r.framing != http::body_framing::none) {
+        line.field("framing", http::to_string(r.framing));
     }
     if (r.server_queue_length) {
         line.field("server_waiting", *r.server_queue_length);
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "decision_log.h"
 #include "edge_metrics.h"
+#include "platform/event_format.h"
 #include "platform/object_codec.h"
 #include "settings/edge_settings.h"
 
@@ -100,7 +101,8 @@
                        log_request(r, confirmation_age(configuration_cache_));
                    },
                .signals_changed = log_server_signals,
-               .signal_news = [this](bool own) { peer_exchange_.send_soon(own); }}},
+               .signal_news = [this](bool own) { peer_exchange_.send_soon(own); },
+               .check_event = platform::check_event}},
       quarantine_endpoint_{router_.prompt_guard()},
       signal_endpoint_{router_.server_signals()},
       store_{loop_, settings_.store, store_era_},
--- a/packages/http/include/http/message.h
+++ b/packages/http/include/http/message.h
@@ -64,6 +64,20 @@
     std::optional<std::uint64_t> length;
 };
 
+/// How the end of a response's body is marked.
+enum class body_framing : std::uint8_t {
+    none,  ///< no response head was received
+    length,
+    chunked,
+    connection_end,
+};
+
+/// @return name for log lines.
+std::string_view to_string(body_framing f) noexcept;
+
+/// @return the framing that the head of a response announces.
+body_framing framing_of(const response_head& head);
+
 /// @return a copy without the fields that concern one connection only: Connection and the fields that it
 /// names, Keep-Alive, TE, Trailer, Transfer-Encoding, Upgrade, Proxy-*, Expect and Content-Length. The sender
 /// frames the message anew.
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -77,6 +77,29 @@
     return false;
 }
 
+std::string_view to_string(body_framing f) noexcept {
+    switch (f) {
+        case body_framing::none:
+            return "none";
+        case body_framing::length:
+            return "length";
+        case body_framing::chunked:
+            return "chunked";
+        case body_framing::connection_end:
+            return "connection_end";
+    }
+    return "unknown";
+}
+
+body_framing framing_of(const response_head& head) {
+    if (head.length) {
+        return body_framing::length;
+    }
+    const auto* coding = head.headers.find("Transfer-Encoding");
+    return coding != nullptr && has_token(*coding, "chunked") ? body_framing::chunked
+                                                              : body_framing::connection_end;
+}
+
 header_list end_to_end(const header_list& fields) {
     header_list out;
     for (const auto& f : fields.fields()) {
--- a/packages/proxy/include/proxy/request_record.h
+++ b/packages/proxy/include/proxy/request_record.h
@@ -8,6 +8,7 @@
 #include "base/run_state.h"
 #include "base/tier.h"
 #include "base/time.h"
+#include "http/message.h"
 
 #include <cstdint>
 #include <optional>
@@ -36,6 +37,10 @@
     std::optional<base::duration> time_to_first_output;
     base::duration total_time{};
     std::uint64_t event_count = 0;
+    /// Id of the last event of the stream.
+    std::optional<std::string> last_event_id;
+    /// How the end of the last response was marked.
+    http::body_framing framing = http::body_framing::none;
     /// Bytes of the request that its server had not acknowledged when the attempt was given up; absent if
     /// none was.
     std::optional<std::size_t> unacknowledged_bytes;
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -10,6 +10,7 @@
 #include "catalog/snapshot.h"
 #include "crash_guard/prompt_guard.h"
 #include "http/server_session.h"
+#include "proxy/event_check.h"
 #include "proxy/request_record.h"
 #include "scheduling/load.h"
 #include "scheduling/scheduler.h"
@@ -66,6 +67,8 @@
     std::function<void(const backpressure::server_status&, std::string_view source)> signals_changed;
     /// Called when peers should be told a signal soon, with false if a peer told it.
     std::function<void(bool own)> signal_news;
+    /// Tells which blocks of a server's stream are events; every block with a field is one if empty.
+    event_check check_event;
 };
 
 /// Load report of each service, as exchanged with peers.
--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -27,6 +27,7 @@
         line_start_ = end + 1;
         scanned_ = end + 1;
         if (end_line(line)) {
+            end_event(std::string_view{partial_}.substr(complete_bytes, end + 1 - complete_bytes));
             complete_bytes = end + 1;
         }
     }
@@ -44,14 +45,7 @@
 
 bool event_splitter::end_line(std::string_view line) {
     if (line.empty()) {
-        if (!std::exchange(has_field_, false)) {
-            return false;
-        }
-        ++event_count_;
-        if (partial_id_) {
-            last_id_ = std::exchange(partial_id_, std::nullopt);
-        }
-        return true;
+        return std::exchange(has_field_, false);
     }
     has_field_ = has_field_ || line.front() != ':';
     if (line.starts_with("id:")) {
@@ -64,6 +58,17 @@
     return false;
 }
 
+void event_splitter::end_event(std::string_view block) {
+    if (check_ && fault_ == event_fault::none) {
+        fault_ = check_(block, last_id_ ? last_id_ : begins_after_);
+        faulty_block_bytes_ = block.size();
+    }
+    ++event_count_;
+    if (partial_id_) {
+        last_id_ = std::exchange(partial_id_, std::nullopt);
+    }
+}
+
 std::string event_splitter::take_comments() {
     if (has_partial()) {
         return {};
@@ -79,6 +84,7 @@
     line_start_ = 0;
     has_field_ = false;
     event_too_long_ = false;
+    fault_ = event_fault::none;
     partial_id_.reset();
 }
 
--- a/packages/proxy/src/event_splitter.h
+++ b/packages/proxy/src/event_splitter.h
@@ -2,19 +2,30 @@
 /// Splits a stream of server-sent events at event boundaries.
 #pragma once
 
+#include "proxy/event_check.h"
+
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace chicorygap::proxy {
 
 /// Splits a stream of server-sent events at event boundaries, so that a caller never receives an incomplete
 /// event.
 ///
-/// Concept: every byte is examined once. Blocks without a field, such as comments, are no events: they are
-/// kept and returned together with the next event.
+/// Concept: blocks without a field, such as comments, are no events: they are kept and returned together with
+/// the next event. Every other block is given to a check, which tells whether it is the event that is due.
 class event_splitter {
 public:
+    /// @param check takes every block with a field for an event if empty.
+    explicit event_splitter(event_check check = {}) : check_{std::move(check)} {}
+
+    /// Sets the event behind which the stream begins.
+    /// @param id id of an event that the caller has received from an earlier stream.
+    void begin_after(std::string id) { begins_after_ = std::move(id); }
+
     /// @param bytes next bytes of the stream.
     /// @return bytes of the events that are now complete, unchanged; may be empty.
     std::string feed(std::string_view bytes);
@@ -22,6 +33,12 @@
     /// @return true once the bytes before the end of an event exceeded the limit. Nothing is kept then.
     [[nodiscard]] bool event_too_long() const noexcept { return event_too_long_; }
 
+    /// @return why the first block that is not the event that is due is none.
+    [[nodiscard]] event_fault fault() const noexcept { return fault_; }
+
+    /// @return size of that block in bytes.
+    [[nodiscard]] std::size_t faulty_block_bytes() const noexcept { return faulty_block_bytes_; }
+
     /// @return kept blocks without a field at the end of the stream.
     std::string take_comments();
 
@@ -43,11 +60,19 @@
     /// @return true if the line ends an event.
     bool end_line(std::string_view line);
 
+    /// Checks an event whose last line has been read.
+    /// @param block its lines, with the comments before it.
+    void end_event(std::string_view block);
+
+    event_check check_;
+    std::optional<std::string> begins_after_;
     std::string partial_;
     std::size_t scanned_ = 0;     ///< bytes of `partial_` that contain no unprocessed line end
     std::size_t line_start_ = 0;  ///< start of the incomplete line in `partial_`
     bool has_field_ = false;      ///< the incomplete event has a field
     bool event_too_long_ = false;
+    event_fault fault_ = event_fault::none;
+    std::size_t faulty_block_bytes_ = 0;
     std::optional<std::string> partial_id_;  ///< id of the incomplete event
     std::optional<std::string> last_id_;
     std::uint64_t event_count_ = 0;
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -59,7 +59,8 @@
       catalog_{router.catalog},
       evidence_{router.guard, metadata_.generation},
       id_{router.next_request_id()},
-      received_at_{base::boot_clock::now()} {
+      received_at_{base::boot_clock::now()},
+      events_{router.hooks.check_event} {
     record_.id = metadata_.id;
 }
 
@@ -107,6 +108,10 @@
     }
     const double fraction = static_cast<double>(router_.random() >> 11) / static_cast<double>(1ULL << 53);
     service_ = catalog::select_service(*route_, fraction);
+    if (metadata_.last_event_id) {
+        // A server of a route that is not resumable may begin at any event.
+        events_.begin_after(route_->resumable ? *metadata_.last_event_id : std::string{});
+    }
     init_deadline_and_retries();
     submit();
 }
@@ -262,6 +267,7 @@
         .field("attempt", record_.attempts)
         .field("cause", record_.failure_cause)
         .field("retry", next.allowed ? "yes" : "no")
+        .field("framing", to_string(response_framing_))
         .code(next.reason);
     if (metadata_.generation) {
         line.field("response_status", response_status_)
@@ -355,6 +361,8 @@
         record_.run_state = attempt_tracker_->run_state();
     }
     record_.event_count = events_.event_count();
+    record_.last_event_id = events_.last_id();
+    record_.framing = response_framing_;
     record_.total_time = base::boot_clock::now() - received_at_;
     const auto age = [](const std::optional<base::time_point>& since) {
         return since ? std::optional<base::duration>{base::boot_clock::now() - *since} : std::nullopt;
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -98,6 +98,8 @@
     /// target.
     void record_token_gap();
 
+    /// Logs the first block of the attempt that is not the event that was due.
+    void log_event_fault() const;
     void complete_stream();
     void complete_non_stream();
     void on_attempt_failed(retry::attempt_outcome outcome, scheduling::outcome server_outcome,
@@ -141,6 +143,7 @@
     http::response_head response_head_;
     response_metadata response_metadata_;
     int response_status_ = 0;
+    http::body_framing response_framing_ = http::body_framing::none;
     std::string response_body_;
     event_splitter events_;
     std::uint64_t events_at_attempt_start_ = 0;
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -1,3 +1,4 @@
+#include "base/log.h"
 #include "proxied_request.h"
 
 #include <algorithm>
@@ -80,6 +81,7 @@
     discarded_bytes_ = 0;
     response_is_stream_ = false;
     response_status_ = 0;
+    response_framing_ = http::body_framing::none;
     if (!response_started_) {
         response_head_ = {};
     }
@@ -189,6 +191,7 @@
         report_run_started();
     }
     response_status_ = head.status;
+    response_framing_ = http::framing_of(head);
     record_.server_signals = response_metadata_.signals;
     router_.observe_signals(server_, response_metadata_.wrong_server, response_metadata_.signals,
                             attempt_started_at_);
@@ -211,8 +214,12 @@
 
 void proxied_request::on_stream_body(std::string_view data) {
     const auto events_before = events_.event_count();
+    const auto fault_before = events_.fault();
     const auto complete_events = events_.feed(data);
     const auto self = shared_from_this();
+    if (fault_before == event_fault::none && events_.fault() != event_fault::none) {
+        log_event_fault();
+    }
     if (complete_events.empty()) {
         if (events_.event_too_long()) {
             fail_attempt_with_invalid_response("event_too_long");
@@ -243,6 +250,18 @@
     arm_attempt_timer();
 }
 
+void proxied_request::log_event_fault() const {
+    base::log_line{base::log_level::warning, "proxy", "Block in a stream is not the event that is due."}
+        .field("request", metadata_.id.str())
+        .field("server", record_.server.str())
+        .field("attempt", record_.attempts)
+        .field("fault", to_string(events_.fault()))
+        .field("bytes", static_cast<long long>(events_.faulty_block_bytes()))
+        .field("events", static_cast<long long>(events_.event_count()))
+        .field("attempt_events", static_cast<long long>(events_.event_count() - events_at_attempt_start_))
+        .field("framing", to_string(response_framing_));
+}
+
 void proxied_request::pause_if_caller_is_slow() {
     if (connection_ && session_->buffered() > max_pending_output_bytes) {
         connection_->pause_reading(true);
--- a/packages/proxy/tests/router_fixture.h
+++ b/packages/proxy/tests/router_fixture.h
@@ -8,6 +8,7 @@
 #include "net/stream.h"
 #include "proxy/request_router.h"
 #include "scripted_server.h"
+#include "test_event_check.h"
 #include "test_header_codec.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -71,7 +72,10 @@
          .retries = {.ratio = 1, .extra_retries = 100, .window = 10s}},
         [this] { return ++random_state << 40; },
         {.run_started = [this](const base::workspace_id& w) { started_runs.push_back(w.str()); },
-         .request_ended = [this](const request_record& r) { records.push_back(r); }}};
+         .request_ended = [this](const request_record& r) { records.push_back(r); },
+         .signals_changed = nullptr,
+         .signal_news = nullptr,
+         .check_event = check_test_event}};
     std::set<std::shared_ptr<http::server_session>> sessions;
     net::listener listener{loop, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& s) { accept(s); }};
     std::vector<std::unique_ptr<scripted_server>> servers;
