End an attempt at the first block that is not the event that is due

Callers saw: pieces that no run had made, with an empty or another event's id, in streams under a 200 that looked complete; an event twice; a whole second response behind the last event. Cause: every block that held a line and ended at an empty one was forwarded and counted as an event, and its id was taken for the place from which a resume goes on. Nobody asked whether the server had made it. Change: the splitter gives each block to the check of the servers' protocol and stops at the first that is not the event that is due. Nothing of it is forwarded, the connection is closed, and the attempt has failed as one with an invalid response: it counts against the server, and the stream goes on elsewhere behind the last sound event where the route allows it; otherwise the caller sees it broken off. Why it works: only blocks that are the next event in number and form are passed on, counted or resumed from, whatever the framing and the place of the others. Bytes that look like the next event cannot be told apart.

--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 std::string event_splitter::feed(std::string_view bytes) {
-    if (event_too_long_) {
+    if (fault_ != event_fault::none) {
         return {};
     }
     partial_.append(bytes);
@@ -26,10 +26,15 @@
         }
         line_start_ = end + 1;
         scanned_ = end + 1;
-        if (end_line(line)) {
-            end_event(std::string_view{partial_}.substr(complete_bytes, end + 1 - complete_bytes));
-            complete_bytes = end + 1;
+        if (!end_line(line)) {
+            continue;
         }
+        if (!end_event(std::string_view{partial_}.substr(complete_bytes, end + 1 - complete_bytes))) {
+            auto sound = partial_.substr(0, complete_bytes);
+            drop_partial();
+            return sound;
+        }
+        complete_bytes = end + 1;
     }
     scanned_ = partial_.size();
     std::string out = partial_.substr(0, complete_bytes);
@@ -37,8 +42,8 @@
     scanned_ -= complete_bytes;
     line_start_ -= complete_bytes;
     if (partial_.size() > max_event_bytes) {
-        discard_partial();
-        event_too_long_ = true;
+        drop_partial();
+        fault_ = event_fault::too_long;
     }
     return out;
 }
@@ -58,15 +63,19 @@
     return false;
 }
 
-void event_splitter::end_event(std::string_view block) {
-    if (check_ && fault_ == event_fault::none) {
+bool event_splitter::end_event(std::string_view block) {
+    if (check_) {
         fault_ = check_(block, last_id_ ? last_id_ : begins_after_);
-        faulty_block_bytes_ = block.size();
+        if (fault_ != event_fault::none) {
+            faulty_block_bytes_ = block.size();
+            return false;
+        }
     }
     ++event_count_;
     if (partial_id_) {
         last_id_ = std::exchange(partial_id_, std::nullopt);
     }
+    return true;
 }
 
 std::string event_splitter::take_comments() {
@@ -79,12 +88,15 @@
 }
 
 void event_splitter::discard_partial() {
+    drop_partial();
+    fault_ = event_fault::none;
+}
+
+void event_splitter::drop_partial() {
     partial_.clear();
     scanned_ = 0;
     line_start_ = 0;
     has_field_ = false;
-    event_too_long_ = false;
-    fault_ = event_fault::none;
     partial_id_.reset();
 }
 
--- a/packages/proxy/src/event_splitter.h
+++ b/packages/proxy/src/event_splitter.h
@@ -30,13 +30,11 @@
     /// @return bytes of the events that are now complete, unchanged; may be empty.
     std::string feed(std::string_view bytes);
 
-    /// @return true once the bytes before the end of an event exceeded the limit. Nothing is kept then.
-    [[nodiscard]] bool event_too_long() const noexcept { return event_too_long_; }
-
-    /// @return why the first block that is not the event that is due is none.
+    /// @return why the bytes behind the last event are not the one that is due. Nothing of them is kept, and
+    /// further bytes are ignored.
     [[nodiscard]] event_fault fault() const noexcept { return fault_; }
 
-    /// @return size of that block in bytes.
+    /// @return size of the block that failed the check, in bytes.
     [[nodiscard]] std::size_t faulty_block_bytes() const noexcept { return faulty_block_bytes_; }
 
     /// @return kept blocks without a field at the end of the stream.
@@ -51,8 +49,8 @@
     /// @return true if the end of an event is still missing.
     [[nodiscard]] bool has_partial() const noexcept { return has_field_ || line_start_ < partial_.size(); }
 
-    /// Discards an incomplete event, so that another server can resume the stream after the last complete
-    /// one.
+    /// Discards an incomplete event and a fault, so that another server can resume the stream after the last
+    /// complete event.
     void discard_partial();
 
 private:
@@ -62,7 +60,10 @@
 
     /// Checks an event whose last line has been read.
     /// @param block its lines, with the comments before it.
-    void end_event(std::string_view block);
+    /// @return false if it is not the event that is due.
+    bool end_event(std::string_view block);
+
+    void drop_partial();
 
     event_check check_;
     std::optional<std::string> begins_after_;
@@ -70,7 +71,6 @@
     std::size_t scanned_ = 0;     ///< bytes of `partial_` that contain no unprocessed line end
     std::size_t line_start_ = 0;  ///< start of the incomplete line in `partial_`
     bool has_field_ = false;      ///< the incomplete event has a field
-    bool event_too_long_ = false;
     event_fault fault_ = event_fault::none;
     std::size_t faulty_block_bytes_ = 0;
     std::optional<std::string> partial_id_;  ///< id of the incomplete event
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -82,7 +82,10 @@
     void pause_if_caller_is_slow();
     /// Ends the attempt because the server sends bytes that are no valid response, and closes its connection.
     /// @param cause for the log.
-    void fail_attempt_with_invalid_response(const char* cause);
+    void fail_attempt_with_invalid_response(std::string_view cause);
+    /// Ends the attempt if its stream holds a block that is not the event that was due.
+    /// @return true if the attempt was ended.
+    bool fail_attempt_after_event_fault();
     void on_response_complete();
     void on_exchange_failed(http::exchange_failure failure);
     void on_attempt_timeout();
@@ -98,8 +101,6 @@
     /// target.
     void record_token_gap();
 
-    /// Logs the first block of the attempt that is not the event that was due.
-    void log_event_fault() const;
     void complete_stream();
     void complete_non_stream();
     void on_attempt_failed(retry::attempt_outcome outcome, scheduling::outcome server_outcome,
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -214,16 +214,10 @@
 
 void proxied_request::on_stream_body(std::string_view data) {
     const auto events_before = events_.event_count();
-    const auto fault_before = events_.fault();
     const auto complete_events = events_.feed(data);
     const auto self = shared_from_this();
-    if (fault_before == event_fault::none && events_.fault() != event_fault::none) {
-        log_event_fault();
-    }
     if (complete_events.empty()) {
-        if (events_.event_too_long()) {
-            fail_attempt_with_invalid_response("event_too_long");
-        }
+        fail_attempt_after_event_fault();
         return;
     }
     if (!attempt_tracker_->record_output(current_attempt_, events_.event_count() - events_before)) {
@@ -242,15 +236,17 @@
         session_->begin(std::move(head));
     }
     session_->send(complete_events);
-    if (events_.event_too_long()) {
-        fail_attempt_with_invalid_response("event_too_long");
+    if (fail_attempt_after_event_fault()) {
         return;
     }
     pause_if_caller_is_slow();
     arm_attempt_timer();
 }
 
-void proxied_request::log_event_fault() const {
+bool proxied_request::fail_attempt_after_event_fault() {
+    if (events_.fault() == event_fault::none) {
+        return false;
+    }
     base::log_line{base::log_level::warning, "proxy", "Block in a stream is not the event that is due."}
         .field("request", metadata_.id.str())
         .field("server", record_.server.str())
@@ -260,6 +256,8 @@
         .field("events", static_cast<long long>(events_.event_count()))
         .field("attempt_events", static_cast<long long>(events_.event_count() - events_at_attempt_start_))
         .field("framing", to_string(response_framing_));
+    fail_attempt_with_invalid_response(to_string(events_.fault()));
+    return true;
 }
 
 void proxied_request::pause_if_caller_is_slow() {
@@ -268,10 +266,11 @@
     }
 }
 
-void proxied_request::fail_attempt_with_invalid_response(const char* cause) {
+void proxied_request::fail_attempt_with_invalid_response(std::string_view cause) {
     router_.loop.cancel(attempt_timer_);
     abort_attempt();
-    on_attempt_failed({result_code::answer_mismatched, true}, scheduling::outcome::failed, cause);
+    on_attempt_failed({result_code::answer_mismatched, true}, scheduling::outcome::failed,
+                      std::string{cause});
 }
 
 void proxied_request::on_non_stream_body(std::string_view data) {
--- a/packages/proxy/tests/event_splitter_test.cpp
+++ b/packages/proxy/tests/event_splitter_test.cpp
@@ -51,10 +51,10 @@
     event_splitter s;
     const std::string piece(std::size_t{16} * 1024, 'a');
     std::size_t fed = 0;
-    for (; fed < total && !s.event_too_long(); fed += piece.size()) {
+    for (; fed < total && s.fault() == event_fault::none; fed += piece.size()) {
         EXPECT_EQ(s.feed(piece), "");
     }
-    EXPECT_TRUE(s.event_too_long());
+    EXPECT_EQ(s.fault(), event_fault::too_long);
     EXPECT_LE(fed, std::size_t{512} * 1024);
     EXPECT_EQ(s.feed("data: x\n\n"), "");
 }
