Check whether a server has ended when it spoils a response

Callers saw: nothing yet; found while looking where else garbage is believed. A prompt that ends its servers is found by the servers that end under it. A server that writes garbage before it ends was no evidence: the attempt failed over the garbage and nobody looked. Cause: an invalid response ended the attempt without the check that follows a broken connection. Change: it goes the same way; the server's health counts a failure as before. Evidence: query_of_death.end_of_a_server_behind_garbage_is_evidence failed before (0 crashes recorded instead of one for each of two parts) and passes; all proxy tests pass. Why it works: the check asks the server's address, which does not depend on how the attempt failed.

--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -204,10 +204,11 @@
     return true;
 }
 
-void proxied_request::finish_broken_attempt(retry::attempt_outcome outcome, std::string failure_cause) {
+void proxied_request::finish_broken_attempt(retry::attempt_outcome outcome,
+                                            scheduling::outcome server_outcome, std::string failure_cause) {
     const auto progress = evidence_.progress(response_status_ != 0, router_.loop.now());
     if (progress == crash_guard::attempt_progress::none) {
-        on_attempt_failed(outcome, scheduling::outcome::unreachable, std::move(failure_cause));
+        on_attempt_failed(outcome, server_outcome, std::move(failure_cause));
         return;
     }
     const auto address = net::to_string(server_.address);
@@ -216,8 +217,8 @@
     router_.check.start(
         connection_key_, server_.address,
         [&router = router_, parts = evidence_.shared_parts(), server, progress, weak = weak_from_this(),
-         attempt = current_attempt_, outcome, cause = std::move(failure_cause), request = metadata_.id,
-         name = record_.server, service = service_](bool ended) {
+         attempt = current_attempt_, outcome, server_outcome, cause = std::move(failure_cause),
+         request = metadata_.id, name = record_.server, service = service_](bool ended) {
             // A server that leaves is expected to end.
             if (ended && router.is_serving(service, name)) {
                 base::log_line{base::log_level::info, "proxy", "Server ended during a request."}
@@ -230,7 +231,7 @@
             const auto self = weak.lock();
             if (self && self->current_attempt_ == attempt && !self->ended_) {
                 self->awaiting_server_check_ = false;
-                self->on_attempt_failed(outcome, scheduling::outcome::unreachable, cause);
+                self->on_attempt_failed(outcome, server_outcome, cause);
             }
         });
 }
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -64,7 +64,8 @@
     /// @return true if the server may have received the request of the current attempt.
     [[nodiscard]] bool attempt_sent() const;
     /// Reports a failed attempt after it is known whether the server has ended.
-    void finish_broken_attempt(retry::attempt_outcome outcome, std::string failure_cause);
+    void finish_broken_attempt(retry::attempt_outcome outcome, scheduling::outcome server_outcome,
+                               std::string failure_cause);
     [[nodiscard]] std::uint8_t priority_rank() const;
     [[nodiscard]] scheduling::scheduler& scheduler();
     [[nodiscard]] base::duration remaining_time() const;
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -269,8 +269,8 @@
 void proxied_request::fail_attempt_with_invalid_response(std::string_view cause) {
     router_.loop.cancel(attempt_timer_);
     abort_attempt();
-    on_attempt_failed({result_code::answer_mismatched, true}, scheduling::outcome::failed,
-                      std::string{cause});
+    finish_broken_attempt({result_code::answer_mismatched, true}, scheduling::outcome::failed,
+                          std::string{cause});
 }
 
 void proxied_request::on_non_stream_body(std::string_view data) {
@@ -319,7 +319,8 @@
 
 void proxied_request::complete_stream() {
     if (events_.has_partial() || !response_started_) {
-        finish_broken_attempt({result_code::answer_truncated, true}, "truncated");
+        finish_broken_attempt({result_code::answer_truncated, true}, scheduling::outcome::unreachable,
+                              "truncated");
         return;
     }
     evidence_.answered(router_.loop.now());
@@ -388,7 +389,8 @@
                                    : result_code::answer_mismatched;
     const bool broken = failure == http::exchange_failure::reset || failure == http::exchange_failure::closed;
     if (broken) {
-        finish_broken_attempt({code, sent}, std::string{to_string(failure)});
+        finish_broken_attempt({code, sent}, scheduling::outcome::unreachable,
+                              std::string{to_string(failure)});
     } else {
         on_attempt_failed({code, sent}, scheduling::outcome::unreachable, std::string{to_string(failure)});
     }
--- a/packages/proxy/tests/query_of_death_test.cpp
+++ b/packages/proxy/tests/query_of_death_test.cpp
@@ -20,7 +20,10 @@
         const auto at = request.find("Id: ") + 4;
         const auto id = request.substr(at, request.find("\r\n", at) - at);
         c->write(stream_head(id));
-        if (deadly.contains(id)) {
+        if (deadly.contains(id) && !last_words.empty()) {
+            c->write(chunk(last_words));
+            servers[i]->end_process();
+        } else if (deadly.contains(id)) {
             // The head arrives first.
             loop.after(20ms, [this, i] { servers[i]->end_process(); });
         } else {
@@ -39,6 +42,7 @@
     }
 
     std::set<std::string> deadly;
+    std::string last_words;  ///< what a server writes before it ends, if anything
     int last_id = 0;
 };
 
@@ -71,6 +75,15 @@
     EXPECT_EQ(records.back().attempts, 2U);
 }
 
+// Failure: a server that a prompt ends writes garbage first. Guards against an end that is no evidence
+// because the attempt failed over the garbage.
+TEST_F(query_of_death, end_of_a_server_behind_garbage_is_evidence) {
+    last_words = "garbage\n\n";
+    send_prompt("/draft/", deadly_prompt);
+    EXPECT_EQ(records.back().failure_cause, "event_unknown_field");
+    EXPECT_EQ(router.prompt_guard().report(loop.now()).crashes.size(), 2U) << "one for each shared part";
+}
+
 struct broken_connection : request_router_test {
     std::function<void(const connection&)> break_off = [](const connection& c) { c->close(); };
 
