Reset the connection of a caller whose answer only the connection ends

Callers saw: a caller that speaks HTTP/1.0 got a stream that was broken off with an orderly end of its connection, which is how a complete answer ends there. Cause: abort closed the connection in the same way for every framing; only chunks and a length show a missing rest by themselves. Change: an answer that ends with its connection is ended by a reset. Evidence: old_caller.sees_that_a_spoiled_stream_is_not_complete failed before and passes; 40 tests of the router and 12 of http pass. Why it works: a reset is no orderly end for the caller's socket.

--- a/packages/http/include/http/server_session.h
+++ b/packages/http/include/http/server_session.h
@@ -109,6 +109,7 @@
     bool last_request_ = false;
     bool close_after_current_ = false;
     bool chunked_answer_ = false;
+    bool ends_with_connection_ = false;  ///< only the end of the connection ends the answer that was begun
     bool no_answer_body_ = false;
     bool body_too_large_ = false;
     bool body_time_added_ = false;
--- a/packages/http/src/server_session.cpp
+++ b/packages/http/src/server_session.cpp
@@ -190,6 +190,7 @@
         head.headers.add("Transfer-Encoding", "chunked");
     } else {
         close_after_current_ = true;
+        ends_with_connection_ = true;
     }
     if (close_after_current_) {
         head.headers.add("Connection", "close");
@@ -235,7 +236,11 @@
     const auto self = shared_from_this();
     loop_.cancel(timer_);
     busy_ = false;
-    stream_->close();
+    if (std::exchange(ends_with_connection_, false)) {
+        stream_->reset();  // an orderly end would make the answer look complete
+    } else {
+        stream_->close();
+    }
     if (hooks_.closed) {
         hooks_.closed(*this);
     }
--- a/packages/proxy/tests/spoiled_stream_test.cpp
+++ b/packages/proxy/tests/spoiled_stream_test.cpp
@@ -2,6 +2,7 @@
 #include "router_fixture.h"
 
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -183,6 +184,26 @@
     }
 }
 
+struct old_caller : request_router_test {};
+
+// Failure: a caller that cannot read chunks sees the end of a spoiled stream as an orderly one.
+TEST_F(old_caller, sees_that_a_spoiled_stream_is_not_complete) {
+    load_catalog();
+    add_server([](const connection& c, const std::string&) {
+        c->write(stream_head("1") + chunk(numbered_event(1)) + chunk("garbage\n\n"));
+    });
+    std::string received;
+    std::optional<net::stream_end> end;
+    const auto caller = net::stream::connect(loop, listener.local(), 1s,
+                                             {.connected = nullptr,
+                                              .received = [&](std::string_view b) { received.append(b); },
+                                              .drained = nullptr,
+                                              .ended = [&](net::stream_end how) { end = how; }});
+    caller->write("POST /draft/ HTTP/1.0\r\nHost: h\r\nId: 1\r\nKey: k\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(run_until([&] { return end.has_value(); }));
+    EXPECT_EQ(end, net::stream_end::reset) << received;
+}
+
 INSTANTIATE_TEST_SUITE_P(server, spoiled_end, testing::Values(framing::chunked, framing::connection_end),
                          [](const auto& x) {
                              return std::string{x.param == framing::chunked ? "chunked" : "unframed"};
