Fail an attempt whose response the addressed server did not make

Callers got successes, redirects and client errors that bore no signature of a server or no id of their request, event streams on plain routes, plain bodies on streaming routes, streams with a length and encoded bodies. The events of a resumed stream were taken from a second server whatever its head said, as long as it had the type of a stream.

Cause: on_response_head forwarded every head below 500 as it was. The codec had no field for the signature, and matches_request takes a response without an id on a fresh connection.

find_head_fault decides from the decoded head and the kind of the route before anything of the response is used, its load and signals included. A head that fails ends the attempt with its cause in the log: unsigned, missing_id, encoded, wrong_kind, stream_with_length, unknown_status, refusal_without_id. The connection is closed, the failure counts against the server, and the request is repeated where its route allows it; otherwise the caller gets 502. Errors from 500 promise nothing and pass as before.

--- a/packages/proxy/include/proxy/header_codec.h
+++ b/packages/proxy/include/proxy/header_codec.h
@@ -52,6 +52,8 @@
 struct response_metadata {
     /// Id of the request that the response belongs to; empty if the response has none.
     std::string request_id;
+    /// The response bears the server's signature.
+    bool signed_by_server = false;
     /// The server has not run the request and will not run it.
     bool not_run = false;
     /// The address now belongs to another server.
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -1,4 +1,5 @@
 #include "proxied_request.h"
+#include "response_check.h"
 
 #include <algorithm>
 #include <utility>
@@ -37,11 +38,6 @@
 /// Lower bound of the attempt timeout until the first event.
 constexpr base::duration min_first_event_timeout = 1200ms;
 
-bool is_event_stream(const http::response_head& head) {
-    const auto* type = head.headers.find("Content-Type");
-    return head.status == 200 && type != nullptr && type->starts_with("text/event-stream");
-}
-
 }  // namespace
 
 base::duration proxied_request::max_connection_idle() const {
@@ -185,9 +181,17 @@
     response_metadata_ = router_.codec.decode(head);
     response_is_stream_ = route_->kind == catalog::request_kind::streaming && is_event_stream(head) &&
                           !response_metadata_.not_run && !response_metadata_.wrong_server;
+    // A server that spoils its response has run the request.
     if (!response_is_stream_ && !response_metadata_.not_run && !response_metadata_.wrong_server) {
         report_run_started();
     }
+    const auto* fault = find_head_fault(head, response_metadata_,
+                                        {.stream = route_->kind == catalog::request_kind::streaming,
+                                         .head_request = request_.head.method == "HEAD"});
+    if (fault != nullptr) {
+        fail_attempt_with_invalid_response(fault);
+        return;
+    }
     response_status_ = head.status;
     record_.server_signals = response_metadata_.signals;
     router_.observe_signals(server_, response_metadata_.wrong_server, response_metadata_.signals,
@@ -315,11 +319,6 @@
 
 void proxied_request::complete_non_stream() {
     const bool not_run = response_metadata_.not_run || response_metadata_.wrong_server;
-    if (not_run && response_metadata_.request_id.empty()) {
-        on_attempt_failed({result_code::answer_mismatched, true}, scheduling::outcome::failed,
-                          "refusal_without_id");
-        return;
-    }
     if (not_run) {
         const auto server_outcome =
             response_metadata_.wrong_server ? scheduling::outcome::replaced : scheduling::outcome::rejected;
--- a/packages/proxy/tests/test_header_codec.h
+++ b/packages/proxy/tests/test_header_codec.h
@@ -12,7 +12,7 @@
 namespace chicorygap::proxy {
 
 /// Header codec for tests. Requests use the fields Id, Key, Last and Parts (ids in decimal); responses use
-/// Id, Not-Run, Limit (requests per second), Wait (seconds), Leaving and status 421.
+/// Id, Unsigned, Not-Run, Limit (requests per second), Wait (seconds), Leaving and status 421.
 class test_header_codec final : public header_codec {
 public:
     [[nodiscard]] request_metadata decode(const http::request_head& head) const override {
@@ -44,6 +44,7 @@
 
     [[nodiscard]] response_metadata decode(const http::response_head& head) const override {
         response_metadata r{.request_id = text(head.headers, "Id"),
+                            .signed_by_server = head.headers.find("Unsigned") == nullptr,
                             .not_run = head.headers.find("Not-Run") != nullptr,
                             .wrong_server = head.status == 421};
         if (const auto* limit = head.headers.find("Limit")) {
