Promise "not run" only where the server said so

A caller of an order got a server's 429 or 503 as it came, also when it lacked the server's statement that the request was not run. A success with that statement made the router answer 503 although the server had run the order.

Cause: statuses were forwarded without regard to what they promise, and the statement was believed with any status.

find_head_fault now names both: "unmarked_refusal" for 408, 429 and 503 without the statement (421 is a statement by itself) and "contradictory_refusal" for the statement with a status below 400. The attempt fails; an order ends with 502, which promises nothing.

Evidence: the shapes busy_without_the_mark, too_many_without_the_mark and success_that_was_not_run of response_origin_test failed before (six tests); proxy_test passes with 126 tests.

--- a/packages/proxy/src/response_check.cpp
+++ b/packages/proxy/src/response_check.cpp
@@ -11,9 +11,15 @@
 
 constexpr int ok_status = 200;
 constexpr int first_redirect_status = 300;
+constexpr int first_client_error_status = 400;
 constexpr int first_server_error_status = 500;
 constexpr int max_status = 599;
 
+/// @return true if the status promises a caller that its request has not run and will not run.
+bool promises_not_run(int status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// @return true if the body, or its transfer, is encoded in a way that the caller did not ask for.
 bool is_encoded(const http::response_head& head) {
     const auto& fields = head.headers.fields();
@@ -40,7 +46,13 @@
         return "unknown_status";
     }
     if (metadata.not_run || metadata.wrong_server) {
-        return metadata.request_id.empty() ? "refusal_without_id" : nullptr;
+        if (metadata.request_id.empty()) {
+            return "refusal_without_id";
+        }
+        return head.status < first_client_error_status ? "contradictory_refusal" : nullptr;
+    }
+    if (promises_not_run(head.status)) {
+        return "unmarked_refusal";
     }
     if (head.status >= first_server_error_status) {
         return nullptr;
--- a/packages/proxy/src/response_check.h
+++ b/packages/proxy/src/response_check.h
@@ -18,7 +18,7 @@
 [[nodiscard]] bool is_event_stream(const http::response_head& head);
 
 /// Decides whether the head is one that the addressed server gives to a request of this kind. Responses with
-/// an error status from 500 promise nothing and are not examined further.
+/// an error status from 500 promise nothing, except 503, and are not examined further.
 /// @param head head of the response.
 /// @param metadata decoded from `head`; its request id is empty or that of the request.
 /// @return null if the response may be forwarded; otherwise the cause for the log.
--- a/packages/proxy/tests/response_check_test.cpp
+++ b/packages/proxy/tests/response_check_test.cpp
@@ -70,6 +70,13 @@
         EXPECT_EQ(fault(status, {id}, plain), "unknown_status") << status;
         EXPECT_EQ(fault(status, {id, {"Not-Run", "1"}}, plain), "unknown_status") << status;
     }
+    for (const int status : {200, 204, 304}) {
+        EXPECT_EQ(fault(status, {id, {"Not-Run", "1"}}, plain), "contradictory_refusal") << status;
+    }
+    for (const int status : {408, 429, 503}) {
+        EXPECT_EQ(fault(status, {id}, plain), "unmarked_refusal") << status;
+        EXPECT_EQ(fault(status, {id}, stream), "unmarked_refusal") << status;
+    }
     EXPECT_EQ(fault(200, {id, typed}, plain), "wrong_kind");
     EXPECT_EQ(fault(200, {id}, stream), "wrong_kind");
     EXPECT_EQ(fault(201, {id, typed}, stream), "wrong_kind");
--- a/packages/proxy/tests/response_origin_test.cpp
+++ b/packages/proxy/tests/response_origin_test.cpp
@@ -30,7 +30,10 @@
             {"unsigned_redirect", "302 X\r\nId: 1\r\nUnsigned: 1\r\n", "unsigned"},
             {"client_error_without_id", "404 X\r\n", "missing_id"},
             {"status_of_no_server", "600 X\r\nId: 1\r\n", "unknown_status"},
-            {"status_below_100", "099 X\r\nId: 1\r\n", "unknown_status"}};
+            {"status_below_100", "099 X\r\nId: 1\r\n", "unknown_status"},
+            {"success_that_was_not_run", "200 X\r\nId: 1\r\nNot-Run: 1\r\n", "contradictory_refusal"},
+            {"busy_without_the_mark", "503 X\r\nId: 1\r\n", "unmarked_refusal"},
+            {"too_many_without_the_mark", "429 X\r\nId: 1\r\n", "unmarked_refusal"}};
 }
 
 std::vector<spoiled_head> stream_heads() {
@@ -90,7 +93,7 @@
 using plain_response_origin_test = response_origin_test;
 using stream_response_origin_test = response_origin_test;
 
-// Failure: a server's spoiled response to an order is passed on as a success.
+// Failure: a server's spoiled response to an order is passed on as a success or as a promise.
 TEST_P(plain_response_origin_test, order_gets_no_response_that_nobody_made) {
     add_servers({with_length(GetParam().start, spoiled_text)});
     const auto c = send_request("/order/", "1");
