Answer HEAD on streaming routes

A HEAD request on a streaming route got 502 after a sound response, and 503 or a second attempt where the stream may be resumed.

Cause: its response bears the type of a stream and has no body, so it was taken for a stream that broke off before its first event.

The response to HEAD is now handled as a plain one without a body; its signature and id are checked like others.

Evidence: head_request_test.is_answered_on_a_streaming_route failed before; proxy_test passes with 127 tests.

--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -179,15 +179,15 @@
 
 void proxied_request::on_response_head(http::response_head&& head) {
     response_metadata_ = router_.codec.decode(head);
-    response_is_stream_ = route_->kind == catalog::request_kind::streaming && is_event_stream(head) &&
+    const expected_response expected{.stream = route_->kind == catalog::request_kind::streaming,
+                                     .head_request = request_.head.method == "HEAD"};
+    response_is_stream_ = expected.stream && !expected.head_request && is_event_stream(head) &&
                           !response_metadata_.not_run && !response_metadata_.wrong_server;
     // A server that spoils its response has run the request.
     if (!response_is_stream_ && !response_metadata_.not_run && !response_metadata_.wrong_server) {
         report_run_started();
     }
-    const auto* fault = find_head_fault(head, response_metadata_,
-                                        {.stream = route_->kind == catalog::request_kind::streaming,
-                                         .head_request = request_.head.method == "HEAD"});
+    const auto* fault = find_head_fault(head, response_metadata_, expected);
     if (fault != nullptr) {
         fail_attempt_with_invalid_response(fault);
         return;
--- a/packages/proxy/tests/response_origin_test.cpp
+++ b/packages/proxy/tests/response_origin_test.cpp
@@ -151,5 +151,29 @@
 INSTANTIATE_TEST_SUITE_P(server, stream_response_origin_test, testing::ValuesIn(stream_heads()),
                          [](const auto& x) { return x.param.name; });
 
+struct head_request_test : request_router_test {};
+
+// Guards against taking the response to HEAD, which has no body, for a stream that broke off.
+TEST_F(head_request_test, is_answered_on_a_streaming_route) {
+    for (const std::string type : {"text/event-stream", "text/plain"}) {
+        remove_servers();
+        load_catalog();
+        add_server([type](const connection& c, const std::string&) {
+            c->write("HTTP/1.1 200 X\r\nId: 1\r\nContent-Type: " + type + "\r\n\r\n");
+        });
+        auto c = std::make_shared<test_caller>();
+        c->stream = net::stream::connect(loop, listener.local(), 1s,
+                                         {.connected = nullptr,
+                                          .received = [c](std::string_view b) { c->received.append(b); },
+                                          .drained = nullptr,
+                                          .ended = [c](net::stream_end) { c->closed = true; }});
+        const auto before = records.size();
+        c->stream->write("HEAD /talk/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\n\r\n");
+        ASSERT_TRUE(wait_for_records(before + 1));
+        EXPECT_EQ(records.back().status, 200) << type;
+        EXPECT_TRUE(c->received.starts_with("HTTP/1.1 200")) << c->received;
+    }
+}
+
 }  // namespace
 }  // namespace chicorygap::proxy
