Refuse lines that no event has in streams of the product's own servers

Bytes between events that are no line of an event were skipped, and with them a token that they joined, in a stream that ended as complete. Cause: the parser ignored every line without data, whatever it held. Change: comments and the fields of server-sent events are taken; any other line makes the stream invalid.

--- a/packages/backend/src/event_parser.cpp
+++ b/packages/backend/src/event_parser.cpp
@@ -1,7 +1,17 @@
 #include "event_parser.h"
 
+#include <algorithm>
+#include <array>
+
 namespace chicorygap::backend {
 
+namespace {
+
+/// Names of the lines of an event that hold no data; comments have an empty one.
+constexpr std::array<std::string_view, 5> other_fields{"", "event", "id", "retry", "data"};
+
+}  // namespace
+
 bool event_parser::feed(std::string_view bytes, const data_handler& handler) {
     while (!done_ && !bytes.empty()) {
         const auto end = bytes.find('\n');
@@ -35,7 +45,8 @@
         return true;
     }
     if (!text.starts_with(field)) {
-        return true;
+        const auto name = text.substr(0, text.find(':'));
+        return std::find(other_fields.begin(), other_fields.end(), name) != other_fields.end();
     }
     text.remove_prefix(field.size());
     if (text.starts_with(' ')) {
--- a/packages/backend/src/event_parser.h
+++ b/packages/backend/src/event_parser.h
@@ -20,7 +20,7 @@
     explicit event_parser(std::size_t limit) : limit_{limit} {}
 
     /// Passes each complete event to the handler.
-    /// @return false if a line or an event exceeds the limit.
+    /// @return false if a line or an event exceeds the limit, or a line is no part of an event.
     bool feed(std::string_view bytes, const data_handler& handler);
 
 private:
--- a/packages/backend/tests/event_parser_test.cpp
+++ b/packages/backend/tests/event_parser_test.cpp
@@ -42,5 +42,15 @@
     EXPECT_FALSE(valid);
 }
 
+// Failure: bytes between the events of a server that are no line of an event. Guards against a token that is
+// lost in them from a stream that ends as complete.
+TEST(event_parser, lines_that_no_event_has_are_invalid) {
+    const auto accept = [](const std::string&) { return true; };
+    for (const auto* text : {"garbagedata: x\n", "HTTP/1.1 200 OK\r\n", " data: x\n", "\x01\n"}) {
+        EXPECT_FALSE(event_parser{100}.feed(text, accept)) << text;
+    }
+    EXPECT_TRUE(event_parser{100}.feed(": c\nevent: e\nid: 1\nretry: 5\ndata\ndata: x\n\n", accept));
+}
+
 }  // namespace
 }  // namespace chicorygap::backend
