Reset a caller that sends too much behind an unfinished answer

Callers saw: by reading, an answer that only the connection ends was closed in an orderly way when its caller sent more than a whole request behind it. Change: the way of abort. old_caller.sees_that_a_stream_behind_too_much_input_is_not_complete guards it; it passes without the change as well where unread input makes the kernel reset the connection.

--- a/packages/http/include/http/server_session.h
+++ b/packages/http/include/http/server_session.h
@@ -95,6 +95,8 @@
     void on_timer();
     void write_head(response_head& head);
     void answer_done();
+    /// Closes the connection so that an answer which was begun is seen to be incomplete.
+    void close_visibly();
 
     net::loop& loop_;
     session_limits limits_;
--- a/packages/http/src/server_session.cpp
+++ b/packages/http/src/server_session.cpp
@@ -84,7 +84,7 @@
 void server_session::drop_input(std::size_t n) {
     dropped_bytes_ += n;
     if (dropped_bytes_ > limits_.head_bytes + limits_.body_bytes && stream_->open()) {
-        stream_->close();
+        close_visibly();
         ended();
     }
 }
@@ -232,15 +232,19 @@
     }
 }
 
-void server_session::abort() {
-    const auto self = shared_from_this();
-    loop_.cancel(timer_);
-    busy_ = false;
+void server_session::close_visibly() {
     if (std::exchange(ends_with_connection_, false)) {
         stream_->reset();  // an orderly end would make the answer look complete
     } else {
         stream_->close();
     }
+}
+
+void server_session::abort() {
+    const auto self = shared_from_this();
+    loop_.cancel(timer_);
+    busy_ = false;
+    close_visibly();
     if (hooks_.closed) {
         hooks_.closed(*this);
     }
