Check whether a server has ended when its bytes are no message

Callers saw: nothing yet; found by the review. Garbage inside the framing led to the check of the server, garbage in place of the framing did not, so that a prompt whose servers write garbage before they end left no evidence. Cause: malformed messages ended an attempt by another way than resets and invalid responses. Change: they go the same way. Evidence: query_of_death.end_of_a_server_behind_garbage_is_evidence failed for garbage in place of a chunk (2 reports, 4 expected) and passes.

--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -386,7 +386,9 @@
     const auto code = !sent        ? result_code::connect_failed
                       : has_output ? result_code::answer_truncated
                                    : result_code::answer_mismatched;
-    const bool broken = failure == http::exchange_failure::reset || failure == http::exchange_failure::closed;
+    const bool broken = failure == http::exchange_failure::reset ||
+                        failure == http::exchange_failure::closed ||
+                        failure == http::exchange_failure::malformed;
     if (broken) {
         finish_broken_attempt({code, sent}, scheduling::outcome::unreachable,
                               std::string{to_string(failure)});
--- a/packages/proxy/tests/query_of_death_test.cpp
+++ b/packages/proxy/tests/query_of_death_test.cpp
@@ -21,7 +21,7 @@
         const auto id = request.substr(at, request.find("\r\n", at) - at);
         c->write(stream_head(id));
         if (deadly.contains(id) && !last_words.empty()) {
-            c->write(chunk(last_words));
+            c->write(last_words);
             servers[i]->end_process();
         } else if (deadly.contains(id)) {
             // The head arrives first.
@@ -75,13 +75,17 @@
     EXPECT_EQ(records.back().attempts, 2U);
 }
 
-// Failure: a server that a prompt ends writes garbage first. Guards against an end that is no evidence
-// because the attempt failed over the garbage.
+// Failure: a server that a prompt ends writes garbage first, inside the framing or in its place. Guards
+// against an end that is no evidence because the attempt failed over the garbage.
 TEST_F(query_of_death, end_of_a_server_behind_garbage_is_evidence) {
-    last_words = "garbage\n\n";
-    send_prompt("/draft/", deadly_prompt);
-    EXPECT_EQ(records.back().failure_cause, "event_unknown_field");
-    EXPECT_EQ(router.prompt_guard().report(loop.now()).crashes.size(), 2U) << "one for each shared part";
+    for (const auto& [text, cause] :
+         {std::pair{chunk("garbage\n\n"), "event_unknown_field"}, {std::string{"garbage"}, "malformed"}}) {
+        last_words = text;
+        const auto before = router.prompt_guard().report(loop.now()).crashes.size();
+        send_prompt("/draft/", deadly_prompt);
+        EXPECT_EQ(records.back().failure_cause, cause);
+        EXPECT_EQ(router.prompt_guard().report(loop.now()).crashes.size(), before + 2) << cause;
+    }
 }
 
 struct broken_connection : request_router_test {
