Take no end for proved that a server did not state

A server that should go on with a stream and closed its connection behind the head, or behind a comment, ended the stream as complete. Text behind the last event was not checked: with line ends that only some readers take for such, it held an event. Cause: a stream whose answer had begun was complete at the end of any attempt; and the check saw only blocks with a field. Change: an attempt without an event completes a stream only if its framing states the end. A line with a CR inside is a fault wherever it stands. Status and framing are known before the head is checked. A router needs a check of events, since without one everything would pass. What remains: an orderly close between two events, on a stream without framing, cannot be told from its end.

--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -67,7 +67,7 @@
     std::function<void(const backpressure::server_status&, std::string_view source)> signals_changed;
     /// Called when peers should be told a signal soon, with false if a peer told it.
     std::function<void(bool own)> signal_news;
-    /// Tells which blocks of a server's stream are events; every block with a field is one if empty.
+    /// Tells which blocks of a server's stream are events. Required.
     event_check check_event;
 };
 
@@ -81,6 +81,7 @@
 /// response, or is closed if a response that was partly sent cannot be completed.
 class request_router {
 public:
+    /// @throws base::error with `internal` if the hooks lack the check of events.
     request_router(net::loop& l, const header_codec& codec, router_options o, base::random_function random,
                    router_hooks hooks);
     ~request_router();
--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -26,10 +26,15 @@
         }
         line_start_ = end + 1;
         scanned_ = end + 1;
-        if (!end_line(line)) {
+        const auto block = std::string_view{partial_}.substr(complete_bytes, end + 1 - complete_bytes);
+        if (line.find('\r') != std::string_view::npos) {
+            // Some readers end a line there, so that a caller would see other lines than the check.
+            fault_ = event_fault::unknown_field;
+            faulty_block_bytes_ = block.size();
+        } else if (!end_line(line)) {
             continue;
         }
-        if (!end_event(std::string_view{partial_}.substr(complete_bytes, end + 1 - complete_bytes))) {
+        if (fault_ != event_fault::none || !end_event(block)) {
             auto sound = partial_.substr(0, complete_bytes);
             drop_partial();
             return sound;
@@ -42,6 +47,7 @@
     scanned_ -= complete_bytes;
     line_start_ -= complete_bytes;
     if (partial_.size() > max_event_bytes) {
+        faulty_block_bytes_ = partial_.size();
         drop_partial();
         fault_ = event_fault::too_long;
     }
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -181,6 +181,8 @@
 
 void proxied_request::on_response_head(http::response_head&& head) {
     response_metadata_ = router_.codec.decode(head);
+    response_status_ = head.status;
+    response_framing_ = http::framing_of(head);
     const expected_response expected{.stream = route_->kind == catalog::request_kind::streaming,
                                      .head_request = request_.head.method == "HEAD"};
     response_is_stream_ = expected.stream && !expected.head_request && is_event_stream(head) &&
@@ -194,8 +196,6 @@
         fail_attempt_with_invalid_response(fault);
         return;
     }
-    response_status_ = head.status;
-    response_framing_ = http::framing_of(head);
     record_.server_signals = response_metadata_.signals;
     router_.observe_signals(server_, response_metadata_.wrong_server, response_metadata_.signals,
                             attempt_started_at_);
@@ -322,7 +322,10 @@
 }
 
 void proxied_request::complete_stream() {
-    if (events_.has_partial() || !response_started_) {
+    // The end of a connection before any event of this attempt does not show that the server had none left.
+    const bool nothing_received = events_.event_count() == events_at_attempt_start_ &&
+                                  response_framing_ == http::body_framing::connection_end;
+    if (events_.has_partial() || !response_started_ || nothing_received) {
         finish_broken_attempt({result_code::answer_truncated, true}, scheduling::outcome::unreachable,
                               "truncated");
         return;
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -1,5 +1,6 @@
 #include "request_router_impl.h"
 
+#include "base/error.h"
 #include "proxied_request.h"
 
 #include <algorithm>
@@ -28,6 +29,9 @@
       pool{l},
       signals{options.self, options.zone, l.now()},
       check{l} {
+    if (!hooks.check_event) {
+        throw base::error{base::result_code::internal, "a router needs a check of events"};
+    }
     signals.set_hooks({.changed = hooks.signals_changed, .news = hooks.signal_news, .server_leaving = [this] {
                            on_server_leaving();
                        }});
--- a/packages/proxy/tests/spoiled_stream_test.cpp
+++ b/packages/proxy/tests/spoiled_stream_test.cpp
@@ -1,4 +1,5 @@
 // Servers that send bytes in a stream which are not the event that is due.
+#include "../src/event_splitter.h"
 #include "router_fixture.h"
 
 #include <string>
@@ -67,6 +68,10 @@
                                const connection& c, const std::string& request) {
             const int last = resume_position(request);
             positions.push_back(last);
+            if (last == event_count) {
+                c->write(stream_head("1") + "0\r\n\r\n");  // nothing is left, and only framing shows that
+                return;
+            }
             std::string out = head_of(f, "1");
             const bool spoil = positions.size() == 1;
             for (int i = last; i <= event_count; ++i) {
@@ -184,6 +189,96 @@
     }
 }
 
+// Failure: a server that shall go on with a stream sends nothing of it and closes, or only a comment; the
+// caller gets an answer without the rest that looks complete.
+TEST_P(spoiled_end, second_server_without_an_event_proves_no_end) {
+    for (const std::string rest : {"", ": wait\n\n"}) {
+        remove_servers();
+        int attempts = 0;
+        const auto serve = [&, f = GetParam()](const connection& c, const std::string&) {
+            if (++attempts == 1) {
+                c->write(stream_head("1") + chunk(numbered_event(1)));
+                loop.after(10ms, [c] { c->close(); });
+                return;
+            }
+            c->write(head_of(f, "1") + (rest.empty() ? rest : framed(f, rest)));
+            c->close_when_drained();
+        };
+        add_server(serve);
+        add_server(serve);
+        const auto before = records.size();
+        const auto c = send_request("/talk/", "1");
+        ASSERT_TRUE(wait_for_records(before + 1));
+        ASSERT_TRUE(run_until([&] { return c->closed; }));
+        EXPECT_FALSE(contains(c->received, "\r\n0\r\n\r\n")) << rest;
+        EXPECT_EQ(attempts, 2);
+    }
+}
+
+struct whole_stream : request_router_test {
+    void SetUp() override { load_catalog(); }
+};
+
+// Guards against a stream that is broken off although only its end was missing.
+TEST_F(whole_stream, is_complete_when_the_next_server_has_nothing_left_to_send) {
+    int attempts = 0;
+    const auto serve = [&](const connection& c, const std::string&) {
+        if (++attempts == 1) {
+            c->write(stream_head("1") + chunk(numbered_event(1)));
+            loop.after(10ms, [c] { c->close(); });
+            return;
+        }
+        c->write(stream_head("1") + "0\r\n\r\n");
+    };
+    add_server(serve);
+    add_server(serve);
+    const auto c = send_request("/talk/", "1");
+    ASSERT_TRUE(wait_for_records());
+    EXPECT_TRUE(contains(c->received, "\r\n0\r\n\r\n"));
+    EXPECT_EQ(records[0].status, 200);
+}
+
+// Guards against a stream that its caller resumes and that is cut at its first event.
+TEST_F(whole_stream, that_its_caller_resumes_goes_on_behind_the_event_that_it_names) {
+    add_server([](const connection& c, const std::string& request) {
+        const int last = resume_position(request);
+        c->write(stream_head("1") + chunk(numbered_event(last + 1) + numbered_event(last + 2)) + "0\r\n\r\n");
+    });
+    const auto c = send_request("/talk/", "1\r\nLast: 7");
+    ASSERT_TRUE(wait_for_records());
+    EXPECT_EQ(received_data(c->received), "token-8;token-9;");
+    EXPECT_TRUE(contains(c->received, "\r\n0\r\n\r\n"));
+}
+
+// Failure: the text behind the last event holds line ends that only some readers take for such, and an event
+// between them.
+TEST_F(whole_stream, comments_behind_the_last_event_hold_no_event_for_any_reader) {
+    add_server([](const connection& c, const std::string&) {
+        c->write(stream_head("1") + chunk(numbered_event(1)) + chunk(": x\r\rid: 77\rdata: garbage\r\r\n\n") +
+                 "0\r\n\r\n");
+    });
+    const auto c = send_request("/draft/", "1");
+    ASSERT_TRUE(wait_for_records());
+    ASSERT_TRUE(run_until([&] { return c->closed; }));
+    EXPECT_FALSE(contains(c->received, "garbage"));
+    EXPECT_FALSE(contains(c->received, "\r\n0\r\n\r\n"));
+}
+
+// Failure: as above in pieces of any size, so that a fault lies across reads.
+TEST_F(whole_stream, fault_is_found_however_the_bytes_are_cut) {
+    const std::string text = numbered_event(1) + numbered_event(2) + "garbage\n\n" + numbered_event(3);
+    for (std::size_t size = 1; size < text.size(); size += 3) {
+        event_splitter s{check_test_event};
+        std::string out;
+        for (std::size_t at = 0; at < text.size(); at += size) {
+            out += s.feed(std::string_view{text}.substr(at, size));
+        }
+        EXPECT_EQ(out, numbered_event(1) + numbered_event(2)) << size;
+        EXPECT_EQ(s.fault(), event_fault::unknown_field) << size;
+        EXPECT_EQ(s.last_id(), "2") << size;
+    }
+}
+
 struct old_caller : request_router_test {};
 
 // Failure: a caller that cannot read chunks sees the end of a spoiled stream as an orderly one.
@@ -204,6 +299,26 @@
     EXPECT_EQ(end, net::stream_end::reset) << received;
 }
 
+// Failure: as above, where the caller's own input ends the connection.
+TEST_F(old_caller, sees_that_a_stream_behind_too_much_input_is_not_complete) {
+    load_catalog();
+    add_server([](const connection& c, const std::string&) {
+        c->write(stream_head("1") + chunk(numbered_event(1)));
+    });
+    std::string received;
+    std::optional<net::stream_end> end;
+    const auto caller = net::stream::connect(loop, listener.local(), 1s,
+                                             {.connected = nullptr,
+                                              .received = [&](std::string_view b) { received.append(b); },
+                                              .drained = nullptr,
+                                              .ended = [&](net::stream_end how) { end = how; }});
+    caller->write("POST /draft/ HTTP/1.0\r\nHost: h\r\nId: 1\r\nKey: k\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(run_until([&] { return contains(received, "token-1;"); }));
+    caller->write(std::string(std::size_t{5} * 1024 * 1024, 'x'));
+    ASSERT_TRUE(run_until([&] { return end.has_value(); }));
+    EXPECT_EQ(end, net::stream_end::reset);
+}
+
 INSTANTIATE_TEST_SUITE_P(server, spoiled_end, testing::Values(framing::chunked, framing::connection_end),
                          [](const auto& x) {
                              return std::string{x.param == framing::chunked ? "chunked" : "unframed"};
--- a/packages/proxy/tests/test_header_codec.h
+++ b/packages/proxy/tests/test_header_codec.h
@@ -20,6 +20,9 @@
         r.id = base::request_id{text(head.headers, "Id")};
         r.host = text(head.headers, "Host");
         r.key = text(head.headers, "Key");
+        if (const auto* last = head.headers.find("Last")) {
+            r.last_event_id = *last;
+        }
         if (const auto* parts = head.headers.find("Parts")) {
             r.generation.emplace();
             std::istringstream in{*parts};
