Reject beacons whose values are no amounts

A datagram with a processor share, link speed or rate that is infinite, negative or no number was believed. Daemons order each other by these values to choose representatives and mirrors; an order with a value that compares to none differs from daemon to daemon, and sorting by it is undefined.

Cause: decode took every float; only the demands in signals were examined.

decode now rejects such a beacon, as it does bytes that are no message.

Evidence: beacon.values_that_are_no_amounts_are_rejected failed before; sharing_test passes with 24 tests.

--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -11,6 +11,7 @@
 #include <cmath>
 #include <exception>
 #include <limits>
+#include <utility>
 
 namespace chicorygap::sharing {
 
@@ -227,6 +228,18 @@
     return b;
 }
 
+/// @return true if all shares, speeds and rates are amounts. They are ordered and summed up, which other
+/// values do not allow.
+bool holds_amounts(const beacon& b) {
+    const auto is_amount = [](float x) { return std::isfinite(x) && x >= 0; };
+    const auto are_amounts = [&](const service_loads& loads) {
+        return std::all_of(loads.begin(), loads.end(),
+                           [&](const auto& l) { return is_amount(l.second.prefill_tokens_per_ms); });
+    };
+    return is_amount(b.processor_share) && is_amount(b.link_mbits) && are_amounts(b.services) &&
+           are_amounts(b.zone_services);
+}
+
 }  // namespace
 
 std::string encode(const beacon& b) {
@@ -277,7 +290,8 @@
         capnp::ReaderOptions options;
         options.traversalLimitInWords = max_message_words;
         capnp::PackedMessageReader message{stream, options};
-        return read(message.getRoot<wire::Beacon>());
+        auto b = read(message.getRoot<wire::Beacon>());
+        return holds_amounts(b) ? std::optional{std::move(b)} : std::nullopt;
     } catch (const kj::Exception&) {
         return std::nullopt;
     } catch (const std::exception&) {
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace chicorygap::sharing {
 namespace {
 
@@ -65,6 +67,25 @@
     }
 }
 
+// Failure: a datagram whose share or speed is no amount is believed. Daemons are ranked by these values, and
+// an order with a value that compares to none differs from daemon to daemon.
+TEST(beacon, values_that_are_no_amounts_are_rejected) {
+    for (const float bad :
+         {std::numeric_limits<float>::quiet_NaN(), std::numeric_limits<float>::infinity(), -1.0F}) {
+        auto share = make_beacon("1");
+        share.processor_share = bad;
+        auto link = make_beacon("1");
+        link.link_mbits = bad;
+        auto load = make_beacon("1");
+        load.services[base::service_id{"s"}].prefill_tokens_per_ms = bad;
+        auto zone_load = make_beacon("1");
+        zone_load.zone_services[base::service_id{"s"}].prefill_tokens_per_ms = bad;
+        for (const auto& b : {share, link, load, zone_load}) {
+            EXPECT_EQ(decode(encode(b)), std::nullopt) << bad;
+        }
+    }
+}
+
 // Load: news are sent often while servers change their limits. Guards against a zone that seems idle because
 // the last beacon of a peer told news only.
 TEST(peer_table, loads_are_kept_when_a_beacon_tells_none) {
