Release the session before its next request may start

What callers saw: of two requests sent on one connection, the second got "200" with an empty body and the id of the first at once, and its own answer came later as a surplus one. An order behind a stream ran and its connection was closed without an answer.

Cause: `server_session::respond` and `finish` reported the next kept request before they returned. `proxied_request::end` then found the session busy, took that request for its own and answered it, or closed its connection behind a stream. It also deleted the entry of the new request, so that the leaving of its caller was not noticed.

A request gives up its session and its entry, ends its bookkeeping and answers last, so nothing of it can touch what follows; an entry is removed only by the request that it names. Other owners of sessions (endpoints, mirror of objects) answered last already.

--- a/packages/http/include/http/server_session.h
+++ b/packages/http/include/http/server_session.h
@@ -54,7 +54,7 @@
     server_session& operator=(const server_session&) = delete;
     ~server_session();
 
-    /// Sends a whole answer.
+    /// Sends a whole answer. No hook is called from within; the next request is reported after the return.
     /// @param head status and fields without framing.
     void respond(response_head head, std::string_view body);
 
@@ -62,7 +62,7 @@
     void begin(response_head head);
     /// Sends a part of the body. Empty parts are ignored.
     void send(std::string_view part);
-    /// Ends the body.
+    /// Ends the body and with it the answer, as `respond` does.
     void finish();
 
     /// Closes the connection at once; an answer that was begun stays visibly incomplete.
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -326,6 +326,18 @@
 }
 
 void proxied_request::end(int status, result_code code) {
+    if (response_started_ || code == result_code::caller_gone) {
+        end(0, code, [](http::server_session& s) { s.abort(); });
+        return;
+    }
+    const auto retry_after = retry_after_ > 0ms ? std::optional{retry_after_} : std::nullopt;
+    end(status, code, [this, status, retry_after](http::server_session& s) {
+        s.respond(router_.codec.error_response(status, metadata_.id, retry_after), {});
+    });
+}
+
+void proxied_request::end(int status, result_code code,
+                          const std::function<void(http::server_session&)>& answer) {
     if (std::exchange(ended_, true)) {
         return;
     }
@@ -335,20 +347,11 @@
     router_.loop.cancel(admission_timer_);
     evidence_.attempt_ended();
     abort_attempt();
-    auto* const session = session_.get();
-    const bool response_pending = session_ && session_->busy();
-    const bool aborted = response_started_ || code == result_code::caller_gone;
-    router_.remove(id_, session);
+    const auto session = std::exchange(session_, nullptr);
+    router_.remove(id_, session.get());
     if (!service_.empty()) {
         scheduler().remove(id_);
     }
-    if (response_pending && aborted) {
-        status = 0;
-        session_->abort();
-    } else if (response_pending) {
-        const auto retry_after = retry_after_ > 0ms ? std::optional{retry_after_} : std::nullopt;
-        session_->respond(router_.codec.error_response(status, metadata_.id, retry_after), {});
-    }
     record_.status = session == nullptr ? 0 : status;
     record_.code = code;
     if (attempt_tracker_) {
@@ -364,6 +367,9 @@
     if (router_.hooks.request_ended) {
         router_.hooks.request_ended(record_);
     }
+    if (session) {
+        answer(*session);
+    }
 }
 
 bool proxied_request::attempt_sent() const {
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -106,8 +106,14 @@
     /// @return true if the request has ended.
     bool ended_without_caller();
     void end_with_failure(base::result_code code);
+    /// Ends the request with the response of the server, or with the rest of it.
     void end_with_response();
+    /// Ends the request with an error response of the router, or closes the connection if a part of a
+    /// response has been sent.
     void end(int status, base::result_code code);
+    /// Ends the request, and with it its hold on the session, before the session is told how.
+    /// @param answer ends the answer of the session; called last, unless the caller has left.
+    void end(int status, base::result_code code, const std::function<void(http::server_session&)>& answer);
     void abort_attempt();
     void arm_attempt_timer();
 
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -308,9 +308,10 @@
     attempt_tracker_->finish(current_attempt_, {result_code::ok, true});
     router_.apply_decisions(
         service_, scheduler().attempt_finished(id_, scheduling::outcome::success, router_.loop.now()));
-    session_->send(events_.take_comments());
-    session_->finish();
-    end(response_head_.status, result_code::ok);
+    end(response_head_.status, result_code::ok, [this](http::server_session& s) {
+        s.send(events_.take_comments());
+        s.finish();
+    });
 }
 
 void proxied_request::complete_non_stream() {
@@ -347,14 +348,15 @@
 }
 
 void proxied_request::end_with_response() {
-    if (forwarding_unbuffered_ && session_) {
-        session_->finish();
-    } else if (session_) {
-        session_->respond(
-            {.status = response_head_.status, .headers = http::end_to_end(response_head_.headers)},
-            response_body_);
-    }
-    end(response_head_.status, response_head_.status >= 500 ? result_code::backend_failed : result_code::ok);
+    const auto code = response_head_.status >= 500 ? result_code::backend_failed : result_code::ok;
+    end(response_head_.status, code, [this](http::server_session& s) {
+        if (forwarding_unbuffered_) {
+            s.finish();
+        } else {
+            s.respond({.status = response_head_.status, .headers = http::end_to_end(response_head_.headers)},
+                      response_body_);
+        }
+    });
 }
 
 void proxied_request::on_exchange_failed(http::exchange_failure failure) {
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -175,8 +175,10 @@
 
 void request_router::impl::drained(http::server_session& session) {
     const auto it = ids_by_session_.find(&session);
-    if (it != ids_by_session_.end()) {
-        active_requests.at(it->second)->on_caller_drained();
+    const auto found = it == ids_by_session_.end() ? active_requests.end() : active_requests.find(it->second);
+    if (found != active_requests.end()) {
+        const auto request = found->second;
+        request->on_caller_drained();
     }
 }
 
@@ -202,8 +204,9 @@
 
 void request_router::impl::remove(scheduling::local_request_id id, http::server_session* session) {
     active_requests.erase(id);
-    if (session != nullptr) {
-        ids_by_session_.erase(session);
+    const auto it = ids_by_session_.find(session);
+    if (it != ids_by_session_.end() && it->second == id) {
+        ids_by_session_.erase(it);
     }
 }
 
--- a/packages/proxy/src/request_router_impl.h
+++ b/packages/proxy/src/request_router_impl.h
@@ -63,7 +63,7 @@
     /// @return true if the server is listed and does not drain.
     [[nodiscard]] bool is_serving(const base::service_id& service, const base::backend_server_id& id) const;
 
-    /// Removes a request that has ended.
+    /// Removes a request that has ended. An entry of its session that belongs to another request stays.
     /// @param session session of the request; null if the caller disconnected.
     void remove(scheduling::local_request_id id, http::server_session* session);
 
