Bound the comments that no event follows

What callers saw: a stream whose server sends nothing but comments stayed open until 256 KiB of them had come, at 50 KB/s for five seconds and longer than most streams last. On the last attempt and without retry budget nothing else ends it.

Cause: comments shared the limit of an event, although they are no progress of the stream.

Evidence: `event_splitter.comments_that_no_event_follows_are_bounded` fails on the code before.

Why the fix works: complete comments, empty lines and the comment being read are counted since the last event and bounded by 32 KiB, which a comment of 15 bytes each second reaches after half an hour. Silence and comments between events change nothing.

--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -8,6 +8,9 @@
 
 /// Largest event, with the comments before it. An event with several tokens has a few hundred bytes.
 constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+/// Comments and empty lines before the end of an event. A short comment has some 15 bytes, so that a server
+/// may send one each second for half an hour.
+constexpr std::size_t max_comment_bytes = std::size_t{32} * 1024;
 
 }  // namespace
 
@@ -35,7 +38,9 @@
     partial_.erase(0, complete_bytes);
     scanned_ -= complete_bytes;
     line_start_ -= complete_bytes;
-    if (partial_.size() > max_event_bytes) {
+    const bool in_comment = line_start_ < partial_.size() && partial_[line_start_] == ':';
+    const auto comment_bytes = comment_bytes_ + (in_comment ? partial_.size() - line_start_ : 0);
+    if (partial_.size() > max_event_bytes || comment_bytes > max_comment_bytes) {
         discard_partial();
         event_too_long_ = true;
     }
@@ -45,15 +50,21 @@
 bool event_splitter::end_line(std::string_view line) {
     if (line.empty()) {
         if (!std::exchange(has_field_, false)) {
+            ++comment_bytes_;
             return false;
         }
+        comment_bytes_ = 0;
         ++event_count_;
         if (partial_id_) {
             last_id_ = std::exchange(partial_id_, std::nullopt);
         }
         return true;
     }
-    has_field_ = has_field_ || line.front() != ':';
+    if (line.front() == ':') {
+        comment_bytes_ += line.size() + 1;
+    } else {
+        has_field_ = true;
+    }
     if (line.starts_with("id:")) {
         line.remove_prefix(3);
         if (line.starts_with(' ')) {
@@ -70,6 +81,7 @@
     }
     scanned_ = 0;
     line_start_ = 0;
+    comment_bytes_ = 0;
     return std::exchange(partial_, {});
 }
 
@@ -78,6 +90,7 @@
     scanned_ = 0;
     line_start_ = 0;
     has_field_ = false;
+    comment_bytes_ = 0;
     event_too_long_ = false;
     partial_id_.reset();
 }
--- a/packages/proxy/src/event_splitter.h
+++ b/packages/proxy/src/event_splitter.h
@@ -19,7 +19,8 @@
     /// @return bytes of the events that are now complete, unchanged; may be empty.
     std::string feed(std::string_view bytes);
 
-    /// @return true once the bytes before the end of an event exceeded the limit. Nothing is kept then.
+    /// @return true once the bytes before the end of an event, or the comments among them, exceeded their
+    /// limit. Nothing is kept then.
     [[nodiscard]] bool event_too_long() const noexcept { return event_too_long_; }
 
     /// @return kept blocks without a field at the end of the stream.
@@ -44,9 +45,10 @@
     bool end_line(std::string_view line);
 
     std::string partial_;
-    std::size_t scanned_ = 0;     ///< bytes of `partial_` that contain no unprocessed line end
-    std::size_t line_start_ = 0;  ///< start of the incomplete line in `partial_`
-    bool has_field_ = false;      ///< the incomplete event has a field
+    std::size_t scanned_ = 0;        ///< bytes of `partial_` that contain no unprocessed line end
+    std::size_t line_start_ = 0;     ///< start of the incomplete line in `partial_`
+    bool has_field_ = false;         ///< the incomplete event has a field
+    std::size_t comment_bytes_ = 0;  ///< complete comments and empty lines since the last event
     bool event_too_long_ = false;
     std::optional<std::string> partial_id_;  ///< id of the incomplete event
     std::optional<std::string> last_id_;
--- a/packages/proxy/tests/event_splitter_test.cpp
+++ b/packages/proxy/tests/event_splitter_test.cpp
@@ -59,5 +59,31 @@
     EXPECT_EQ(s.feed("data: x\n\n"), "");
 }
 
+// Failure: 256 KiB of comments were read before a stream without events counted as broken.
+TEST(event_splitter, comments_that_no_event_follows_are_bounded) {
+    for (const std::string piece : {": wait\n\n", ":\n", "\n", "::::::::"}) {
+        for (const std::string start : {"", "id: 1\n"}) {
+            event_splitter s;
+            s.feed(start);
+            std::size_t fed = 0;
+            for (; fed < std::size_t{64} * 1024 && !s.event_too_long(); fed += piece.size()) {
+                s.feed(piece);
+            }
+            EXPECT_TRUE(s.event_too_long()) << start << piece;
+        }
+    }
+}
+
+// Comments between events, now and then, are none of a broken stream.
+TEST(event_splitter, comments_before_each_event_are_not_summed) {
+    event_splitter s;
+    for (int i = 0; i < 1000; ++i) {
+        s.feed(":" + std::string(200, 'c') + "\n\n");
+        EXPECT_NE(s.feed("data: x\n\n"), "");
+    }
+    EXPECT_FALSE(s.event_too_long());
+    EXPECT_EQ(s.event_count(), 1000U);
+}
+
 }  // namespace
 }  // namespace chicorygap::proxy
