Bound the bytes around a body and the interim responses

What callers saw: a server that sends chunk extensions, or chunks of one byte with long extensions, kept its request until the deadline on the last attempt; only the 80 KB of the parser bounded one chunk line. A sound server that sent a ninth interim response was cut.

Cause: the reader counted the names and values of a head and of a trailer, and the number of interim responses, and nothing else.

Evidence: on the code before, four of eight cases of `endless_framing_test` fail (chunk extension, zeros of a chunk size, extensions of many chunks, reason phrase), `chunk_extension_of_a_request_is_bounded` fails, and `sound_framing_is_below_the_limits` fails at the ninth interim response. Trailers and interim responses in the other four cases were bounded before.

Why the fix works: the line of a chunk with its extensions, all such lines in relation to the body, the trailer and the interim responses of one answer have named limits in bytes, also for requests. The parser pauses behind a head, so that what is counted doesn't depend on how the bytes were cut.

--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -9,8 +9,17 @@
 
 namespace {
 
-/// Interim responses (1xx) before a final one; more of them are no progress.
-constexpr int max_interim_responses = 8;
+/// Interim responses (1xx) before a final one, all together. A short one has 25 bytes, so that a server may
+/// send one each second for ten minutes.
+constexpr std::size_t max_interim_bytes = std::size_t{16} * 1024;
+/// Line with the size of a chunk and its extensions, with the end of the chunk before it.
+constexpr std::size_t max_chunk_line_bytes = 1024;
+/// Fields behind a chunked body.
+constexpr std::size_t max_trailer_bytes = std::size_t{8} * 1024;
+/// Bytes around the chunks of a body, per byte of the body. A chunk of one byte needs five.
+constexpr std::size_t max_framing_per_body_byte = 8;
+/// Such bytes in addition to these, for small bodies.
+constexpr std::size_t extra_framing_bytes = std::size_t{16} * 1024;
 
 }  // namespace
 
@@ -24,6 +33,9 @@
             self(p).target_.append(at, n);
             return self(p).count_head(n);
         };
+        settings_.on_status = [](http_parser* p, const char*, std::size_t n) {
+            return self(p).count_head(n);
+        };
         settings_.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
             return self(p).on_field(at, n);
         };
@@ -48,20 +60,31 @@
         while (consumed < bytes.size()) {
             done_ = false;
             const auto rest = bytes.substr(consumed);
-            consumed += http_parser_execute(&parser_, &settings_, rest.data(), rest.size());
+            const bool counted = chunked_;
+            uncounted_ = rest.data();
+            const auto n = http_parser_execute(&parser_, &settings_, rest.data(), rest.size());
+            consumed += n;
+            message_bytes_ += n;
             const auto ec = HTTP_PARSER_ERRNO(&parser_);
+            if (counted && (ec == HPE_OK || ec == HPE_PAUSED) && !count_framing(rest.data() + n)) {
+                failed_ = true;
+                return {read_state::invalid, consumed};
+            }
+            if (ec == HPE_PAUSED && !done_) {
+                http_parser_pause(&parser_, 0);  // behind a head, from where the framing is counted
+                continue;
+            }
             if (ec == HPE_PAUSED && done_) {
                 http_parser_pause(&parser_, 0);
+                interim_bytes_ = interim_ ? interim_bytes_ + message_bytes_ : 0;
+                restart();
+                if (interim_bytes_ > max_interim_bytes) {
+                    failed_ = true;
+                    return {read_state::invalid, consumed};
+                }
                 if (std::exchange(interim_, false)) {
-                    if (++interim_responses_ > max_interim_responses) {
-                        failed_ = true;
-                        return {read_state::invalid, consumed};
-                    }
-                    restart();
                     continue;
                 }
-                interim_responses_ = 0;
-                restart();
                 return {read_state::complete, consumed};
             }
             if (ec != HPE_OK || (parser_.upgrade != 0 && kind_ == kind::response)) {
@@ -97,6 +120,13 @@
         parser_.data = this;
         in_message_ = false;
         in_body_ = false;
+        chunked_ = false;
+        in_trailer_ = false;
+        message_bytes_ = 0;
+        chunk_line_bytes_ = 0;
+        framing_bytes_ = 0;
+        trailer_bytes_ = 0;
+        body_bytes_ = 0;
     }
 
     int on_begin() {
@@ -119,7 +149,28 @@
         return 0;
     }
 
+    /// Counts the bytes around the chunks of a body and those of its trailer.
+    /// @param end end of the bytes in the input that are none of the content.
+    /// @return false if they exceed a limit.
+    bool count_framing(const char* end) {
+        const auto n = static_cast<std::size_t>(end - std::exchange(uncounted_, end));
+        if (in_trailer_) {
+            trailer_bytes_ += n;
+            return trailer_bytes_ <= max_trailer_bytes;
+        }
+        chunk_line_bytes_ += n;
+        framing_bytes_ += n;
+        return chunk_line_bytes_ <= max_chunk_line_bytes &&
+               framing_bytes_ <= extra_framing_bytes + max_framing_per_body_byte * body_bytes_;
+    }
+
     int on_field(const char* at, std::size_t n) {
+        if (chunked_ && !in_trailer_) {
+            if (!count_framing(at)) {
+                return -1;
+            }
+            in_trailer_ = true;
+        }
         if (in_value_) {
             finish_field();
         }
@@ -140,6 +191,15 @@
     }
 
     int on_head() {
+        const int result = report_head();
+        chunked_ = result == 0 && !interim_ && (parser_.flags & F_CHUNKED) != 0;
+        if (chunked_) {
+            http_parser_pause(&parser_, 1);
+        }
+        return result;
+    }
+
+    int report_head() {
         finish_field();
         if (bad_field_) {
             return -1;
@@ -180,6 +240,14 @@
     }
 
     int on_body(std::string_view part) {
+        if (chunked_) {
+            if (!count_framing(part.data())) {
+                return -1;
+            }
+            chunk_line_bytes_ = 0;
+            body_bytes_ += part.size();
+            uncounted_ = part.data() + part.size();
+        }
         if (hooks_.body && !interim_) {
             hooks_.body(part);
         }
@@ -205,7 +273,15 @@
     bool in_value_ = false;
     bool done_ = false;
     bool interim_ = false;
-    int interim_responses_ = 0;  ///< since the last final response
+    std::size_t interim_bytes_ = 0;  ///< since the last final response
+    std::size_t message_bytes_ = 0;
+    bool chunked_ = false;  ///< behind the head of a message with a chunked body
+    bool in_trailer_ = false;
+    const char* uncounted_ = nullptr;  ///< start of the input that `count_framing` has not counted
+    std::size_t chunk_line_bytes_ = 0;
+    std::size_t framing_bytes_ = 0;
+    std::size_t trailer_bytes_ = 0;
+    std::size_t body_bytes_ = 0;  ///< content of a chunked body
     bool failed_ = false;
     bool bad_field_ = false;
 };
--- a/packages/http/tests/message_reader_test.cpp
+++ b/packages/http/tests/message_reader_test.cpp
@@ -8,7 +8,8 @@
 namespace chicorygap::http {
 namespace {
 
-constexpr std::size_t head_limit = 1024;
+constexpr std::size_t kib = 1024;
+constexpr std::size_t head_limit = kib;
 
 struct reading {
     std::vector<request_head> requests;
@@ -126,6 +127,91 @@
     EXPECT_EQ(r.responses[0].status, 200);
 }
 
+struct endless_framing {
+    const char* name;
+    std::string start;
+    std::string piece;
+    std::size_t limit;  ///< bytes of pieces after which the message is invalid at the latest
+};
+
+struct endless_framing_test : testing::TestWithParam<endless_framing> {};
+
+// Failure: bytes that are no part of a response were read without end, or up to 80 KB in each chunk.
+TEST_P(endless_framing_test, is_invalid_at_its_limit) {
+    const auto& p = GetParam();
+    for (const std::size_t size : {1, 7, 4096}) {
+        reading r{message_reader::kind::response};
+        ASSERT_EQ(r.feed(p.start, size).state, read_state::more);
+        std::string text;
+        while (text.size() < p.limit) {
+            text += p.piece;
+        }
+        EXPECT_EQ(r.feed(text, size).state, read_state::invalid) << size;
+    }
+}
+
+const std::string chunked_start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string short_extension = "1;" + std::string(200, 'x') + "\r\ny\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    message_reader, endless_framing_test,
+    testing::Values(endless_framing{"chunk_extension", chunked_start + "5;", "extension", 2 * kib},
+                    endless_framing{"zeros_of_a_chunk_size", chunked_start, "0", 2 * kib},
+                    endless_framing{"extensions_of_many_chunks", chunked_start, short_extension, 32 * kib},
+                    endless_framing{"trailer_with_short_fields", chunked_start + "0\r\n", "A:\r\n", 10 * kib},
+                    endless_framing{"name_of_a_trailer", chunked_start + "0\r\n", "a", 10 * kib},
+                    endless_framing{"reason_phrase", "HTTP/1.1 200 ", "OK", 2 * kib},
+                    endless_framing{"interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n", 20 * kib},
+                    endless_framing{"interim_responses_with_large_heads", "",
+                                    "HTTP/1.1 102 Processing\r\nA: " + std::string(900, 'x') + "\r\n\r\n",
+                                    20 * kib}),
+    [](const auto& x) { return x.param.name; });
+
+// A sound server's framing must not be cut: an interim response each second for five minutes, a large body in
+// chunks of one byte, extensions of the size of a signature, and a trailer.
+TEST(message_reader, sound_framing_is_below_the_limits) {
+    std::string small_chunks;
+    for (int i = 0; i < 300; ++i) {
+        small_chunks += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    small_chunks += chunked_start;
+    for (int i = 0; i < 100'000; ++i) {
+        small_chunks += "1\r\nx\r\n";
+    }
+    std::string signed_chunks = chunked_start;
+    for (int i = 0; i < 10'000; ++i) {
+        signed_chunks +=
+            "14;chunk-signature=" + std::string(64, 'a') + "\r\n" + std::string(20, 'x') + "\r\n";
+    }
+    const std::string end = "0\r\nA: " + std::string(500, 'x') + "\r\n\r\n";
+    for (auto* text : {&small_chunks, &signed_chunks}) {
+        text->append(end);
+        for (const std::size_t size : {1, 1460, 65536}) {
+            reading r{message_reader::kind::response};
+            EXPECT_EQ(r.feed(*text, size).state, read_state::complete) << size;
+            EXPECT_GE(r.body.size(), 100'000U);
+        }
+    }
+}
+
+// Guards against a limit that depends on how the bytes were cut.
+TEST(message_reader, limit_of_a_chunk_line_holds_for_pieces_of_any_size) {
+    for (std::size_t length = 900; length < 1100; ++length) {
+        const auto text = chunked_start + "1\r\nx\r\n1;" + std::string(length, 'e') + "\r\ny\r\n0\r\n\r\n";
+        reading whole{message_reader::kind::response};
+        reading pieces{message_reader::kind::response};
+        EXPECT_EQ(whole.feed(text, text.size()).state, pieces.feed(text, 1).state) << length;
+    }
+}
+
+// Failure: the limits of responses hold for callers, too.
+TEST(message_reader, chunk_extension_of_a_request_is_bounded) {
+    reading r{message_reader::kind::request};
+    EXPECT_EQ(
+        r.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(2000, 'x'), 100).state,
+        read_state::invalid);
+}
+
 TEST(message_reader, answer_to_head_has_no_body) {
     reading r{message_reader::kind::response};
     r.reader.expect_no_body(true);
