End an exchange whose server sends bytes without progress

What callers saw: a server that sends a byte now and then, within a head, a chunk line or a trailer, kept its request until the deadline: the limits in bytes are not reached, and on the last attempt and without retry budget no timer runs.

Cause: nothing but the deadline bounded the time in which bytes come that are no part of an answer.

Evidence: `slow_server_test.bytes_without_progress_end_the_exchange` fails on the code before; so do all six cases of `garbage_without_end_test` (an order, a repeatable request with retry and without budget, three kinds of streams; 50 KB/s).

Why the fix works: reads in a row that bring neither a head nor a part of a body are counted and end the exchange behind 512 of them. A silent server causes no reads, and a sound one that sends an interim response each second stays below for eight minutes; tests hold both. Comments of a stream are parts of a body and bounded in bytes only.

--- a/packages/http/include/http/client_connection.h
+++ b/packages/http/include/http/client_connection.h
@@ -110,6 +110,7 @@
     int exchanges_ = 0;
     int dropped_responses_ = 0;
     std::size_t dropped_bytes_ = 0;  ///< body bytes of dropped responses in this exchange
+    int reads_without_progress_ = 0;
     bool in_flight_ = false;
     bool dropping_ = false;
     bool keep_alive_ = true;
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -14,6 +14,10 @@
 constexpr int dropped_response_limit = 3;
 /// Body bytes of such responses that are read during one exchange before the connection counts as broken.
 constexpr std::size_t max_dropped_bytes = std::size_t{256} * 1024;
+/// Reads in a row that bring neither a head nor a part of a body, before the bytes count as no response.
+/// Bounds the time of a server that sends a few bytes at a time; one that sends an interim response each
+/// second stays below it for eight minutes.
+constexpr int max_reads_without_progress = 512;
 
 std::optional<base::duration> keep_alive_time(const header_list& headers) {
     const auto* value = headers.find("Keep-Alive");
@@ -63,6 +67,7 @@
                            dropped_bytes_ += part.size();
                            return;
                        }
+                       reads_without_progress_ = 0;
                        const auto hooks = hooks_;
                        if (in_flight_ && hooks->body) {
                            hooks->body(part);
@@ -108,6 +113,7 @@
     keep_alive_ = true;
     dropped_responses_ = 0;
     dropped_bytes_ = 0;
+    reads_without_progress_ = 0;
     ++exchanges_;
     // A late copy of the response would have a length and no body, like the original. Behind a request with a
     // response body, it would take the bytes of that response for its own body.
@@ -164,6 +170,9 @@
             return;
         }
         if (r.state == read_state::more) {
+            if (++reads_without_progress_ > max_reads_without_progress) {
+                fail(exchange_failure::malformed);
+            }
             return;
         }
         if (std::exchange(dropping_, false)) {
@@ -188,6 +197,7 @@
         ++dropped_responses_;
         return;
     }
+    reads_without_progress_ = 0;
     idle_time_ = keep_alive_time(h.headers);
     const auto hooks = hooks_;
     if (hooks->head) {
--- a/packages/http/tests/client_connection_test.cpp
+++ b/packages/http/tests/client_connection_test.cpp
@@ -85,5 +85,69 @@
     EXPECT_EQ(n, 0);
 }
 
+/// Server that writes what the test tells it, and a connection to it with a request in flight.
+struct slow_server_test : testing::Test {
+    net::loop loop;
+    std::shared_ptr<net::stream> server;
+    net::listener listener{loop, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& s) {
+                               server = net::stream::adopt(loop, s, {});
+                           }};
+    std::shared_ptr<client_connection> connection;
+    std::optional<exchange_failure> failure;
+    int status = 0;
+    bool complete = false;
+
+    void SetUp() override {
+        connection = client_connection::connect(loop, listener.local(), 1s);
+        connection->start("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", false, nullptr,
+                          {.connected = nullptr,
+                           .head = [this](response_head&& h) { status = h.status; },
+                           .body = nullptr,
+                           .complete = [this] { complete = true; },
+                           .failed = [this](exchange_failure f) { failure = f; }});
+        const auto end = base::boot_clock::now() + 5s;
+        while ((!server || !connection->sent()) && base::boot_clock::now() < end) {
+            loop.run_once(10ms);
+        }
+        ASSERT_TRUE(server);
+    }
+
+    /// Writes pieces one at a time, each of which is read by itself.
+    /// @return number of pieces that were written before the exchange ended.
+    int write_slowly(const std::string& piece, int limit) {
+        int n = 0;
+        for (; n < limit && !failure && !complete; ++n) {
+            server->write(piece);
+            loop.run_once(20ms);
+        }
+        return n;
+    }
+};
+
+// Failure: a server that sends a few bytes at a time, which are none of an answer, kept a request open until
+// its deadline.
+TEST_F(slow_server_test, bytes_without_progress_end_the_exchange) {
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& start :
+         {std::string{"HTTP/1.1 200 OK\r\nA: "}, chunked + "5;", chunked + "0\r\nA: "}) {
+        failure.reset();
+        server.reset();
+        SetUp();
+        server->write(start);
+        EXPECT_LT(write_slowly("x", 2000), 1500) << start;
+        EXPECT_EQ(failure, exchange_failure::malformed) << start;
+    }
+}
+
+// A slow but sound server is not cut: its body arrives byte by byte behind some interim responses.
+TEST_F(slow_server_test, slow_progress_does_not_end_the_exchange) {
+    write_slowly("HTTP/1.1 102 Processing\r\n\r\n", 300);
+    server->write("HTTP/1.1 200 OK\r\nContent-Length: 1500\r\n\r\n");
+    EXPECT_GE(write_slowly("x", 1600), 1500);
+    EXPECT_FALSE(failure);
+    EXPECT_TRUE(complete);
+    EXPECT_EQ(status, 200);
+}
+
 }  // namespace
 }  // namespace chicorygap::http
--- a/packages/proxy/tests/invalid_responses_test.cpp
+++ b/packages/proxy/tests/invalid_responses_test.cpp
@@ -260,6 +260,118 @@
                      "HTTP/1.1 500 X\r\nId: other\r\nContent-Length: 999999999\r\n\r\n", "dropped"}),
     [](const auto& x) { return x.param.name; });
 
+/// Route of a request whose server sends no progress of an answer.
+struct garbage_case {
+    const char* name;
+    const char* path;
+    bool retries;  ///< the budget allows retries
+};
+
+struct garbage_without_end_test : invalid_responses_test, testing::WithParamInterface<garbage_case> {
+    /// Writes `piece` every 10 ms, repeated to 500 bytes, until the connection is closed.
+    void write_steadily(const connection& c, const std::string& piece) {
+        std::string block;
+        while (block.size() < 500) {
+            block += piece;
+        }
+        auto writer = std::make_shared<std::function<void()>>();
+        writers.insert(writer);
+        *writer = [this, c, block = std::move(block), weak = std::weak_ptr<std::function<void()>>{writer}] {
+            if (const auto self = weak.lock(); self && c->open()) {
+                c->write(block);
+                loop.after(10ms, [self] { (*self)(); });
+            }
+        };
+        (*writer)();
+    }
+};
+
+// Failure: on the last attempt no timer runs, and without retry budget it changes nothing: a server that
+// sends 50 KB/s of what is no answer kept its request until the deadline, 2 s.
+TEST_P(garbage_without_end_test, ends_the_last_attempt) {
+    const bool stream = GetParam().path == std::string{"/draft/"} || GetParam().path == std::string{"/talk/"};
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n";
+    const std::string type = stream ? "Content-Type: text/event-stream\r\n" : "";
+    std::vector<std::pair<std::string, std::string>> shapes{
+        {"HTTP/1.1 200 OK\r\nA: ", "b"},
+        {chunked + type + "\r\n5;", "extension"},
+        {chunked + type + "\r\n0\r\n", "A: b\r\n"},
+        {"", "HTTP/1.1 102 Processing\r\nA: " + std::string(400, 'x') + "\r\n\r\n"}};
+    if (stream) {
+        shapes.emplace_back("HTTP/1.1 200 OK\r\nId: 1\r\n" + type + "\r\n", ": wait\n\n");
+        shapes.emplace_back("HTTP/1.1 200 OK\r\nId: 1\r\n" + type + "\r\n" + event(1), ":");
+        shapes.emplace_back(chunked + type + "\r\n", "1;" + std::string(500, 'x') + "\r\n:\r\n");
+    } else {
+        shapes.emplace_back(chunked + "\r\n", "1;" + std::string(500, 'x') + "\r\ny\r\n");
+    }
+    load_catalog();
+    if (!GetParam().retries) {
+        router.set_retry_budget_share({.ratio = 0, .extra_retries = 0, .window = 10s});
+    }
+    for (const auto& s : shapes) {
+        remove_servers();
+        records.clear();
+        for (int i = 0; i < 2; ++i) {
+            add_server([this, s](const connection& c, const std::string&) {
+                c->write(s.first);
+                write_steadily(c, s.second);
+            });
+        }
+        send_request(GetParam().path, "1");
+        ASSERT_TRUE(wait_for_records()) << s.first << s.second;
+        EXPECT_LT(records[0].total_time, 1900ms) << s.first << s.second;
+        EXPECT_NE(records[0].code, base::result_code::deadline_unreachable) << s.first << s.second;
+        EXPECT_NE(records[0].run_state, base::run_state::not_run) << s.first << s.second;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(request, garbage_without_end_test,
+                         testing::Values(garbage_case{"order", "/order/", true},
+                                         garbage_case{"read_with_a_retry", "/read/", true},
+                                         garbage_case{"read_without_budget", "/read/", false},
+                                         garbage_case{"stream", "/draft/", true},
+                                         garbage_case{"resumable_stream", "/talk/", true},
+                                         garbage_case{"resumable_stream_without_budget", "/talk/", false}),
+                         [](const auto& x) { return x.param.name; });
+
+// A sound server that says now and then that it is at work must not be cut.
+TEST_F(invalid_responses_test, interim_responses_and_comments_now_and_then_do_not_end_an_attempt) {
+    load_catalog();
+    add_server([&](const connection& c, const std::string& r) {
+        const bool stream = contains(r.substr(0, r.find("\r\n")), "/draft/");
+        c->write(stream ? stream_head("1") : "");
+        for (int i = 1; i < 25; ++i) {
+            loop.after(i * 60ms, [c, stream] {
+                c->write(stream ? chunk(": at work\n\n") : "HTTP/1.1 102 Processing\r\n\r\n");
+            });
+        }
+        loop.after(1550ms, [c, stream] {
+            c->write(stream ? chunk(event(1)) + "0\r\n\r\n" : make_response("1", "done"));
+        });
+    });
+    for (const auto* path : {"/order/", "/draft/"}) {
+        records.clear();
+        const auto c = send_request(path, "1");
+        ASSERT_TRUE(wait_for_records());
+        EXPECT_EQ(records[0].status, 200) << path << " " << records[0].failure_cause;
+        EXPECT_TRUE(contains(c->received, "done") || contains(c->received, "id: 1")) << path;
+    }
+}
+
+// A server's silence is no reason to end the only attempt, also behind half of a head or of a chunk.
+TEST_F(invalid_responses_test, silence_does_not_end_the_only_attempt) {
+    load_catalog();
+    add_server([&](const connection& c, const std::string&) {
+        c->write("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Enco");
+        loop.after(700ms, [c] { c->write("ding: chunked\r\n\r\n4;a"); });
+        loop.after(1400ms, [c] { c->write("=b\r\ndone\r\n0\r\n\r\n"); });
+    });
+    const auto c = send_request("/order/", "1");
+    ASSERT_TRUE(wait_for_records());
+    EXPECT_EQ(records[0].status, 200);
+    EXPECT_TRUE(contains(c->received, "done"));
+}
+
 // Failure: the caller of a request that may not be repeated leaves, and the server sends a large response.
 TEST_F(invalid_responses_test, large_response_without_a_caller_is_read_up_to_a_limit) {
     load_catalog();
