Reach the limits of messages in the fuzz target

What was missing: inputs of the fuzz target have at most 4 KiB, which reaches the limit of a chunk line only. A limit that depends on how the bytes are cut would show in the comparison of whole and cut input.

--- a/fuzz/http_messages_fuzz.cpp
+++ b/fuzz/http_messages_fuzz.cpp
@@ -1,4 +1,6 @@
-// Messages must be read the same in one piece and in small ones, and no byte may be counted twice.
+// Messages must be read the same in one piece and in small ones, and no byte may be counted twice. Short
+// inputs are also read with their second half repeated, which reaches the limits on extensions, trailers and
+// interim responses.
 #include "http/message_reader.h"
 
 #include <cstdint>
@@ -54,6 +56,18 @@
     }
 }
 
+constexpr std::size_t max_repeated_input = 128;
+constexpr std::size_t repeated_bytes = std::size_t{20} * 1024;
+
+std::string with_repeated_half(std::string_view bytes) {
+    const auto half = bytes.substr(bytes.size() / 2);
+    std::string out{bytes};
+    while (out.size() < repeated_bytes) {
+        out += half;
+    }
+    return out;
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
@@ -62,5 +76,10 @@
         compare(message_reader::kind::request, bytes);
         compare(message_reader::kind::response, bytes);
     }
+    if (!bytes.empty() && bytes.size() <= max_repeated_input) {
+        const auto repeated = with_repeated_half(bytes);
+        compare(message_reader::kind::request, repeated);
+        compare(message_reader::kind::response, repeated);
+    }
     return 0;
 }
