--- a/packages/proxy/src/event_splitter.h
+++ b/packages/proxy/src/event_splitter.h
@@ -68,9 +68,10 @@
     event_check check_;
     std::optional<std::string> begins_after_;
     std::string partial_;
-    std::size_t scanned_ = 0;     ///< bytes of `partial_` that contain no unprocessed line end
-    std::size_t line_start_ = 0;  ///< start of the incomplete line in `partial_`
-    bool has_field_ = false;      ///< the incomplete event has a field
+    std::size_t scanned_ = 0;        ///< bytes of `partial_` that contain no unprocessed line end
+    std::size_t line_start_ = 0;     ///< start of the incomplete line in `partial_`
+    bool has_field_ = false;         ///< the incomplete event has a field
+    std::size_t comment_bytes_ = 0;  ///< complete comments and empty lines since the last event
     event_fault fault_ = event_fault::none;
     std::size_t faulty_block_bytes_ = 0;
     std::optional<std::string> partial_id_;  ///< id of the incomplete event
