Count the buffers of connections on the account, and hold a body once

Responses that consist of fields took 0.5 MiB each with a bound of 32 KiB, since only their text counted.

Streams, sessions and connections to servers take an account, on which the capacity of their buffers counts, and while reading is paused the kernel's receive buffer, which is bounded to 64 KiB. net::stream sends a shared buffer without copying it. Sessions reserve the declared length of a body when its head is known, and the capacity of a chunked one as it grows; a body for which there is no room is refused through a hook. A declared length above the limit is refused with the head. Fields of a response count with the memory that they take.

The new tests need the new interfaces, so they were not run on the old code.

--- a/packages/http/include/http/client_connection.h
+++ b/packages/http/include/http/client_connection.h
@@ -54,16 +54,19 @@
 class client_connection : public std::enable_shared_from_this<client_connection> {
 public:
     static std::shared_ptr<client_connection> connect(net::loop& l, const net::address& to,
-                                                      base::duration connect_timeout);
+                                                      base::duration connect_timeout,
+                                                      memory::account* account = nullptr);
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
     ~client_connection() = default;
 
     /// Sends a request.
-    /// @param message head and body.
+    /// @param message head, and the body unless it is given by itself.
     /// @param no_body the response has no body, as for HEAD.
     /// @param match accepts every response if empty.
-    void start(std::string_view message, bool no_body, match_function match, exchange_hooks hooks);
+    /// @param body is sent behind the message without a copy; may be null.
+    void start(std::string_view message, bool no_body, match_function match, exchange_hooks hooks,
+               std::shared_ptr<const std::string> body = nullptr);
 
     /// Names the request of the next exchange, whose later attempts must not use this connection.
     void set_request_id(std::string_view id) { request_ids_.add(id); }
@@ -90,7 +93,7 @@
     [[nodiscard]] base::time_point idle_since() const noexcept { return idle_since_; }
 
 private:
-    explicit client_connection(net::loop& l);
+    client_connection(net::loop& l, memory::account* account);
 
     void connected();
     void received(std::string_view bytes);
@@ -102,6 +105,7 @@
     net::loop& loop_;
     std::shared_ptr<net::stream> stream_;
     message_reader reader_;
+    memory::charge head_charge_;  ///< of a head that is not complete
     std::shared_ptr<const exchange_hooks> hooks_;
     match_function match_;
     base::recent_ids request_ids_;
--- a/packages/http/include/http/connection_pool.h
+++ b/packages/http/include/http/connection_pool.h
@@ -16,6 +16,10 @@
 class loop;
 }
 
+namespace chicorygap::memory {
+class account;
+}
+
 namespace chicorygap::http {
 
 class client_connection;
@@ -28,7 +32,9 @@
 /// Usage: `auto c = p.take(key, address, longest_idle); c->start(...); ... p.give_back(key, c);`
 class connection_pool {
 public:
-    explicit connection_pool(net::loop& l) : loop_{l} {}
+    /// @param account counts the buffers of the connections; null counts nothing.
+    explicit connection_pool(net::loop& l, memory::account* account = nullptr)
+        : loop_{l}, account_{account} {}
 
     /// @param key names one incarnation of a server.
     /// @param to address of the server.
@@ -58,6 +64,7 @@
     [[nodiscard]] bool usable(const client_connection& c, base::duration longest_idle) const;
 
     net::loop& loop_;
+    memory::account* account_;
     std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> idle_;
     std::size_t opened_ = 0;
 };
--- a/packages/http/include/http/message_reader.h
+++ b/packages/http/include/http/message_reader.h
@@ -63,6 +63,9 @@
     /// @return true after a head and before the end of its message.
     [[nodiscard]] bool in_body() const;
 
+    /// @return approximate memory of the head that is being read, in bytes.
+    [[nodiscard]] std::size_t head_bytes() const;
+
     /// @return true if the last message was invalid because its head is too long.
     [[nodiscard]] bool head_too_long() const;
 
--- a/packages/http/include/http/server_session.h
+++ b/packages/http/include/http/server_session.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "http/message.h"
 #include "http/message_reader.h"
+#include "memory/charge.h"
 #include "net/loop.h"
 #include "net/stream.h"
 
@@ -19,14 +20,20 @@
 struct request {
     request_head head;
     std::string body;
+    memory::charge body_charge;
 };
 
+/// @return the body with its charge, both of which are released with the last reference.
+std::shared_ptr<const std::string> share_body(request&& r);
+
 /// Bounds on what a caller may send and how long it may take.
 struct session_limits {
     std::size_t head_bytes = std::size_t{16} * 1024;
     std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
     base::duration head_time = std::chrono::seconds{3};
     base::duration idle_time = std::chrono::seconds{15};
+    /// Counts the buffers of the session; null counts nothing. Bodies for which it has no room are refused.
+    memory::account* account = nullptr;
 };
 
 class server_session;
@@ -34,6 +41,9 @@
 struct session_hooks {
     /// A whole request was read. The owner answers it, now or later; the next one is read afterwards.
     std::function<void(server_session&, request&&)> received;
+    /// There is no memory for the body of a request, which was not read. The owner answers it; the connection
+    /// is closed afterwards. Without this hook the session answers with 503.
+    std::function<void(server_session&, const request_head&)> body_refused;
     /// The caller left while its request was not answered.
     std::function<void(server_session&)> caller_gone;
     /// All output was taken by the kernel.
@@ -90,6 +100,14 @@
     void drop_input(std::size_t n);
     void request_complete();
     void refuse_input(int status);
+    void refuse_body();
+    /// Takes part of a body, or marks the request as refused.
+    void add_to_body(std::string_view part);
+    /// Reserves memory for the declared length of a body.
+    void reserve_body();
+    /// @return false if a body of this size is refused.
+    [[nodiscard]] bool charge_body(std::size_t bytes);
+    void count_input();
     void ended();
     void set_timer(base::duration d);
     void on_timer();
@@ -103,6 +121,7 @@
     std::shared_ptr<net::stream> stream_;
     net::timer_id timer_ = net::timer_id::none;
     std::string input_;
+    memory::charge input_charge_;
     request current_;
     bool busy_ = false;
     bool processing_ = false;
@@ -111,6 +130,7 @@
     bool chunked_answer_ = false;
     bool no_answer_body_ = false;
     bool body_too_large_ = false;
+    bool no_memory_for_body_ = false;
     bool body_time_added_ = false;
     bool dropping_input_ = false;
     std::size_t dropped_bytes_ = 0;
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t head_limit = std::size_t{32} * 1024;
 /// Responses to other requests that are dropped before the connection counts as broken.
 constexpr int dropped_response_limit = 3;
+/// Request bodies up to this size are sent together with their head, which saves a packet.
+constexpr std::size_t max_copied_body_bytes = std::size_t{16} * 1024;
 /// Body bytes of such responses that are read during one exchange before the connection counts as broken.
 constexpr std::size_t max_dropped_bytes = std::size_t{256} * 1024;
 
@@ -52,7 +54,7 @@
     return "unknown";
 }
 
-client_connection::client_connection(net::loop& l)
+client_connection::client_connection(net::loop& l, memory::account* account)
     : loop_{l},
       reader_{message_reader::kind::response,
               {.request = nullptr,
@@ -69,11 +71,13 @@
                        }
                    }},
               head_limit},
+      head_charge_{account, memory::owner::response},
       hooks_{std::make_shared<const exchange_hooks>()} {}
 
 std::shared_ptr<client_connection> client_connection::connect(net::loop& l, const net::address& to,
-                                                              base::duration connect_timeout) {
-    std::shared_ptr<client_connection> c{new client_connection{l}};
+                                                              base::duration connect_timeout,
+                                                              memory::account* account) {
+    std::shared_ptr<client_connection> c{new client_connection{l, account}};
     const std::weak_ptr<client_connection> weak = c;
     c->stream_ = net::stream::connect(l, to, connect_timeout,
                                       {.connected =
@@ -95,11 +99,12 @@
                                                    self->ended(how);
                                                }
                                            }});
+    c->stream_->set_account(account, memory::owner::server_output);
     return c;
 }
 
 void client_connection::start(std::string_view message, bool no_body, match_function match,
-                              exchange_hooks hooks) {
+                              exchange_hooks hooks, std::shared_ptr<const std::string> body) {
     const auto self = shared_from_this();
     hooks_ = std::make_shared<const exchange_hooks>(std::move(hooks));
     match_ = std::move(match);
@@ -117,7 +122,12 @@
         fail(exchange_failure::connect_failed);
         return;
     }
+    if (!body || body->size() <= max_copied_body_bytes) {
+        stream_->write(body ? std::string{message} + *body : std::string{message});
+        return;
+    }
     stream_->write(message);
+    stream_->write_shared(std::move(body));
 }
 
 void client_connection::abort() {
@@ -154,6 +164,7 @@
             return;
         }
         const auto r = reader_.read(bytes);
+        head_charge_.set(reader_.head_bytes());
         if (!stream_->open()) {
             return;  // a hook aborted the exchange
         }
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -30,7 +30,7 @@
     auto c = take_idle(key, longest_idle, request_id);
     if (!c) {
         ++opened_;
-        c = client_connection::connect(loop_, to, connect_timeout);
+        c = client_connection::connect(loop_, to, connect_timeout, account_);
     }
     if (!request_id.empty()) {
         c->set_request_id(request_id);
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -87,6 +87,7 @@
     bool in_message_ = false;
     bool in_body_ = false;
     bool head_too_long_ = false;
+    std::size_t head_bytes_ = 0;
 
 private:
     static impl& self(http_parser* p) { return *static_cast<impl*>(p->data); }
@@ -110,6 +111,10 @@
         return 0;
     }
 
+    /// A field takes more memory than its text. The limit on requests is that of the text, as callers are
+    /// told.
+    int count_field() { return count_head(kind_ == kind::response ? sizeof(header_field) : 0); }
+
     int count_head(std::size_t n) {
         head_bytes_ += n;
         if (head_bytes_ > head_limit_) {
@@ -122,6 +127,9 @@
     int on_field(const char* at, std::size_t n) {
         if (in_value_) {
             finish_field();
+            if (count_field() != 0) {
+                return 1;
+            }
         }
         field_.append(at, n);
         return count_head(n);
@@ -197,7 +205,6 @@
     std::size_t head_limit_;
     http_parser parser_{};
     http_parser_settings settings_{};
-    std::size_t head_bytes_ = 0;
     std::string target_;
     header_list headers_;
     std::string field_;
@@ -229,6 +236,9 @@
 bool message_reader::in_body() const {
     return impl_->in_body_;
 }
+std::size_t message_reader::head_bytes() const {
+    return impl_->in_message_ && !impl_->in_body_ ? impl_->head_bytes_ : 0;
+}
 bool message_reader::head_too_long() const {
     return impl_->head_too_long_;
 }
--- a/packages/http/src/server_session.cpp
+++ b/packages/http/src/server_session.cpp
@@ -1,7 +1,11 @@
 #include "http/server_session.h"
 
+#include "memory/account.h"
+
 #include <Poco/NumberFormatter.h>
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace chicorygap::http {
@@ -12,6 +16,24 @@
 /// the connection is closed after the answer.
 constexpr std::size_t early_input_limit = std::size_t{64} * 1024;
 
+/// Bodies up to this size are refused only while the memory limit is exceeded.
+constexpr std::size_t small_body_bytes = std::size_t{32} * 1024;
+/// Bodies up to this size, like those of orders, are never refused.
+constexpr std::size_t always_taken_body_bytes = std::size_t{2} * 1024;
+/// Capacity of an empty input buffer that is kept for the next request.
+constexpr std::size_t kept_input_bytes = std::size_t{4} * 1024;
+
+/// @return length that the head declares, or nothing.
+std::optional<std::size_t> declared_length(const request_head& head) {
+    const auto* value = head.headers.find("Content-Length");
+    std::size_t length = 0;
+    if (value == nullptr ||
+        std::from_chars(value->data(), value->data() + value->size(), length).ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return length;
+}
+
 bool has_no_body(int status) {
     return status / 100 == 1 || status == 204 || status == 304;
 }
@@ -23,17 +45,15 @@
       limits_{limits},
       hooks_{std::move(hooks)},
       reader_{message_reader::kind::request,
-              {.request = [this](request_head&& h) { current_.head = std::move(h); },
+              {.request =
+                   [this](request_head&& h) {
+                       current_.head = std::move(h);
+                       reserve_body();
+                   },
                .response = nullptr,
-               .body =
-                   [this](std::string_view part) {
-                       if (current_.body.size() + part.size() > limits_.body_bytes) {
-                           body_too_large_ = true;
-                       } else {
-                           current_.body.append(part);
-                       }
-                   }},
-              limits.head_bytes} {}
+               .body = [this](std::string_view part) { add_to_body(part); }},
+              limits.head_bytes},
+      input_charge_{limits.account, memory::owner::caller_input} {}
 
 server_session::~server_session() {
     loop_.cancel(timer_);
@@ -61,10 +81,76 @@
                  });
              },
          .ended = [with_self](net::stream_end) { with_self([](auto& self) { self.ended(); }); }});
+    s->stream_->set_account(limits.account, memory::owner::caller_output);
     s->set_timer(limits.idle_time);
     return s;
 }
 
+std::shared_ptr<const std::string> share_body(request&& r) {
+    struct held_body {
+        std::string text;
+        memory::charge charge;
+    };
+    const auto held =
+        std::make_shared<const held_body>(held_body{std::move(r.body), std::move(r.body_charge)});
+    return {held, &held->text};
+}
+
+bool server_session::charge_body(std::size_t bytes) {
+    auto& charge = current_.body_charge;
+    if (bytes > small_body_bytes) {
+        return charge.try_set(bytes);
+    }
+    if (bytes > always_taken_body_bytes && limits_.account != nullptr &&
+        limits_.account->level() == memory::pressure::exceeded) {
+        return false;
+    }
+    charge.set(bytes);
+    return true;
+}
+
+void server_session::reserve_body() {
+    current_.body_charge = memory::charge{limits_.account, memory::owner::request_body};
+    const auto length = declared_length(current_.head).value_or(0);
+    if (length == 0) {
+        return;
+    }
+    if (length > limits_.body_bytes) {
+        body_too_large_ = true;
+    } else if (charge_body(length)) {
+        current_.body.reserve(length);
+    } else {
+        no_memory_for_body_ = true;
+    }
+}
+
+void server_session::add_to_body(std::string_view part) {
+    auto& body = current_.body;
+    const auto size = body.size() + part.size();
+    if (size > limits_.body_bytes) {
+        body_too_large_ = true;
+    }
+    if (body_too_large_ || no_memory_for_body_) {
+        return;
+    }
+    if (size > body.capacity()) {
+        const auto capacity = std::min(std::max(size, 2 * body.capacity()), limits_.body_bytes);
+        if (!charge_body(capacity)) {
+            no_memory_for_body_ = true;
+            return;
+        }
+        body.reserve(capacity);
+    }
+    body.append(part);
+}
+
+void server_session::count_input() {
+    if (input_.empty() && input_.capacity() > kept_input_bytes) {
+        input_.shrink_to_fit();
+    }
+    input_charge_.set(input_.capacity() + reader_.head_bytes());
+}
+
 void server_session::received(std::string_view bytes) {
     const auto self = shared_from_this();
     if (dropping_input_) {
@@ -78,6 +164,7 @@
         close_after_current_ = true;
         drop_input(std::exchange(input_, {}).size());
     }
+    count_input();
 }
 
 // The connection is read on, because an end of it behind unread input would not be seen.
@@ -97,7 +184,9 @@
         const bool began = !reader_.in_message();
         const auto r = reader_.read(input_);
         input_.erase(0, r.consumed);
-        if (body_too_large_) {
+        if (no_memory_for_body_) {
+            refuse_body();
+        } else if (body_too_large_) {
             refuse_input(413);
         } else if (r.state == read_state::invalid) {
             refuse_input(reader_.head_too_long() ? 431 : 400);
@@ -121,6 +210,20 @@
     hooks_.received(*this, std::move(r));
 }
 
+void server_session::refuse_body() {
+    if (!hooks_.body_refused) {
+        refuse_input(503);
+        return;
+    }
+    loop_.cancel(timer_);
+    busy_ = true;
+    close_after_current_ = true;
+    chunked_answer_ = current_.head.http_1_1;
+    no_answer_body_ = false;
+    const auto refused = std::exchange(current_, {});
+    hooks_.body_refused(*this, refused.head);
+}
+
 void server_session::refuse_input(int status) {
     busy_ = true;
     close_after_current_ = true;
--- /dev/null
+++ b/packages/http/tests/server_session_test.cpp
@@ -0,0 +1,115 @@
+#include "http/server_session.h"
+
+#include "memory/account.h"
+#include "net/listener.h"
+#include "net/loop.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chicorygap::http {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t account_limit = std::size_t{1024} * 1024;
+
+struct server_session_test : testing::Test {
+    memory::account account{account_limit};
+    net::loop loop;
+    std::vector<std::shared_ptr<server_session>> sessions;
+    std::vector<std::string> received;
+    std::vector<std::shared_ptr<const std::string>> held;
+    int refused = 0;
+    net::listener listener{
+        loop, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& s) {
+            sessions.push_back(server_session::start(loop, s, {.account = &account},
+                                                     {.received =
+                                                          [this](server_session& x, request&& r) {
+                                                              received.push_back(r.head.target);
+                                                              held.push_back(share_body(std::move(r)));
+                                                              x.respond({.status = 200}, {});
+                                                          },
+                                                      .body_refused =
+                                                          [this](server_session& x, const request_head&) {
+                                                              ++refused;
+                                                              x.respond({.status = 503}, "busy");
+                                                          }}));
+        }};
+
+    struct caller {
+        std::shared_ptr<net::stream> stream;
+        std::string received;
+    };
+
+    std::shared_ptr<caller> send(const std::string& message) {
+        auto c = std::make_shared<caller>();
+        c->stream = net::stream::connect(loop, listener.local(), 1s,
+                                         {.received = [c](std::string_view b) { c->received.append(b); }});
+        c->stream->write(message);
+        return c;
+    }
+
+    bool run_until(const std::function<bool()>& done) {
+        const auto end = base::boot_clock::now() + 3s;
+        while (!done() && base::boot_clock::now() < end) {
+            loop.run_once(5ms);
+        }
+        return done();
+    }
+};
+
+std::string post(const std::string& path, std::size_t bytes) {
+    return "POST " + path + " HTTP/1.1\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" +
+           std::string(bytes, 'x');
+}
+
+// Failure: many callers with large bodies at once. Guards against a sum of bodies that exceeds the memory.
+TEST_F(server_session_test, large_body_is_refused_as_soon_as_its_length_is_known) {
+    const auto first = send(post("/first", 700'000));
+    ASSERT_TRUE(run_until([&] { return received.size() == 1; }));
+    EXPECT_GE(account.held(memory::owner::request_body), 700'000U);
+    const auto second = send("POST /second HTTP/1.1\r\nContent-Length: 700000\r\n\r\n");
+    ASSERT_TRUE(run_until([&] { return second->received.find("busy") != std::string::npos; }));
+    EXPECT_EQ(refused, 1);
+    EXPECT_EQ(second->received.rfind("HTTP/1.1 503", 0), 0U);
+    const auto small = send(post("/small", 1000));
+    ASSERT_TRUE(run_until([&] { return small->received.rfind("HTTP/1.1 200", 0) == 0; }));
+    held.clear();
+    EXPECT_EQ(account.held(memory::owner::request_body), 0U);
+    send(post("/third", 700'000));
+    ASSERT_TRUE(run_until([&] { return received.size() == 3; }));
+}
+
+// Guards against bodies without a declared length that pass by the account.
+TEST_F(server_session_test, chunked_body_is_refused_when_it_outgrows_the_memory) {
+    const auto c = send("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string part(4096, 'x');
+    for (int i = 0; i < 250; ++i) {
+        c->stream->write("1000\r\n" + part + "\r\n");
+    }
+    ASSERT_TRUE(run_until([&] { return c->received.find("busy") != std::string::npos; }));
+    EXPECT_EQ(refused, 1);
+    EXPECT_TRUE(received.empty());
+    EXPECT_LT(account.peak(), account_limit);
+}
+
+// Guards against bytes that stay on the account after their connection has ended.
+TEST_F(server_session_test, account_is_empty_after_all_connections_have_ended) {
+    for (int i = 0; i < 8; ++i) {
+        const auto c = send("POST /x HTTP/1.1\r\nContent-Length: 50000\r\n\r\n" + std::string(1000, 'x'));
+        ASSERT_TRUE(run_until([&] { return account.held(memory::owner::request_body) > 0; }));
+        c->stream->close();
+    }
+    run_until([&] { return account.held(memory::owner::request_body) >= std::size_t{8} * 50'000; });
+    sessions.clear();
+    EXPECT_EQ(account.held(), 0U);
+}
+
+}  // namespace
+}  // namespace chicorygap::http
--- a/packages/memory/include/memory/owner.h
+++ b/packages/memory/include/memory/owner.h
@@ -20,9 +20,9 @@
     kernel_input,   ///< receive buffers of the kernel while reading is paused
 };
 
-constexpr std::array all_owners{owner::caller_input, owner::request_body,  owner::server_output,
-                                owner::response,     owner::partial_event, owner::caller_output,
-                                owner::kernel_input};
+inline constexpr std::array all_owners{owner::caller_input, owner::request_body,  owner::server_output,
+                                       owner::response,     owner::partial_event, owner::caller_output,
+                                       owner::kernel_input};
 
 /// @return name for log lines and metrics.
 std::string_view to_string(owner o) noexcept;
--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "base/time.h"
+#include "memory/charge.h"
+#include "memory/owner.h"
 #include "net/address.h"
 #include "net/loop.h"
 
@@ -14,6 +16,10 @@
 #include <string>
 #include <string_view>
 
+namespace chicorygap::memory {
+class account;
+}
+
 namespace chicorygap::net {
 
 /// How a connection ended.
@@ -58,8 +64,19 @@
     /// failure is reported in the next round of the loop.
     void write(std::string_view bytes);
 
+    /// Like `write`, but sends from the caller's bytes, which are not copied unless more is written before
+    /// the connection has taken them.
+    /// @param bytes must not be null.
+    void write_shared(std::shared_ptr<const std::string> bytes);
+
+    /// Counts the output buffer, and the kernel's receive buffer while reading is paused, on an account.
+    /// Bounds the receive buffer.
+    /// @param a account that outlives the stream; null counts nothing.
+    /// @param output what the output is held for.
+    void set_account(memory::account* a, memory::owner output);
+
     /// @return bytes given to `write` that the kernel has not taken.
-    [[nodiscard]] std::size_t buffered() const noexcept { return output_.size() - written_; }
+    [[nodiscard]] std::size_t buffered() const noexcept { return own_buffered() + shared_buffered(); }
 
     /// @return bytes given to `write` that the other side has not acknowledged, as far as the kernel tells.
     [[nodiscard]] std::size_t unacknowledged() const;
@@ -101,6 +118,16 @@
     void on_connected();
     void read_available();
     void flush();
+    /// Hands output to the kernel until it takes no more.
+    /// @return false if the connection has failed.
+    bool send_buffered();
+    /// Gives up the memory of output that was sent.
+    void release_sent();
+    void discard_output();
+    [[nodiscard]] std::size_t own_buffered() const noexcept { return output_.size() - written_; }
+    [[nodiscard]] std::size_t shared_buffered() const noexcept {
+        return shared_output_ ? shared_output_->size() - shared_written_ : 0;
+    }
     void shut_down_output();
     void end(stream_end how);
     void end_later(stream_end how);
@@ -112,6 +139,11 @@
     timer_id deadline_timer_ = timer_id::none;
     std::string output_;
     std::size_t written_ = 0;
+    /// Follows the bytes of `output_`.
+    std::shared_ptr<const std::string> shared_output_;
+    std::size_t shared_written_ = 0;
+    memory::charge output_charge_;
+    memory::charge kernel_charge_;
     base::time_point last_progress_;
     bool connected_ = false;
     bool closed_ = false;
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -27,6 +27,10 @@
 /// Output below this size is not moved to the front of the buffer, which would cost a copy for each write.
 constexpr std::size_t compact_size = std::size_t{64} * 1024;
 
+/// Kernel's receive buffer of a connection whose memory is counted. Bytes in it count toward the memory of
+/// the process; the default grows to several megabytes a connection.
+constexpr int receive_buffer_bytes = 64 * 1024;
+
 /// How long the other side may take to close after all output was sent. Closing before it has read the output
 /// would reset the connection when bytes of it are still unread here.
 constexpr base::duration linger_time = 1s;
@@ -116,10 +120,54 @@
     if (buffered() == 0) {
         last_progress_ = loop_.now();
     }
+    if (const auto shared = std::exchange(shared_output_, nullptr)) {
+        output_.append(*shared, std::exchange(shared_written_, 0));
+    }
     output_.append(bytes);
     if (connected_ && !wants_write_) {
         flush();
     }
+    output_charge_.set(output_.capacity());
+}
+
+void stream::write_shared(std::shared_ptr<const std::string> bytes) {
+    if (closed_ || closing_ || bytes->empty()) {
+        return;
+    }
+    if (shared_output_) {
+        write(*bytes);
+        return;
+    }
+    if (buffered() == 0) {
+        last_progress_ = loop_.now();
+    }
+    shared_output_ = std::move(bytes);
+    if (connected_ && !wants_write_) {
+        flush();
+    }
+}
+
+void stream::set_account(memory::account* a, memory::owner output) {
+    output_charge_ = memory::charge{a, output};
+    kernel_charge_ = memory::charge{a, memory::owner::kernel_input};
+    output_charge_.set(output_.capacity());
+    if (a == nullptr || closed_) {
+        return;
+    }
+    try {
+        socket_.setReceiveBufferSize(receive_buffer_bytes);
+    } catch (const Poco::Exception& e) {
+        base::log_line{base::log_level::warning, "net", "Receive buffer not bounded."}.field("error",
+                                                                                             e.displayText());
+    }
+}
+
+void stream::discard_output() {
+    std::string{}.swap(output_);
+    written_ = 0;
+    shared_output_.reset();
+    shared_written_ = 0;
+    output_charge_.set(0);
 }
 
 std::size_t stream::unacknowledged() const {
@@ -154,6 +202,7 @@
 void stream::pause_reading(bool paused) {
     if (read_paused_ != paused) {
         read_paused_ = paused;
+        kernel_charge_.set(paused ? receive_buffer_bytes : 0);
         if (!closed_ && std::exchange(unwatched_, false)) {
             watch();
         } else {
@@ -190,6 +239,8 @@
     loop_.cancel(deadline_timer_);
     loop_.unwatch(socket_);
     socket_.close();
+    discard_output();
+    kernel_charge_.set(0);
     hooks_ = std::make_shared<const stream_hooks>();
 }
 
@@ -219,8 +270,7 @@
 
 // A hook that is called inside `write` would change its caller's state under it.
 void stream::end_later(stream_end how) {
-    output_.clear();
-    written_ = 0;
+    discard_output();
     loop_.after({}, [weak = weak_from_this(), how] {
         if (const auto self = weak.lock()) {
             self->end(how);
@@ -300,31 +350,52 @@
     }
 }
 
-void stream::flush() {
+bool stream::send_buffered() {
     while (buffered() > 0) {
+        const bool own = own_buffered() > 0;
+        const char* first = own ? output_.data() + written_ : shared_output_->data() + shared_written_;
         int n = 0;
         try {
-            n = socket_.sendBytes(output_.data() + written_, static_cast<int>(buffered()));
+            n = socket_.sendBytes(first, static_cast<int>(own ? own_buffered() : shared_buffered()));
         } catch (const Poco::Exception& e) {
-            if (would_block(e)) {
-                break;
+            if (!would_block(e)) {
+                end_later(stream_end::reset);
+                return false;
             }
-            end_later(stream_end::reset);
-            return;
+            break;
         }
         if (n <= 0) {
             break;
         }
-        written_ += static_cast<std::size_t>(n);
+        (own ? written_ : shared_written_) += static_cast<std::size_t>(n);
         last_progress_ = loop_.now();
     }
-    if (written_ == output_.size()) {
+    return true;
+}
+
+void stream::release_sent() {
+    if (shared_output_ && shared_buffered() == 0) {
+        shared_output_.reset();
+        shared_written_ = 0;
+    }
+    if (own_buffered() == 0) {
         output_.clear();
         written_ = 0;
+        if (output_.capacity() > compact_size) {
+            output_.shrink_to_fit();
+        }
     } else if (written_ > compact_size) {
         output_.erase(0, written_);
         written_ = 0;
     }
+    output_charge_.set(output_.capacity());
+}
+
+void stream::flush() {
+    if (!send_buffered()) {
+        return;
+    }
+    release_sent();
     const bool blocked = buffered() > 0;
     const bool was_blocked = wants_write_;
     if (blocked != was_blocked) {
--- a/packages/net/tests/stream_test.cpp
+++ b/packages/net/tests/stream_test.cpp
@@ -1,5 +1,6 @@
 #include "net/stream.h"
 
+#include "memory/account.h"
 #include "net/listener.h"
 #include "net/loop.h"
 
@@ -101,5 +102,44 @@
     EXPECT_EQ(accepted_end, stream_end::reset);
 }
 
+// Guards against bytes that change their order, or are lost, when shared output is followed by other output.
+TEST_F(stream_test, shared_output_arrives_whole_and_in_order) {
+    constexpr std::size_t size = std::size_t{16} * 1024 * 1024;
+    memory::account account{size};
+    const auto sender = stream::connect(l, in.local(), 1s, {});
+    sender->set_account(&account, memory::owner::server_output);
+    ASSERT_TRUE(run_until([&] { return accepted && sender->is_connected(); }));
+    accepted->pause_reading(true);
+    const auto shared = std::make_shared<const std::string>(size, 'b');
+    sender->write("a");
+    sender->write_shared(shared);
+    l.run_once(10ms);
+    EXPECT_GT(sender->buffered(), 0U);
+    EXPECT_LT(account.held(), 1000U) << "shared output must not be copied";
+    sender->write("c");
+    accepted->pause_reading(false);
+    ASSERT_TRUE(run_until([&] { return received.size() == size + 2; }));
+    EXPECT_EQ(received.front(), 'a');
+    EXPECT_EQ(received.back(), 'c');
+    EXPECT_EQ(received.find_first_not_of('b', 1), size + 1);
+    EXPECT_EQ(shared.use_count(), 1);
+    EXPECT_LT(account.held(), std::size_t{128} * 1024) << "memory of sent output must be released";
+}
+
+// Guards against kernel buffers of paused connections that nothing counts.
+TEST_F(stream_test, receive_buffer_counts_while_reading_is_paused) {
+    memory::account account{1'000'000};
+    const auto sender = stream::connect(l, in.local(), 1s, {});
+    ASSERT_TRUE(run_until([&] { return accepted && sender->is_connected(); }));
+    accepted->set_account(&account, memory::owner::caller_output);
+    accepted->pause_reading(true);
+    EXPECT_GT(account.held(memory::owner::kernel_input), 0U);
+    accepted->pause_reading(false);
+    EXPECT_EQ(account.held(memory::owner::kernel_input), 0U);
+    accepted->pause_reading(true);
+    accepted->close();
+    EXPECT_EQ(account.held(), 0U);
+}
+
 }  // namespace
 }  // namespace chicorygap::net
