Bound the sum of what many requests hold in the router

Servers that answer without end, to many callers at once, took the memory of the daemon: each response was buffered up to 1 MiB and nothing bounded the sum.

Responses, incomplete events and bodies count on the account. While half of its limit is used, a plain response is forwarded beyond 16 KiB as it arrives instead of collected, reading pauses at 32 KiB that a caller has not taken, and an event of 64 KiB is none. An error response is never collected beyond 64 KiB; where a retry may replace it the attempt fails, else it is forwarded. Above the limit the attempts that hold the most unvalidated bytes end first and count as failures of their servers, then requests whose callers leave the most output. A request whose body was refused is answered as not run, with Retry-After.

--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -26,6 +26,10 @@
 class loop;
 }
 
+namespace chicorygap::memory {
+class account;
+}
+
 namespace chicorygap::proxy {
 
 class header_codec;
@@ -54,6 +58,9 @@
     retry_budget_share retries;
     /// Limit on concurrent requests, above which new ones are rejected; no limit if absent.
     std::optional<std::size_t> max_open_requests;
+    /// Counts the buffers of requests and connections to servers, and outlives the router; null counts
+    /// nothing and sets no limit.
+    memory::account* account = nullptr;
 };
 
 struct router_hooks {
@@ -110,6 +117,9 @@
     /// Starts a request. Responds with 503 as long as no catalog is set.
     void handle(http::server_session& session, http::request&& r);
 
+    /// Answers a request whose body there is no memory for: 503 with Retry-After, not run.
+    void refuse_body(http::server_session& session, const http::request_head& head);
+
     /// Cancels the session's request after its caller disconnected. A non-idempotent request that a server
     /// has received whole runs to its end.
     void caller_disconnected(http::server_session& session);
--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -74,7 +74,7 @@
 }
 
 void event_splitter::discard_partial() {
-    partial_.clear();
+    std::string{}.swap(partial_);
     scanned_ = 0;
     line_start_ = 0;
     has_field_ = false;
--- a/packages/proxy/src/event_splitter.h
+++ b/packages/proxy/src/event_splitter.h
@@ -34,6 +34,9 @@
     /// @return true if the end of an event is still missing.
     [[nodiscard]] bool has_partial() const noexcept { return has_field_ || line_start_ < partial_.size(); }
 
+    /// @return memory of the incomplete event.
+    [[nodiscard]] std::size_t held_bytes() const noexcept { return partial_.capacity(); }
+
     /// Discards an incomplete event, so that another server can resume the stream after the last complete
     /// one.
     void discard_partial();
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -55,11 +55,14 @@
     : router_{router},
       session_{session.shared_from_this()},
       request_{std::move(request)},
+      body_{http::share_body(std::move(request_))},
       metadata_{router.codec.decode(request_.head)},
       catalog_{router.catalog},
       evidence_{router.guard, metadata_.generation},
       id_{router.next_request_id()},
-      received_at_{base::boot_clock::now()} {
+      received_at_{base::boot_clock::now()},
+      response_charge_{router_.options.account, memory::owner::response},
+      event_charge_{router_.options.account, memory::owner::partial_event} {
     record_.id = metadata_.id;
 }
 
@@ -299,6 +302,17 @@
     end_early(result_code::draining);
 }
 
+void proxied_request::on_memory_exceeded() {
+    const auto self = shared_from_this();
+    fail_attempt_with_invalid_response("memory_limit");
+}
+
+void proxied_request::on_memory_exceeded_by_output() {
+    const auto self = shared_from_this();
+    record_.failure_cause = "memory_limit";
+    end_early(result_code::caller_too_slow);
+}
+
 void proxied_request::end_early(result_code code) {
     if (current_attempt_ != 0) {
         const bool sent = attempt_sent();
@@ -335,6 +349,8 @@
     router_.loop.cancel(admission_timer_);
     evidence_.attempt_ended();
     abort_attempt();
+    events_.discard_partial();
+    charge_response();
     auto* const session = session_.get();
     const bool response_pending = session_ && session_->busy();
     const bool aborted = response_started_ || code == result_code::caller_gone;
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -7,6 +7,7 @@
 #include "event_splitter.h"
 #include "http/client_connection.h"
 #include "http/server_session.h"
+#include "memory/charge.h"
 #include "net/loop.h"
 #include "proxy/header_codec.h"
 #include "proxy/request_record.h"
@@ -48,6 +49,15 @@
     void on_caller_disconnected();
     /// Resumes reading from the server.
     void on_caller_drained();
+    /// @return memory of received bytes that the caller has not been sent, because the response is not
+    /// complete.
+    [[nodiscard]] std::size_t unvalidated_bytes() const;
+    /// @return memory of the output that the caller has not taken.
+    [[nodiscard]] std::size_t pending_output_bytes() const;
+    /// Ends the attempt because the memory limit is exceeded; it counts as the server's failure.
+    void on_memory_exceeded();
+    /// Ends the request because its caller leaves output in memory.
+    void on_memory_exceeded_by_output();
     /// Ends the request because the process exits.
     void on_shutdown();
     /// @return true while an attempt is in flight.
@@ -78,6 +88,12 @@
     void on_response_body(std::string_view data);
     void on_stream_body(std::string_view data);
     void on_non_stream_body(std::string_view data);
+    /// Counts the buffers of the response.
+    void charge_response();
+    /// @return size up to which the response is buffered before any of it is sent to the caller.
+    [[nodiscard]] std::size_t max_buffered_bytes() const;
+    /// @return true if the response is a refusal or an error in whose place a retry may bring an answer.
+    [[nodiscard]] bool response_may_be_replaced() const;
     /// Stops reading from the server until the caller has taken the output.
     void pause_if_caller_is_slow();
     /// Ends the attempt because the server sends bytes that are no valid response, and closes its connection.
@@ -114,6 +130,7 @@
     request_router::impl& router_;
     std::shared_ptr<http::server_session> session_;
     http::request request_;
+    std::shared_ptr<const std::string> body_;  ///< of the request, shared with the connection to the server
     request_metadata metadata_;
     std::shared_ptr<const catalog::snapshot> catalog_;
     request_evidence evidence_;
@@ -142,6 +159,8 @@
     response_metadata response_metadata_;
     int response_status_ = 0;
     std::string response_body_;
+    memory::charge response_charge_;
+    memory::charge event_charge_;
     event_splitter events_;
     std::uint64_t events_at_attempt_start_ = 0;
     std::optional<base::time_point> last_event_received_at_;
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -17,11 +17,19 @@
 constexpr base::duration max_idle_repeatable = 4s;
 /// Responses up to this size that are not streams are buffered before they are sent to the caller.
 constexpr std::size_t max_buffered_response_bytes = std::size_t{1024} * 1024;
+/// The same while memory is scarce.
+constexpr std::size_t max_buffered_bytes_under_pressure = std::size_t{16} * 1024;
+/// The same for error responses, which have short bodies.
+constexpr std::size_t max_buffered_error_bytes = std::size_t{64} * 1024;
 /// Bytes that are read of a response which is not forwarded: an error instead of the rest of a stream, or the
 /// response to a request whose caller has left.
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
 /// Unsent output for the caller above which reading from the server pauses.
 constexpr std::size_t max_pending_output_bytes = std::size_t{256} * 1024;
+/// The same while memory is scarce.
+constexpr std::size_t max_pending_output_under_pressure = std::size_t{32} * 1024;
+/// Memory of an incomplete event while memory is scarce; an event has a few hundred bytes.
+constexpr std::size_t max_event_bytes_under_pressure = std::size_t{64} * 1024;
 /// Attempt timeout of a request that may be retried and is not a stream, as a multiple of the route's target
 /// latency.
 constexpr int response_timeout_factor = 2;
@@ -36,6 +44,7 @@
 constexpr int first_event_timeout_factor = 5;
 /// Lower bound of the attempt timeout until the first event.
 constexpr base::duration min_first_event_timeout = 1200ms;
+constexpr int status_server_error = 500;
 
 bool is_event_stream(const http::response_head& head) {
     const auto* type = head.headers.find("Content-Type");
@@ -76,7 +85,8 @@
     record_.affinity_rank = decision.affinity_rank;
     events_.discard_partial();
     events_at_attempt_start_ = events_.event_count();
-    response_body_.clear();
+    std::string{}.swap(response_body_);
+    charge_response();
     discarded_bytes_ = 0;
     response_is_stream_ = false;
     response_status_ = 0;
@@ -94,17 +104,16 @@
         .remaining_time = remaining_time(),
         .priority_rank = priority_rank(),
         .last_event_id = events_.last_id() ? events_.last_id() : metadata_.last_event_id,
-        .body_bytes = request_.body.size(),
+        .body_bytes = body_->size(),
         .kv_transfer_source = decision.kv_transfer_source};
-    const auto message =
-        http::serialize(router_.codec.encode_server_request(request_.head, server_metadata)) + request_.body;
+    const auto message = http::serialize(router_.codec.encode_server_request(request_.head, server_metadata));
     arm_attempt_timer();
     connection_->start(
         message, request_.head.method == "HEAD",
         [this, weak = weak_from_this()](const http::response_head& head) {
             return !weak.expired() && matches_request(head);
         },
-        attempt_hooks());
+        attempt_hooks(), body_);
 }
 
 bool proxied_request::matches_request(const http::response_head& head) const {
@@ -213,8 +222,12 @@
     const auto events_before = events_.event_count();
     const auto complete_events = events_.feed(data);
     const auto self = shared_from_this();
+    charge_response();
+    const bool event_too_long =
+        events_.event_too_long() || (router_.memory_pressure() != memory::pressure::none &&
+                                     events_.held_bytes() > max_event_bytes_under_pressure);
     if (complete_events.empty()) {
-        if (events_.event_too_long()) {
+        if (event_too_long) {
             fail_attempt_with_invalid_response("event_too_long");
         }
         return;
@@ -235,7 +248,7 @@
         session_->begin(std::move(head));
     }
     session_->send(complete_events);
-    if (events_.event_too_long()) {
+    if (event_too_long) {
         fail_attempt_with_invalid_response("event_too_long");
         return;
     }
@@ -244,9 +257,41 @@
 }
 
 void proxied_request::pause_if_caller_is_slow() {
-    if (connection_ && session_->buffered() > max_pending_output_bytes) {
+    const auto limit = router_.memory_pressure() == memory::pressure::none
+                           ? max_pending_output_bytes
+                           : max_pending_output_under_pressure;
+    if (connection_ && session_->buffered() > limit) {
         connection_->pause_reading(true);
     }
+    router_.check_memory();
+}
+
+void proxied_request::charge_response() {
+    response_charge_.set(response_body_.capacity());
+    event_charge_.set(events_.held_bytes());
+    router_.check_memory();
+}
+
+std::size_t proxied_request::unvalidated_bytes() const {
+    return connection_ && !ended_ ? response_charge_.bytes() + event_charge_.bytes() : 0;
+}
+
+std::size_t proxied_request::pending_output_bytes() const {
+    return session_ && !ended_ ? session_->buffered() : 0;
+}
+
+std::size_t proxied_request::max_buffered_bytes() const {
+    if (response_status_ >= status_server_error) {
+        return max_buffered_error_bytes;
+    }
+    return router_.memory_pressure() == memory::pressure::none ? max_buffered_response_bytes
+                                                               : max_buffered_bytes_under_pressure;
+}
+
+bool proxied_request::response_may_be_replaced() const {
+    const bool refused = response_metadata_.not_run || response_metadata_.wrong_server;
+    return refused || (response_status_ >= status_server_error && route_->repeatable() &&
+                       attempt_tracker_->attempts() < route_->max_attempts);
 }
 
 void proxied_request::fail_attempt_with_invalid_response(const char* cause) {
@@ -274,7 +319,12 @@
         return;
     }
     response_body_.append(data);
-    if (response_body_.size() <= max_buffered_response_bytes) {
+    charge_response();
+    if (response_body_.size() <= max_buffered_bytes()) {
+        return;
+    }
+    if (response_may_be_replaced()) {
+        fail_attempt_with_invalid_response("body_too_long");
         return;
     }
     // The response exceeds the buffer limit: from here on a failure aborts the response.
@@ -283,6 +333,7 @@
     router_.loop.cancel(attempt_timer_);
     session_->begin({.status = response_head_.status, .headers = http::end_to_end(response_head_.headers)});
     session_->send(std::exchange(response_body_, {}));
+    charge_response();
     pause_if_caller_is_slow();
 }
 
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -34,6 +34,10 @@
 void request_router::handle(http::server_session& session, http::request&& r) {
     impl_->handle(session, std::move(r));
 }
+void request_router::refuse_body(http::server_session& session, const http::request_head& head) {
+    impl_->refuse_body(session, head);
+}
+
 void request_router::caller_disconnected(http::server_session& session) {
     impl_->caller_disconnected(session);
 }
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -1,5 +1,7 @@
 #include "request_router_impl.h"
 
+#include "base/log.h"
+#include "memory/account.h"
 #include "proxied_request.h"
 
 #include <algorithm>
@@ -15,6 +17,12 @@
 constexpr base::duration tick_interval = 40ms;
 /// Interval at which idle connections are checked for expiry.
 constexpr base::duration expiry_interval = 1s;
+/// Retry-After of a request that was refused because of its body; most requests end within this time.
+constexpr base::duration retry_after_no_memory = 500ms;
+constexpr int status_unavailable = 503;
+/// Attempts and requests that hold less are not ended for their memory: all that are open together hold less
+/// than the limit.
+constexpr std::size_t min_shed_bytes = std::size_t{16} * 1024;
 
 }  // namespace
 
@@ -25,7 +33,7 @@
       options{std::move(o)},
       random{std::move(r)},
       hooks{std::move(h)},
-      pool{l},
+      pool{l, options.account},
       signals{options.self, options.zone, l.now()},
       check{l} {
     signals.set_hooks({.changed = hooks.signals_changed, .news = hooks.signal_news, .server_leaving = [this] {
@@ -160,6 +168,69 @@
     request->start();
 }
 
+void request_router::impl::refuse_body(http::server_session& session, const http::request_head& head) {
+    request_record record;
+    record.id = codec.decode(head).id;
+    record.status = status_unavailable;
+    record.code = base::result_code::queue_full;
+    record.failure_cause = "no_memory_for_body";
+    session.respond(codec.error_response(status_unavailable, record.id, retry_after_no_memory), {});
+    if (hooks.request_ended) {
+        hooks.request_ended(record);
+    }
+}
+
+memory::pressure request_router::impl::memory_pressure() const noexcept {
+    return options.account == nullptr ? memory::pressure::none : options.account->level();
+}
+
+void request_router::impl::check_memory() {
+    if (memory_pressure() != memory::pressure::exceeded || std::exchange(memory_check_pending_, true)) {
+        return;
+    }
+    loop.after({}, [this] {
+        memory_check_pending_ = false;
+        shed_memory();
+    });
+}
+
+void request_router::impl::shed_memory() {
+    using held_request = std::pair<std::size_t, std::shared_ptr<proxied_request>>;
+    const auto end_largest = [this](auto bytes_of, auto end) {
+        std::vector<held_request> holders;
+        for (const auto& [id, request] : active_requests) {
+            if (const auto n = bytes_of(*request); n >= min_shed_bytes) {
+                holders.emplace_back(n, request);
+            }
+        }
+        std::sort(holders.begin(), holders.end(),
+                  [](const held_request& a, const held_request& b) { return a.first > b.first; });
+        std::size_t ended = 0;
+        for (const auto& [n, request] : holders) {
+            if (options.account->excess() == 0) {
+                break;
+            }
+            end(*request);
+            ++ended;
+        }
+        return ended;
+    };
+    const auto before = options.account->held();
+    const auto attempts = end_largest([](const proxied_request& r) { return r.unvalidated_bytes(); },
+                                      [](proxied_request& r) { r.on_memory_exceeded(); });
+    const auto requests = end_largest([](const proxied_request& r) { return r.pending_output_bytes(); },
+                                      [](proxied_request& r) { r.on_memory_exceeded_by_output(); });
+    if (attempts + requests == 0) {
+        return;
+    }
+    base::log_line{base::log_level::warning, "proxy", "Memory limit exceeded."}
+        .field("held_before", static_cast<long long>(before))
+        .field("held", static_cast<long long>(options.account->held()))
+        .field("limit", static_cast<long long>(options.account->limit()))
+        .field("attempts_ended", static_cast<long long>(attempts))
+        .field("requests_ended", static_cast<long long>(requests));
+}
+
 void request_router::impl::caller_disconnected(http::server_session& session) {
     const auto it = ids_by_session_.find(&session);
     if (it == ids_by_session_.end()) {
--- a/packages/proxy/src/request_router_impl.h
+++ b/packages/proxy/src/request_router_impl.h
@@ -4,6 +4,7 @@
 
 #include "backpressure/signal_table.h"
 #include "http/connection_pool.h"
+#include "memory/pressure.h"
 #include "proxy/header_codec.h"
 #include "proxy/request_router.h"
 #include "retry/budget.h"
@@ -41,6 +42,7 @@
     void set_peer_load(const base::vm_id& peer, const service_loads& loads, base::duration lifetime);
     void set_retry_budget_share(const retry_budget_share& s);
     void handle(http::server_session& session, http::request&& r);
+    void refuse_body(http::server_session& session, const http::request_head& head);
     void caller_disconnected(http::server_session& session);
     void drained(http::server_session& session);
     void end_requests();
@@ -67,6 +69,12 @@
     /// @param session session of the request; null if the caller disconnected.
     void remove(scheduling::local_request_id id, http::server_session* session);
 
+    /// @return how close the buffers are to the memory limit.
+    [[nodiscard]] memory::pressure memory_pressure() const noexcept;
+    /// Ends attempts in the next round of the loop if the memory limit is exceeded. To be called after a
+    /// buffer has grown.
+    void check_memory();
+
     scheduling::local_request_id next_request_id() {
         return scheduling::local_request_id{++last_request_id_};
     }
@@ -90,6 +98,9 @@
     /// Marks servers that have announced that they stop, and passes the list to the schedulers.
     void apply_servers();
     void on_server_leaving();
+    /// Ends those that hold the most until the memory limit is kept: first attempts by the bytes that no
+    /// caller has been sent, then requests whose callers do not take their output.
+    void shed_memory();
     void tick(const base::service_id& id);
     void schedule_tick(const base::service_id& id);
     [[nodiscard]] retry::budget_options budget_options() const;
@@ -99,6 +110,7 @@
     std::unordered_map<base::service_id, std::vector<catalog::backend_server>> servers_by_service_;
     bool leaving_servers_pending_ = false;  ///< a server has announced that it stops
     std::unordered_map<http::server_session*, scheduling::local_request_id> ids_by_session_;
+    bool memory_check_pending_ = false;
     std::uint64_t last_request_id_ = 0;
 };
 
--- a/packages/proxy/tests/router_fixture.h
+++ b/packages/proxy/tests/router_fixture.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "http/server_session.h"
+#include "memory/account.h"
 #include "net/listener.h"
 #include "net/loop.h"
 #include "net/stream.h"
@@ -58,17 +59,23 @@
 };
 
 struct request_router_test : testing::Test {
+    static constexpr std::size_t memory_limit_bytes = std::size_t{32} * 1024 * 1024;
+
+    memory::account account{memory_limit_bytes};
     net::loop loop;
     test_header_codec codec;
     std::uint64_t random_state = 0;
     std::vector<request_record> records;
     std::vector<std::string> started_runs;
+    std::uint32_t server_slots = 4;
+    std::vector<std::string> server_services;
     request_router router{
         loop,
         codec,
         {.self = base::vm_id{"vm"},
          .zone = base::zone_id{"z"},
-         .retries = {.ratio = 1, .extra_retries = 100, .window = 10s}},
+         .retries = {.ratio = 1, .extra_retries = 100, .window = 10s},
+         .account = &account},
         [this] { return ++random_state << 40; },
         {.run_started = [this](const base::workspace_id& w) { started_runs.push_back(w.str()); },
          .request_ended = [this](const request_record& r) { records.push_back(r); }}};
@@ -79,9 +86,11 @@
 
     void accept(const Poco::Net::StreamSocket& socket) {
         sessions.insert(http::server_session::start(
-            loop, socket, {},
+            loop, socket, {.account = &account},
             {.received = [this](http::server_session& s,
                                 http::request&& r) { router.handle(s, std::move(r)); },
+             .body_refused = [this](http::server_session& s,
+                                    const http::request_head& h) { router.refuse_body(s, h); },
              .caller_gone = [this](http::server_session& s) { router.caller_disconnected(s); },
              .drained = [this](http::server_session& s) { router.drained(s); },
              .closed = [this](http::server_session& s) { sessions.erase(s.shared_from_this()); }}));
@@ -114,20 +123,26 @@
         auto resumable = make_route("/talk/", catalog::request_kind::streaming, 2);
         resumable.resumable = true;
         c->add(resumable);
+        auto other = make_route("/other/", catalog::request_kind::non_idempotent, 1);
+        other.services = {{base::service_id{"other"}, 1}};
+        c->add(other);
         c->add(catalog::service{.id = base::service_id{"s"}});
+        c->add(catalog::service{.id = base::service_id{"other"}});
         router.set_catalog(c);
     }
 
-    void add_server(scripted_server::script s) {
+    /// @param service its route is "/other/" if it is "other".
+    void add_server(scripted_server::script s, const std::string& service = "s") {
         servers.push_back(std::make_unique<scripted_server>(loop, std::move(s)));
+        server_services.push_back(service);
         std::vector<catalog::backend_server> list;
         for (std::size_t i = 0; i < servers.size(); ++i) {
             catalog::backend_server b;
             b.id = base::backend_server_id{"server" + std::to_string(i)};
-            b.service = base::service_id{"s"};
+            b.service = base::service_id{server_services[i]};
             b.address = servers[i]->address();
             b.zone = base::zone_id{"z"};
-            b.slots = 4;
+            b.slots = server_slots;
             list.push_back(b);
         }
         router.set_servers(list);
@@ -141,6 +156,7 @@
             removed_servers.push_back(std::move(s));
         }
         servers.clear();
+        server_services.clear();
     }
 
     std::shared_ptr<test_caller> send_request(const std::string& path, const std::string& id,
