Show and bound the memory of the daemon's buffers

The daemon gives its router and the sessions of callers an account with half of memory_mib as its limit, and refuses bodies for which it has no room as not run.

/metrics shows the account, its owners, its peak and level beside the private memory of the process; "Memory level changed." tells the same, up to 4 lines a second. mallopt keeps the threshold for separately mapped buffers at 128 KiB, so that freed buffers are returned to the system.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -37,10 +37,10 @@
 constexpr base::duration max_mirror_confirmation_age = 2300ms;
 
 /// Memory reserved for one open request: its header, its part of the buffered output and the connection to
-/// its server. Bodies are small in comparison.
+/// its server. Bodies and responses are counted by the account.
 constexpr std::size_t memory_bytes_per_request = std::size_t{48} * 1024;
-/// Open requests may use the memory divided by this number. The rest is for the program, the configuration
-/// and the server list.
+/// Open requests, and all buffers on the account, may use the memory divided by this number. The rest is for
+/// the program, the configuration, the server list and what the allocator does not return.
 constexpr std::size_t request_memory_divisor = 2;
 /// File descriptors that are not available for connections of callers and to servers: log, listeners, store,
 /// peers, and those that the platform reserves for files.
@@ -63,14 +63,16 @@
 
 }  // namespace
 
-proxy::router_options edge_daemon::router_options(const settings::edge_settings& s) {
+proxy::router_options edge_daemon::router_options(const settings::edge_settings& s,
+                                                  memory::account& account) {
     const auto daemons = static_cast<double>(assumed_fleet_size);
     return {.self = s.vm,
             .zone = s.zone,
             .retries = {.ratio = s.retries.ratio,
                         .extra_retries = static_cast<int>(s.retries.extra_retries / daemons),
                         .window = s.retries.window},
-            .max_open_requests = s.memory_limit_bytes / request_memory_divisor / memory_bytes_per_request};
+            .max_open_requests = s.memory_limit_bytes / request_memory_divisor / memory_bytes_per_request,
+            .account = &account};
 }
 
 void edge_daemon::request_stop() noexcept {
@@ -87,11 +89,12 @@
       settings_modified_at_{modification_time(settings_path_)},
       max_caller_connections_{max_caller_connections(settings_)},
       random_engine_{std::random_device{}()},
+      memory_{settings_.memory_limit_bytes / request_memory_divisor},
       log_output_{loop_, STDOUT_FILENO, max_log_buffer_bytes},
       metrics_{std::make_unique<edge_metrics>()},
       router_{loop_,
               header_codec_,
-              router_options(settings_),
+              router_options(settings_, memory_),
               random(),
               {.run_started = [this](const base::workspace_id& w) { count_started_request(w); },
                .request_ended =
@@ -188,6 +191,7 @@
 }
 
 edge_daemon::~edge_daemon() {
+    memory_.set_change_hook(nullptr);
     base::set_log_sink(nullptr);
 }
 
@@ -201,6 +205,8 @@
         .field("vm", settings_.vm.str())
         .field("zone", settings_.zone.str())
         .field("callers", net::to_string(settings_.callers));
+    memory_.set_change_hook(
+        [this](memory::pressure from, memory::pressure to) { log_memory_level(from, to); });
     store_era_.set_changed_hook(
         [this](std::uint64_t previous, std::uint64_t current) { on_store_era(previous, current); });
     configuration_cache_.start();
@@ -215,17 +221,19 @@
         "open_requests", static_cast<long long>(router_.open_requests()));
 }
 
-http::session_limits edge_daemon::caller_session_limits() const {
+http::session_limits edge_daemon::caller_session_limits() {
     const auto l = catalog_ ? catalog_->limits : catalog::caller_limits{};
     return {.head_bytes = l.max_header_bytes,
             .body_bytes = l.max_body_bytes,
             .head_time = l.header_timeout,
-            .idle_time = l.idle_timeout};
+            .idle_time = l.idle_timeout,
+            .account = &memory_};
 }
 
 http::session_hooks edge_daemon::make_session_hooks(
     session_set& sessions, std::function<void(http::server_session&, http::request&&)> received) {
     return {.received = std::move(received),
+            .body_refused = nullptr,
             .caller_gone = nullptr,
             .drained = nullptr,
             .closed = [&sessions](http::server_session& s) { sessions.erase(s.shared_from_this()); }};
@@ -246,6 +254,9 @@
         }
         router_.handle(s, std::move(r));
     });
+    hooks.body_refused = [this](http::server_session& s, const http::request_head& h) {
+        router_.refuse_body(s, h);
+    };
     hooks.caller_gone = [this](http::server_session& s) { router_.caller_disconnected(s); };
     hooks.drained = [this](http::server_session& s) { router_.drained(s); };
     caller_sessions_.insert(
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -8,6 +8,7 @@
 #include "catalog/snapshot.h"
 #include "duty_agent.h"
 #include "http/server_session.h"
+#include "memory/account.h"
 #include "metering/meter.h"
 #include "net/line_output.h"
 #include "net/listener.h"
@@ -63,7 +64,8 @@
     /// each of many daemons that start together use the retry budget of the whole fleet.
     static constexpr std::size_t assumed_fleet_size = 50;
 
-    [[nodiscard]] static proxy::router_options router_options(const settings::edge_settings& s);
+    [[nodiscard]] static proxy::router_options router_options(const settings::edge_settings& s,
+                                                              memory::account& account);
     void accept_caller(const Poco::Net::StreamSocket& socket);
     void accept_readiness(const Poco::Net::StreamSocket& socket);
     void accept_operator(const Poco::Net::StreamSocket& socket);
@@ -111,6 +113,9 @@
     /// Tells the signals of servers how many daemons divide their limits, and how fast these learn of news.
     void apply_fleet_to_signals();
     void set_gauges();
+    void set_memory_gauges();
+    /// Logs a change of the memory level, up to a number of lines in a second.
+    void log_memory_level(memory::pressure from, memory::pressure to);
     void set_signal_gauges(base::time_point now);
     /// Adds the limits of the servers and the demand of the fleet to the load of a service.
     void add_signals(const base::service_id& service, duties::service_demand& d) const;
@@ -120,7 +125,7 @@
     void finish_stop_if_due();
     /// @return true if the configuration and the server list are known and the daemon is not stopping.
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] http::session_limits caller_session_limits() const;
+    [[nodiscard]] http::session_limits caller_session_limits();
     [[nodiscard]] base::random_function random();
 
     using session_set = std::unordered_set<std::shared_ptr<http::server_session>>;
@@ -135,6 +140,7 @@
     std::size_t max_caller_connections_;
     std::size_t rejected_connections_ = 0;
     std::mt19937_64 random_engine_;
+    memory::account memory_;  ///< outlives all holders of its charges
     net::loop loop_;
     net::line_output log_output_;
     platform::platform_header_codec header_codec_;
@@ -161,6 +167,8 @@
     net::listener caller_listener_;
     net::listener readiness_listener_;
     net::listener operator_listener_;
+    base::time_point memory_log_window_;
+    int memory_log_lines_ = 0;  ///< in the current window, with those that were left out
     bool servers_known_ = false;
     bool configuration_fetch_pending_ = false;
     bool servers_fetch_pending_ = false;
--- a/apps/daemon/src/edge_daemon_operators.cpp
+++ b/apps/daemon/src/edge_daemon_operators.cpp
@@ -4,13 +4,31 @@
 
 #include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace chicorygap::daemon_app {
 
 namespace {
 
+/// Lines about changes of the memory level in one interval; the level may change with each request.
+constexpr int max_memory_log_lines = 4;
+constexpr base::duration memory_log_interval = std::chrono::seconds{1};
+
+/// @return private memory of this process; 0 if the system does not tell it.
+std::size_t process_memory_bytes() {
+    constexpr std::string_view name = "RssAnon:";
+    std::ifstream in{"/proc/self/status"};
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with(name)) {
+            return std::stoull(line.substr(name.size())) * 1024;
+        }
+    }
+    return 0;
+}
+
 double to_seconds(std::optional<base::duration> d) {
     return d ? std::chrono::duration<double>{*d}.count() : 0;
 }
@@ -67,6 +85,41 @@
     metrics_->set_gauge("prompt_parts_in_doubt",
                         static_cast<double>(parts.size()) - static_cast<double>(quarantined));
     set_signal_gauges(now);
+    set_memory_gauges();
+}
+
+void edge_daemon::set_memory_gauges() {
+    metrics_->set_gauge("memory_limit_bytes", static_cast<double>(settings_.memory_limit_bytes));
+    metrics_->set_gauge("memory_process_bytes", static_cast<double>(process_memory_bytes()));
+    metrics_->set_gauge("memory_account_limit_bytes", static_cast<double>(memory_.limit()));
+    metrics_->set_gauge("memory_account_bytes", static_cast<double>(memory_.held()));
+    metrics_->set_gauge("memory_account_peak_bytes", static_cast<double>(memory_.peak()));
+    metrics_->set_gauge("memory_account_level", static_cast<double>(memory_.level()));
+    for (const auto o : memory::all_owners) {
+        metrics_->set_gauge("memory_account_bytes_" + std::string{memory::to_string(o)},
+                            static_cast<double>(memory_.held(o)));
+    }
+}
+
+void edge_daemon::log_memory_level(memory::pressure from, memory::pressure to) {
+    const auto now = loop_.now();
+    if (now - memory_log_window_ >= memory_log_interval) {
+        memory_log_window_ = now;
+        memory_log_lines_ = 0;
+    }
+    if (++memory_log_lines_ > max_memory_log_lines) {
+        return;
+    }
+    base::log_line line{to > from ? base::log_level::warning : base::log_level::info, "daemon",
+                        "Memory level changed."};
+    line.field("from", memory::to_string(from))
+        .field("to", memory::to_string(to))
+        .field("held", static_cast<long long>(memory_.held()))
+        .field("limit", static_cast<long long>(memory_.limit()))
+        .field("process", static_cast<long long>(process_memory_bytes()));
+    for (const auto o : memory::all_owners) {
+        line.field(memory::to_string(o), static_cast<long long>(memory_.held(o)));
+    }
 }
 
 void edge_daemon::set_signal_gauges(base::time_point now) {
--- a/apps/daemon/src/main.cpp
+++ b/apps/daemon/src/main.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <malloc.h>
 #include <string_view>
 
 namespace {
@@ -72,6 +73,14 @@
     });
 }
 
+/// Returns freed buffers to the system at once. By itself the allocator raises the threshold with each large
+/// buffer that is freed, and keeps those below it.
+void bound_kept_memory() {
+    constexpr int threshold_bytes = 128 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, threshold_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, threshold_bytes);
+}
+
 exit_code serve_edge(const daemon_app::edge_options& o) {
     return call_and_report_errors([&o] {
         auto s = settings::load_edge(o.settings_path);
@@ -80,6 +89,7 @@
             std::cout << o.settings_path << ": valid\n";
             return exit_code::ok;
         }
+        bound_kept_memory();
         std::signal(SIGPIPE, SIG_IGN);
         std::signal(SIGTERM, [](int) { daemon_app::edge_daemon::request_stop(); });
         std::signal(SIGINT, [](int) { daemon_app::edge_daemon::request_stop(); });
