--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -114,7 +114,7 @@
 }
 
 void event_splitter::drop_partial() {
-    partial_.clear();
+    std::string{}.swap(partial_);
     scanned_ = 0;
     line_start_ = 0;
     has_field_ = false;
