Stop a repeated request that ends its servers

What callers saw: a request that ended each server which began to answer it was sent to further servers for 20 s. Sound streams of other callers on these servers broke off.

Cause: the guard left out the last part of a prompt, so a repeated request was known only by the parts that its session shares. Each answer to the session clears these for 3 s, and the evidence never added up. The rule that the last part ends no servers holds for parts that prompts share, not for a request that is repeated as it is.

Change: the last part is evidence once its answer has begun, and wins against shared parts with equal evidence. A server that ended under a quarantined own part counts again for a shared part that ends a further server without it, so that a request which was sent to two servers does not hide a part that others share. Beacons mark own parts by the largest depth; the format is unchanged. The log names the part in `own_part`.

Why it works: sound requests of the session have other last parts, so nothing clears the evidence, and only the guilty request is refused.

--- a/packages/crash_guard/include/crash_guard/crash_report.h
+++ b/packages/crash_guard/include/crash_guard/crash_report.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 namespace chicorygap::crash_guard {
@@ -18,11 +19,14 @@
     beginning = 3,  ///< the head had arrived, and no event
 };
 
+/// Depth of a part that belongs to one request or its session, which is always the last one.
+constexpr std::uint32_t own_part_depth = std::numeric_limits<std::uint32_t>::max();
+
 /// A server ended while a request with the part was at the beginning of its answer there.
 struct crash_record {
     std::uint64_t part = 0;
     std::uint64_t server = 0;  ///< hash that identifies the server on all daemons
-    std::uint32_t depth = 0;   ///< position of the part in the prompt
+    std::uint32_t depth = 0;   ///< position of the part in the prompt, or own_part_depth
     attempt_progress progress = attempt_progress::none;
     base::duration age{};  ///< time since the server ended
 
--- a/packages/crash_guard/include/crash_guard/prompt_guard.h
+++ b/packages/crash_guard/include/crash_guard/prompt_guard.h
@@ -4,6 +4,7 @@
 
 #include "base/time.h"
 #include "crash_guard/crash_report.h"
+#include "crash_guard/part_ids.h"
 
 #include <chrono>
 #include <cstddef>
@@ -19,9 +20,6 @@
 
 namespace chicorygap::crash_guard {
 
-/// Ids of the parts of one prompt that other prompts may share, in order.
-using part_ids = std::vector<std::uint64_t>;
-
 /// @return the id of a part in hexadecimal, as in requests and logs.
 [[nodiscard]] std::string part_text(std::uint64_t part);
 
@@ -65,10 +63,12 @@
 /// Finds the parts of prompts that end every server which begins to answer them, and keeps requests with such
 /// a part away from the servers.
 ///
-/// Concept: when a server ends, the requests at the beginning of their answers are suspects with all parts
-/// that other requests may share. An answered request clears its parts. What remains is the part that is
-/// common to several crashes and absent from successes; it is quarantined, and it explains these crashes, so
-/// that the other suspects are cleared. While a part is in doubt, this daemon has one request with it at the
+/// Concept: when a server ends, the requests at the beginning of their answers are suspects with all their
+/// parts. An answered request clears its parts. What remains is the part that is common to several crashes
+/// and absent from successes; it is quarantined, and it explains these crashes, so that the other suspects
+/// are cleared. A request that is sent again and again is known by its own part, which no sound request
+/// clears. Crashes that an own part explains still support the case against a shared part that goes on to end
+/// servers without it. While a part is in doubt, this daemon has one request with it at the
 /// beginning of its answer at a time. Daemons exchange evidence and decisions. After its quarantine, one
 /// request in the fleet tries the part; a success releases it.
 ///
@@ -148,16 +148,22 @@
         base::time_point first;
     };
 
+    /// What a quarantined part tells of a crash.
+    enum class explanation : std::uint8_t { none, by_own_part, by_shared_part };
+
     [[nodiscard]] static bool is_quarantined(const part_state& s) {
         return s.decision && s.decision->quarantined;
     }
+    /// @return true if all evidence says that the part belongs to one request or its session.
+    [[nodiscard]] static bool is_own(const part_state& s);
     /// @return false if a success or a release shows that the part was not the cause of the crash.
     [[nodiscard]] static bool counts(const part_state& s, const crash& c);
     /// Adds up the crashes that count.
     [[nodiscard]] evidence weigh(const part_state& s) const;
-    /// @return true if a quarantined part other than the given one has ended the server.
-    [[nodiscard]] bool explained(std::uint64_t server, std::uint64_t by_other_than) const;
-    /// Adds up the crashes that count and that no quarantined part explains.
+    /// @return whether a quarantined part other than the given one has ended the server.
+    [[nodiscard]] explanation explained(std::uint64_t server, std::uint64_t by_other_than) const;
+    /// Adds up the crashes that count and that no quarantined part explains. If a shared part has ended a
+    /// server without one, what only own parts explain is added too.
     [[nodiscard]] evidence unexplained(std::uint64_t part, const part_state& s) const;
     /// @return true if no further request with the part may be sent now.
     [[nodiscard]] bool must_wait(std::uint64_t part, const part_state& s, base::time_point now) const;
--- a/packages/crash_guard/src/prompt_guard.cpp
+++ b/packages/crash_guard/src/prompt_guard.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t max_parts = 256;
 constexpr std::size_t max_crashes_per_part = 8;
 constexpr std::size_t max_recent_successes = 4096;
+/// The same for parts that belong to one request, which must not displace the shared ones.
+constexpr std::size_t max_recent_own_successes = 2048;
 constexpr base::duration cleanup_interval = 1s;
 /// Limits of one report, which is sent with every beacon while a part is in doubt or quarantined.
 constexpr std::size_t max_reported_crashes = 24;
@@ -43,6 +45,11 @@
 /// Source of decisions that a peer told.
 constexpr std::string_view source_peer = "peer";
 
+/// @return the larger position. A part that another prompt shares is not an own part.
+std::uint32_t deeper(std::uint32_t a, std::uint32_t b) {
+    return a == own_part_depth ? b : b == own_part_depth ? a : std::max(a, b);
+}
+
 int weight(attempt_progress p) {
     return static_cast<int>(p);
 }
@@ -61,15 +68,24 @@
     return !cleared && !decided_before;
 }
 
+bool prompt_guard::is_own(const part_state& s) {
+    return !s.crashes.empty() && std::all_of(s.crashes.begin(), s.crashes.end(),
+                                             [](const auto& c) { return c.second.depth == own_part_depth; });
+}
+
 // A server that ended under a quarantined part is no evidence against the other parts there.
-bool prompt_guard::explained(std::uint64_t server, std::uint64_t by_other_than) const {
-    return std::any_of(parts_.begin(), parts_.end(), [&](const auto& p) {
-        if (p.first == by_other_than || !is_quarantined(p.second)) {
-            return false;
+prompt_guard::explanation prompt_guard::explained(std::uint64_t server, std::uint64_t by_other_than) const {
+    auto out = explanation::none;
+    for (const auto& [part, s] : parts_) {
+        if (part == by_other_than || !is_quarantined(s)) {
+            continue;
         }
-        const auto it = p.second.crashes.find(server);
-        return it != p.second.crashes.end() && it->second.progress != attempt_progress::waiting;
-    });
+        const auto it = s.crashes.find(server);
+        if (it != s.crashes.end() && it->second.progress != attempt_progress::waiting) {
+            out = std::max(out, is_own(s) ? explanation::by_own_part : explanation::by_shared_part);
+        }
+    }
+    return out;
 }
 
 prompt_guard::evidence prompt_guard::weigh(const part_state& s) const {
@@ -87,9 +103,21 @@
 }
 
 prompt_guard::evidence prompt_guard::unexplained(std::uint64_t part, const part_state& s) const {
-    part_state open = s;
-    std::erase_if(open.crashes, [&](const auto& c) { return explained(c.first, part); });
-    return weigh(open);
+    part_state open{.crashes = {}, .last_success = s.last_success, .decision = s.decision};
+    auto supported = open;
+    bool ended_another = false;
+    for (const auto& c : s.crashes) {
+        const bool begins = c.second.progress == attempt_progress::beginning;
+        const auto e = explained(c.first, part);
+        if (e == explanation::none) {
+            open.crashes.insert(c);
+            supported.crashes.insert(c);
+            ended_another |= begins && counts(s, c.second);
+        } else if (e == explanation::by_own_part && begins) {
+            supported.crashes.insert(c);
+        }
+    }
+    return weigh(ended_another && !is_own(s) ? supported : open);
 }
 
 bool prompt_guard::in_doubt(std::uint64_t part, const part_state& s) const {
@@ -120,7 +148,7 @@
     }
     admission out;
     part_state* trial = nullptr;
-    for (const auto part : parts) {
+    for (const auto part : parts.ids) {
         const auto it = parts_.find(part);
         if (it == parts_.end()) {
             continue;
@@ -149,11 +177,11 @@
 }
 
 std::shared_ptr<void> prompt_guard::begin(const part_ids& parts) {
-    for (const auto part : parts) {
+    for (const auto part : parts.ids) {
         ++(*beginning_)[part];
     }
-    return {beginning_.get(), [counts = beginning_, parts](void*) {
-                for (const auto part : parts) {
+    return {beginning_.get(), [counts = beginning_, ids = parts.ids](void*) {
+                for (const auto part : ids) {
                     const auto it = counts->find(part);
                     if (it != counts->end() && --it->second <= 0) {
                         counts->erase(it);
@@ -182,7 +210,7 @@
     } else if (!added) {
         // The earliest time, since each report that returns from a peer is a little late.
         it->second.at = std::min(it->second.at, c.at);
-        it->second.depth = std::max(it->second.depth, c.depth);
+        it->second.depth = deeper(it->second.depth, c.depth);
         it->second.progress = std::max(it->second.progress, c.progress);
     }
     if (s.crashes.size() > max_crashes_per_part) {
@@ -199,13 +227,18 @@
         return;
     }
     bool news = false;
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        news |= add_crash(parts[i], server, {now, static_cast<std::uint32_t>(i), progress});
-        auto& s = state_of(parts[i]);
+    for (std::size_t i = 0; i < parts.ids.size(); ++i) {
+        const auto part = parts.ids[i];
+        // A part that one request alone has is worth a record only if its answer had begun.
+        if (parts.is_own(i) && progress == attempt_progress::waiting) {
+            continue;
+        }
+        news |= add_crash(part, server, {now, parts.depth(i), progress});
+        auto& s = state_of(part);
         if (is_quarantined(s) && std::exchange(s.trial_started, std::nullopt) &&
             progress != attempt_progress::waiting) {
             const auto& d = *s.decision;
-            decide(parts[i],
+            decide(part,
                    {d.number + 1, true, now, std::min<base::duration>(d.period * 2, longest_quarantine)},
                    "trial", now);
         }
@@ -222,8 +255,10 @@
         latest_successes_.erase(latest_successes_.begin());
     }
     latest_successes_.push_back(now);
-    for (const auto part : parts) {
-        if (recent_successes_.size() < max_recent_successes || recent_successes_.contains(part)) {
+    for (std::size_t i = 0; i < parts.ids.size(); ++i) {
+        const auto part = parts.ids[i];
+        const auto limit = parts.is_own(i) ? max_recent_own_successes : max_recent_successes;
+        if (recent_successes_.size() < limit || recent_successes_.contains(part)) {
             recent_successes_[part] = now;
         }
         const auto it = parts_.find(part);
@@ -281,11 +316,13 @@
 
 crash_report prompt_guard::report(base::time_point now) const {
     crash_report out;
-    std::vector<std::pair<int, const std::pair<const std::uint64_t, part_state>*>> by_score;
+    // Of equal scores, the shared parts first: each request that was beginning on a server adds an own part.
+    using rank = std::pair<int, bool>;
+    std::vector<std::pair<rank, const std::pair<const std::uint64_t, part_state>*>> by_score;
     for (const auto& p : parts_) {
         const auto& [part, s] = p;
         const int score = is_quarantined(s) ? weigh(s).score : unexplained(part, s).score;
-        by_score.emplace_back(score, &p);
+        by_score.emplace_back(rank{score, !is_own(s)}, &p);
         if (s.decision && out.verdicts.size() < max_reported_verdicts) {
             out.verdicts.push_back({part, s.decision->number, s.decision->quarantined, now - s.decision->at,
                                     s.decision->period});
@@ -370,7 +407,7 @@
             for (const auto& [server, c] : s.crashes) {
                 latest = std::max(latest, c.at);
             }
-            return std::make_tuple(is_quarantined(s), s.crashes.size(), latest);
+            return std::make_tuple(is_quarantined(s), s.crashes.size(), !is_own(s), latest);
         };
         parts_.erase(std::min_element(parts_.begin(), parts_.end(), [&](const auto& a, const auto& b) {
             return rank(a.second) < rank(b.second);
--- a/packages/crash_guard/tests/prompt_guard_test.cpp
+++ b/packages/crash_guard/tests/prompt_guard_test.cpp
@@ -228,6 +228,79 @@
     EXPECT_TRUE(guard.report(start + 11min).empty());
 }
 
+struct repeated_request : prompt_guard_test {
+    static constexpr std::uint64_t session = 5;
+
+    /// @return the parts of a prompt of the session.
+    static part_ids prompt(std::uint64_t own, std::uint64_t shared = session) {
+        part_ids out{first, shared};
+        out.ids.push_back(own);
+        out.last_is_own = true;
+        return out;
+    }
+};
+
+// Failure: a request ends each server that begins to answer it and is sent again and again, while sound
+// requests of its session are answered every second. Guards against a request that no shared part tells
+// apart.
+TEST_F(repeated_request, is_quarantined_where_its_session_is_in_use) {
+    std::uint64_t ended = 0;
+    for (int i = 0; i < 120; ++i) {
+        const auto now = start + i * 100ms;
+        if (i % 10 == 0) {
+            EXPECT_EQ(admit(prompt(1000 + i), now), kind::allowed) << "sound request of the session";
+            guard.record_success(prompt(1000 + i), now);
+        }
+        if (i % 7 == 3 && admit(prompt(666), now) == kind::allowed) {
+            guard.record_crash(prompt(666), ++ended, attempt_progress::beginning, now);
+        }
+        guard.expire(now);
+    }
+    EXPECT_EQ(ended, 2U);
+    EXPECT_EQ(decisions, std::vector<std::string>{"666 in evidence"});
+}
+
+// Guards against a verdict on a session whose requests were on the same servers as the request that ended
+// them.
+TEST_F(repeated_request, does_not_accuse_a_session_that_ended_no_server) {
+    for (std::uint64_t server = 0; server < 4; ++server) {
+        const auto now = start + server * 500ms;
+        guard.record_crash(prompt(700 + server, 6), server, attempt_progress::answering, now);
+        guard.record_crash(prompt(666), server, attempt_progress::beginning, now);
+        other_successes(now + 100ms);
+        guard.record_success(prompt(800 + server), now + 200ms);
+        guard.expire(now + 450ms);
+    }
+    EXPECT_EQ(decisions, std::vector<std::string>{"666 in evidence"});
+    EXPECT_EQ(admit(prompt(900, 6), start + 3s), kind::allowed);
+}
+
+// Guards against a part that goes on to end servers because the first two ended under one request.
+TEST_F(repeated_request, does_not_hide_a_shared_part_that_ends_a_further_server) {
+    guard.record_crash(prompt(21, deadly), 1, attempt_progress::beginning, start);
+    other_successes(start + 100ms);
+    guard.record_crash(prompt(21, deadly), 2, attempt_progress::beginning, start + 500ms);
+    ASSERT_EQ(decisions, std::vector<std::string>{"21 in evidence"});
+    guard.record_crash(prompt(22, deadly), 3, attempt_progress::beginning, start + 800ms);
+    EXPECT_EQ(decisions, (std::vector<std::string>{"21 in evidence", "7 in evidence"}));
+    EXPECT_EQ(admit(prompt(23, deadly), start + 1s), kind::refused);
+    EXPECT_EQ(admit(prompt(24), start + 1s), kind::allowed);
+}
+
+// Guards against peers that take the own part of a request for one that others share, or hear of it too late.
+TEST_F(repeated_request, is_told_to_peers_as_what_it_is) {
+    prompt_guard other;
+    guard.record_crash(prompt(21, deadly), 1, attempt_progress::beginning, start);
+    guard.record_crash(prompt(31, 6), 1, attempt_progress::waiting, start);
+    other.merge(guard.report(start + 10ms), start + 10ms);
+    other_successes(start + 100ms, &other);
+    other.record_crash(prompt(21, deadly), 2, attempt_progress::beginning, start + 500ms);
+    EXPECT_EQ(other.admit(prompt(21, 9), start + 501ms).decision, kind::refused);
+    EXPECT_EQ(other.admit(prompt(22, deadly), start + 501ms).decision, kind::allowed);
+    other.record_crash(prompt(22, deadly), 3, attempt_progress::beginning, start + 800ms);
+    EXPECT_EQ(other.admit(prompt(23, deadly), start + 801ms).decision, kind::refused);
+}
+
 struct quarantined_part : prompt_guard_test {
     static constexpr base::time_point later = start + 2min;
     void SetUp() override {
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -39,15 +39,19 @@
 /// Parts of a prompt that a log line names.
 constexpr std::size_t max_logged_parts = 8;
 
-/// @return the ids in hexadecimal, separated by commas.
-std::string parts_text(const crash_guard::part_ids& parts) {
+/// @return the ids of the parts that other prompts may share, in hexadecimal, separated by commas.
+std::string shared_parts_text(const crash_guard::part_ids& parts) {
     std::string out;
-    for (std::size_t i = 0; i < std::min(parts.size(), max_logged_parts); ++i) {
-        out += (i == 0 ? "" : ",") + crash_guard::part_text(parts[i]);
+    for (std::size_t i = 0; i < std::min(parts.shared_count(), max_logged_parts); ++i) {
+        out += (i == 0 ? "" : ",") + crash_guard::part_text(parts.ids[i]);
     }
     return out;
 }
 
+std::string own_part_text(const crash_guard::part_ids& parts) {
+    return parts.last_is_own ? crash_guard::part_text(parts.ids.back()) : "";
+}
+
 }  // namespace
 
 proxied_request::proxied_request(request_router::impl& router, http::server_session& session,
@@ -210,7 +214,7 @@
     awaiting_server_check_ = true;
     router_.check.start(
         connection_key_, server_.address,
-        [&router = router_, parts = evidence_.shared_parts(), server, progress, weak = weak_from_this(),
+        [&router = router_, parts = evidence_.parts(), server, progress, weak = weak_from_this(),
          attempt = current_attempt_, outcome, cause = std::move(failure_cause), request = metadata_.id,
          name = record_.server, service = service_](bool ended) {
             // A server that leaves is expected to end.
@@ -218,7 +222,8 @@
                 base::log_line{base::log_level::info, "proxy", "Server ended during a request."}
                     .field("request", request.str())
                     .field("server", name.str())
-                    .field("shared_parts", parts_text(parts))
+                    .field("shared_parts", shared_parts_text(parts))
+                    .field("own_part", own_part_text(parts))
                     .field("progress", static_cast<int>(progress));
                 router.guard.record_crash(parts, server, progress, router.loop.now());
             }
@@ -266,7 +271,8 @@
     if (metadata_.generation) {
         line.field("response_status", response_status_)
             .field("attempt_events", static_cast<long long>(events_.event_count() - events_at_attempt_start_))
-            .field("shared_parts", parts_text(evidence_.shared_parts()));
+            .field("shared_parts", shared_parts_text(evidence_.parts()))
+            .field("own_part", own_part_text(evidence_.parts()));
     }
     if (next.allowed && session_) {
         when_admitted(
--- a/packages/proxy/src/request_evidence.cpp
+++ b/packages/proxy/src/request_evidence.cpp
@@ -20,23 +20,24 @@
     if (!generation) {
         return;
     }
-    for (std::size_t i = 0; i + 1 < generation->parts.size(); ++i) {
-        shared_parts_.push_back(generation->parts[i].id);
+    for (const auto& part : generation->parts) {
+        parts_.ids.push_back(part.id);
     }
+    parts_.last_is_own = !parts_.empty();
 }
 
 crash_guard::admission request_evidence::admit(base::time_point now) {
-    const auto a = guard_.admit(shared_parts_, now);
+    const auto a = guard_.admit(parts_, now);
     trial_ = a.trial;
     return a;
 }
 
 crash_guard::admission request_evidence::admit_attempt(base::time_point now) {
-    return std::exchange(trial_, false) ? crash_guard::admission{} : guard_.admit(shared_parts_, now);
+    return std::exchange(trial_, false) ? crash_guard::admission{} : guard_.admit(parts_, now);
 }
 
 void request_evidence::attempt_started() {
-    beginning_ = shared_parts_.empty() ? nullptr : guard_.begin(shared_parts_);
+    beginning_ = parts_.empty() ? nullptr : guard_.begin(parts_);
     first_event_at_.reset();
 }
 
@@ -49,13 +50,13 @@
 
 void request_evidence::answered(base::time_point now) {
     if (std::exchange(beginning_, nullptr)) {
-        guard_.record_success(shared_parts_, now);
+        guard_.record_success(parts_, now);
     }
 }
 
 crash_guard::attempt_progress request_evidence::progress(bool has_response_head, base::time_point now) const {
     using crash_guard::attempt_progress;
-    if (shared_parts_.empty() || (first_event_at_ && now - *first_event_at_ > answer_beginning)) {
+    if (parts_.empty() || (first_event_at_ && now - *first_event_at_ > answer_beginning)) {
         return attempt_progress::none;
     }
     return first_event_at_     ? attempt_progress::answering
--- a/packages/proxy/src/request_evidence.h
+++ b/packages/proxy/src/request_evidence.h
@@ -11,8 +11,8 @@
 
 namespace chicorygap::proxy {
 
-/// What one request tells the prompt guard, and asks it: the shared parts of the prompt, and how far the
-/// answer of the current attempt has come. Does nothing for requests without shared parts.
+/// What one request tells the prompt guard, and asks it: the parts of the prompt, and how far the answer of
+/// the current attempt has come. Does nothing for requests without a prompt.
 ///
 /// Usage: `admit` before the queue and before a retry, `admit_attempt` and `attempt_started` when a server
 /// has been chosen, then `event_received` for each event, `answered` after a complete answer, and
@@ -24,7 +24,8 @@
     request_evidence(crash_guard::prompt_guard& guard,
                      const std::optional<scheduling::generation_requirements>& generation);
 
-    [[nodiscard]] const crash_guard::part_ids& shared_parts() const noexcept { return shared_parts_; }
+    /// @return the parts of the prompt; empty for plain requests.
+    [[nodiscard]] const crash_guard::part_ids& parts() const noexcept { return parts_; }
 
     [[nodiscard]] crash_guard::admission admit(base::time_point now);
     /// The decision may have changed while the request waited for a server.
@@ -41,7 +42,7 @@
 
 private:
     crash_guard::prompt_guard& guard_;
-    crash_guard::part_ids shared_parts_;
+    crash_guard::part_ids parts_;
     /// Exists while the answer is at its beginning on a server.
     std::shared_ptr<void> beginning_;
     std::optional<base::time_point> first_event_at_;
--- a/packages/proxy/tests/query_of_death_test.cpp
+++ b/packages/proxy/tests/query_of_death_test.cpp
@@ -71,6 +71,29 @@
     EXPECT_EQ(records.back().attempts, 2U);
 }
 
+// Failure: one request is sent again and again while its session is in use, so that answers clear all parts
+// that it shares. Guards against a further server for each repeat.
+TEST_F(query_of_death, request_that_has_ended_two_servers_is_refused_where_its_session_is_in_use) {
+    const auto repeat = [this] {
+        const auto id = std::to_string(++last_id);
+        deadly.insert(id);
+        auto c = send_request("/draft/", id, "k", "", "1,7,666");
+        EXPECT_TRUE(wait_for_records(records.size() + 1));
+        return c;
+    };
+    for (int i = 0; i < 2; ++i) {
+        send_prompt("/draft/", sound_prompt);
+        repeat();
+    }
+    send_prompt("/draft/", sound_prompt);
+    loop.run_once(1ms);
+    router.prompt_guard().expire(loop.now());
+    EXPECT_TRUE(contains(repeat()->received, "503"));
+    EXPECT_EQ(records.back().code, base::result_code::prompt_quarantined);
+    EXPECT_EQ(records.back().attempts, 0U);
+    EXPECT_TRUE(contains(send_prompt("/draft/", sound_prompt)->received, "200 OK"));
+}
+
 struct broken_connection : request_router_test {
     std::function<void(const connection&)> break_off = [](const connection& c) { c->close(); };
 
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -78,7 +78,7 @@
   part @0 :UInt64;
   # Hash of the server's address.
   server @1 :UInt64;
-  # Position of the part in the prompt.
+  # Position of the part in the prompt; 2^32 - 1 for one that belongs to a request or its session.
   depth @2 :UInt32;
   # How far the answer had come: 1 nothing arrived, 2 the first events, 3 the head.
   progress @3 :UInt8;
