Keep the shares of the fleet's retries while daemons are not heard

What callers saw: nothing; servers that refused requests got more repeats than the retry budget allows while a zone was cut off.

Cause: each daemon divided the allowance of the fleet by the number of daemons that it heard. Both sides of a cut took a daemon that was not heard for one that had ended, and shared out its part too, so that together they could spend up to twice the allowance.

Change: the allowance is divided by the largest number of daemons that were live at the same time within 10 minutes.

Why it works: until the memory ends, both sides of any cut keep the shares that they had before it, and those add up to no more than the whole. A fleet that grows shrinks the shares at once; one that has shrunk gets the shares of the missing daemons back after 10 minutes. A cut that lasts longer, and a daemon that starts on one side of a cut, are not covered: registrations in the store are never removed, so that the store cannot confirm that a daemon is gone.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -330,6 +330,7 @@
         settings_ = std::move(applied);
         base::configure_log(settings_.log_level);
         applied_fleet_size_ = 0;
+        applied_sharing_daemons_ = 0;
         apply_fleet_size();
     }
     base::log_line{base::log_level::info, "daemon", "Settings reloaded."}
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -20,6 +20,7 @@
 #include "platform/store_client.h"
 #include "proxy/request_router.h"
 #include "quarantine_endpoint.h"
+#include "retry/fleet_share.h"
 #include "settings/edge_settings.h"
 #include "signal_endpoint.h"
 #include "stop_schedule.h"
@@ -108,6 +109,8 @@
     void count_started_request(const base::workspace_id& workspace);
     /// Adapts the retry budget share and the batching of server changes to the number of live daemons.
     void apply_fleet_size();
+    /// @param daemons number of daemons that share the retries of the fleet.
+    void apply_retry_share(std::size_t daemons);
     /// Tells the signals of servers how many daemons divide their limits, and how fast these learn of news.
     void apply_fleet_to_signals();
     void set_gauges();
@@ -166,6 +169,9 @@
     bool servers_fetch_pending_ = false;
     /// Number of live daemons that `apply_fleet_size` was last called for; 0 makes its next call take effect.
     std::size_t applied_fleet_size_ = 0;
+    retry::fleet_share fleet_share_;
+    /// The same for `apply_retry_share`.
+    std::size_t applied_sharing_daemons_ = 0;
     base::time_point started_at_ = base::boot_clock::now();
     bool stopping_ = false;
     base::time_point stop_started_at_;
--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -179,6 +179,8 @@
     const auto live = peer_exchange_.peers().live_count(loop_.now());
     const bool discovering = loop_.now() - started_at_ < fleet_discovery_time;
     const auto daemons = discovering ? std::max(live, assumed_fleet_size) : live;
+    const auto sharing_daemons = fleet_share_.update(live, loop_.now());
+    apply_retry_share(discovering ? std::max(sharing_daemons, assumed_fleet_size) : sharing_daemons);
     if (std::exchange(applied_fleet_size_, daemons) == daemons) {
         return;
     }
@@ -187,6 +189,14 @@
     server_cache_.set_batch_delay(
         std::min(server_batch_delay_per_daemon * static_cast<int>(daemons), max_server_batch_delay));
     router_.prompt_guard().set_settle_time(sharing::news_delay(daemons));
+}
+
+void edge_daemon::apply_retry_share(std::size_t daemons) {
+    if (std::exchange(applied_sharing_daemons_, daemons) == daemons) {
+        return;
+    }
+    base::log_line{base::log_level::info, "fleet", "Share of the fleet's retries changed."}.field(
+        "daemons", static_cast<long long>(daemons));
     const auto& r = settings_.retries;
     router_.set_retry_budget_share(
         {.ratio = r.ratio * usable_retry_budget_ratio,
