Keep a signal that arrives while the daemon is loaded

What callers saw: a SIGHUP (the settings file changed) or SIGTERM shortly after the start of a process ended it by the signal, without a log line and without service until it was started again.

Cause: until a process has blocked or handled these signals, the system's default ends it. The dynamic linker loaded all libraries before main, which takes about 10 ms of processor time.

Change: chicorygapd links the C library only, blocks SIGHUP, SIGTERM and SIGINT first, and then loads the daemon, now a shared object. A signal that comes meanwhile stays pending. The packages are compiled for a shared object, with hidden symbols.

--- a/apps/daemon/src/main.cpp
+++ b/apps/daemon/src/program.cpp
@@ -3,6 +3,7 @@
 #include "daemon.h"
 #include "edge_daemon.h"
 #include "edge_options.h"
+#include "entry_point.h"
 #include "options.h"
 #include "settings/daemon_settings.h"
 #include "settings/edge_settings.h"
@@ -17,30 +18,31 @@
 using namespace chicorygap;
 using daemon_app::exit_code;
 
-/// Blocks SIGTERM and SIGINT in this thread and in all threads that it starts, so that only `wait_for_stop`
-/// receives them.
-/// @return the blocked signals.
-sigset_t block_stop_signals() {
+/// @return the signals that the executable has blocked.
+sigset_t platform_signals() {
     sigset_t set;
     sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
     return set;
 }
 
-/// Waits for one of the blocked signals.
-void wait_for_stop(const sigset_t& set) {
+/// Waits for SIGTERM or SIGINT, which all threads of the process block. SIGHUP is logged and changes nothing:
+/// these settings are fixed for the life of a process.
+void wait_for_stop() {
+    const auto set = platform_signals();
     int received = 0;
-    sigwait(&set, &received);
+    while (sigwait(&set, &received) == 0 && received == SIGHUP) {
+        base::log_line{base::log_level::info, "daemon", "Reload requested; settings need a restart."};
+    }
 }
 
 exit_code serve(settings::daemon_settings s) {
-    const auto set = block_stop_signals();
+    std::signal(SIGPIPE, SIG_IGN);
     daemon_app::daemon d{std::move(s)};
     d.start();
-    wait_for_stop(set);
+    wait_for_stop();
     d.drain();
     return exit_code::ok;
 }
@@ -72,6 +74,17 @@
     });
 }
 
+/// Installs the handlers of the edge daemon. Signals that arrived since the start of the process are
+/// delivered before this returns.
+void handle_platform_signals() {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, [](int) { daemon_app::edge_daemon::request_stop(); });
+    std::signal(SIGINT, [](int) { daemon_app::edge_daemon::request_stop(); });
+    std::signal(SIGHUP, [](int) { daemon_app::edge_daemon::request_reload(); });
+    const auto set = platform_signals();
+    pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
+}
+
 exit_code serve_edge(const daemon_app::edge_options& o) {
     return call_and_report_errors([&o] {
         auto s = settings::load_edge(o.settings_path);
@@ -80,10 +93,7 @@
             std::cout << o.settings_path << ": valid\n";
             return exit_code::ok;
         }
-        std::signal(SIGPIPE, SIG_IGN);
-        std::signal(SIGTERM, [](int) { daemon_app::edge_daemon::request_stop(); });
-        std::signal(SIGINT, [](int) { daemon_app::edge_daemon::request_stop(); });
-        std::signal(SIGHUP, [](int) { daemon_app::edge_daemon::request_reload(); });
+        handle_platform_signals();
         daemon_app::edge_daemon d{std::move(s), o.settings_path};
         d.run();
         return exit_code::ok;
@@ -105,7 +115,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+extern "C" __attribute__((visibility("default"))) int chicorygap_daemon_main(int argc, char** argv) {
     if (argc > 1 && std::string_view{argv[1]} == "edge") {
         return static_cast<int>(run_edge(argc - 1, argv + 1));
     }
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -18,6 +18,7 @@
   target_link_libraries(${target} ${scope} ${ARG_DEPENDS})
   if(sources)
     chicorygap_warnings(${target})
+    chicorygap_daemon_code(${target})
   endif()
   chicorygap_tests(${name})
 endfunction()
@@ -49,3 +50,10 @@
 function(chicorygap_warnings target)
   target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers -Werror)
 endfunction()
+
+# chicorygap_daemon_code(<target>)
+# Prepares a static library for the daemon's shared object. Hidden symbols are called without the linkage table.
+function(chicorygap_daemon_code target)
+  set_target_properties(${target} PROPERTIES POSITION_INDEPENDENT_CODE ON CXX_VISIBILITY_PRESET hidden
+                                             VISIBILITY_INLINES_HIDDEN ON)
+endfunction()
