Log what the check of a server has found and why no decision on a part came

Each check now has a line with its result, whether the server is listed, whether the attempt was recorded, and for each part the score, the servers and the reason against a decision.

--- a/packages/crash_guard/include/crash_guard/prompt_guard.h
+++ b/packages/crash_guard/include/crash_guard/prompt_guard.h
@@ -47,6 +47,8 @@
     std::size_t servers = 0;  ///< that ended under the part
     base::duration age{};     ///< since the decision, or since the first evidence
     base::duration retry_after{};
+    /// Why the evidence has not led to a decision; empty if it has.
+    std::string_view undecided;
 };
 
 struct prompt_guard_hooks {
@@ -121,6 +123,9 @@
     /// @return all parts that are in doubt or quarantined.
     [[nodiscard]] std::vector<part_status> status(base::time_point now) const;
 
+    /// @return the state of those of the parts that have evidence or a decision.
+    [[nodiscard]] std::vector<part_status> status_of(const part_ids& parts, base::time_point now) const;
+
 private:
     struct crash {
         base::time_point at;
@@ -169,7 +174,11 @@
     [[nodiscard]] bool must_wait(std::uint64_t part, const part_state& s, base::time_point now) const;
     [[nodiscard]] bool in_doubt(std::uint64_t part, const part_state& s) const;
     /// @return true if the evidence against the best explanation suffices for a quarantine.
-    [[nodiscard]] bool sufficient(const evidence& e, base::time_point now) const;
+    [[nodiscard]] bool sufficient(const evidence& e, base::time_point now) const {
+        return undecided(e, now).empty();
+    }
+    /// @return why the evidence does not suffice; empty if it does.
+    [[nodiscard]] std::string_view undecided(const evidence& e, base::time_point now) const;
     [[nodiscard]] part_status status_of(std::uint64_t part, const part_state& s, base::time_point now) const;
     /// @return true if the crash is new evidence.
     bool add_crash(std::uint64_t part, std::uint64_t server, crash c);
--- a/packages/crash_guard/src/prompt_guard.cpp
+++ b/packages/crash_guard/src/prompt_guard.cpp
@@ -124,13 +124,22 @@
     return !is_quarantined(s) && !s.crashes.empty() && unexplained(part, s).score >= doubt_score;
 }
 
-bool prompt_guard::sufficient(const evidence& e, base::time_point now) const {
-    if (e.servers < min_crashed_servers || e.score < quarantine_score || e.answering_score < doubt_score) {
-        return false;
+std::string_view prompt_guard::undecided(const evidence& e, base::time_point now) const {
+    if (e.servers < min_crashed_servers) {
+        return e.servers == 0 ? "cleared" : "one_server";
+    }
+    if (e.score < quarantine_score) {
+        return "score";
+    }
+    if (e.answering_score < doubt_score) {
+        return "no_head";
     }
     const auto others = static_cast<std::size_t>(std::count_if(
         latest_successes_.begin(), latest_successes_.end(), [&](const auto& at) { return at >= e.first; }));
-    return others >= min_other_successes && (now - e.first >= settle_time_ || e.score >= certain_score);
+    if (others < min_other_successes) {
+        return "no_success";
+    }
+    return now - e.first >= settle_time_ || e.score >= certain_score ? "" : "settling";
 }
 
 bool prompt_guard::must_wait(std::uint64_t part, const part_state& s, base::time_point now) const {
@@ -435,6 +444,18 @@
     if (out.quarantined) {
         out.retry_after =
             std::max<base::duration>(base::duration{}, s.decision->at + s.decision->period - now);
+    } else {
+        out.undecided = undecided(unexplained(part, s), now);
+    }
+    return out;
+}
+
+std::vector<part_status> prompt_guard::status_of(const part_ids& parts, base::time_point now) const {
+    std::vector<part_status> out;
+    for (const auto part : parts.ids) {
+        if (const auto it = parts_.find(part); it != parts_.end()) {
+            out.push_back(status_of(part, it->second, now));
+        }
     }
     return out;
 }
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -52,6 +52,17 @@
     return parts.last_is_own ? crash_guard::part_text(parts.ids.back()) : "";
 }
 
+/// @return score, ended servers and reason against a decision of each part: "id:score/servers/reason".
+std::string evidence_text(const std::vector<crash_guard::part_status>& parts) {
+    std::string out;
+    for (std::size_t i = 0; i < std::min(parts.size(), max_logged_parts); ++i) {
+        const auto& p = parts[i];
+        out += (i == 0 ? "" : ",") + crash_guard::part_text(p.part) + ':' + std::to_string(p.score) + '/' +
+               std::to_string(p.servers) + '/' + (p.quarantined ? "quarantined" : std::string{p.undecided});
+    }
+    return out;
+}
+
 }  // namespace
 
 proxied_request::proxied_request(request_router::impl& router, http::server_session& session,
@@ -225,17 +236,24 @@
         connection_key_, server_.address,
         [&router = router_, parts = evidence_.parts(), server, progress, weak = weak_from_this(),
          attempt = current_attempt_, outcome, server_outcome, cause = std::move(failure_cause),
-         request = metadata_.id, name = record_.server, service = service_](bool ended) {
+         request = metadata_.id, name = record_.server, service = service_](check_result result) {
             // A server that leaves is expected to end.
-            if (ended && router.is_serving(service, name)) {
-                base::log_line{base::log_level::info, "proxy", "Server ended during a request."}
-                    .field("request", request.str())
-                    .field("server", name.str())
-                    .field("shared_parts", shared_parts_text(parts))
-                    .field("own_part", own_part_text(parts))
-                    .field("progress", static_cast<int>(progress));
-                router.guard.record_crash(parts, server, progress, router.loop.now());
+            const bool listed = router.is_serving(service, name);
+            const bool recorded = listed && result == check_result::refused;
+            const auto now = router.loop.now();
+            if (recorded) {
+                router.guard.record_crash(parts, server, progress, now);
             }
+            base::log_line{base::log_level::info, "proxy", "Server checked after a broken connection."}
+                .field("request", request.str())
+                .field("server", name.str())
+                .field("check", to_string(result))
+                .field("listed", listed ? "yes" : "no")
+                .field("recorded", recorded ? "yes" : "no")
+                .field("progress", static_cast<int>(progress))
+                .field("shared_parts", shared_parts_text(parts))
+                .field("own_part", own_part_text(parts))
+                .field("evidence", evidence_text(router.guard.status_of(parts, now)));
             const auto self = weak.lock();
             if (self && self->current_attempt_ == attempt && !self->ended_) {
                 self->awaiting_server_check_ = false;
--- a/packages/proxy/src/server_check.cpp
+++ b/packages/proxy/src/server_check.cpp
@@ -19,6 +19,18 @@
 
 }  // namespace
 
+std::string_view to_string(check_result r) noexcept {
+    switch (r) {
+        case check_result::refused:
+            return "refused";
+        case check_result::accepted:
+            return "accepted";
+        case check_result::silent:
+            return "silent";
+    }
+    return "unknown";
+}
+
 server_check::~server_check() {
     for (auto& [instance, p] : pending_) {
         p.connection->close();
@@ -26,7 +38,7 @@
 }
 
 void server_check::start(const std::string& instance, const net::address& address,
-                         std::function<void(bool)> done) {
+                         std::function<void(check_result)> done) {
     auto& p = pending_[instance];
     p.callbacks.push_back(std::move(done));
     if (p.callbacks.size() == 1) {
@@ -50,8 +62,10 @@
     };
     p.connection = net::stream::connect(
         loop_, p.address, connect_timeout,
-        {.connected = [this, instance,
-                       later] { later(grace, [this, instance](pending&) { finish(instance, false); }); },
+        {.connected =
+             [this, instance, later] {
+                 later(grace, [this, instance](pending&) { finish(instance, check_result::accepted); });
+             },
          .received = nullptr,
          .drained = nullptr,
          .ended =
@@ -61,20 +75,22 @@
                      if (accepted && x.connects < max_connects) {
                          connect(instance);
                      } else {
-                         finish(instance, how == net::stream_end::connect_failed);
+                         finish(instance, accepted                                 ? check_result::accepted
+                                          : how == net::stream_end::connect_failed ? check_result::refused
+                                                                                   : check_result::silent);
                      }
                  });
              }});
 }
 
-void server_check::finish(const std::string& instance, bool ended) {
+void server_check::finish(const std::string& instance, check_result r) {
     auto node = pending_.extract(instance);
     if (node.empty()) {
         return;
     }
     node.mapped().connection->close();
     for (const auto& done : node.mapped().callbacks) {
-        done(ended);
+        done(r);
     }
 }
 
--- a/packages/proxy/src/server_check.h
+++ b/packages/proxy/src/server_check.h
@@ -6,10 +6,12 @@
 #include "net/address.h"
 #include "net/loop.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chicorygap::net {
@@ -18,6 +20,16 @@
 
 namespace chicorygap::proxy {
 
+/// What a connect to a server has shown.
+enum class check_result : std::uint8_t {
+    refused,   ///< no process listens
+    accepted,  ///< a process accepts connections and keeps them
+    silent,    ///< no answer in time
+};
+
+/// @return name for log lines.
+[[nodiscard]] std::string_view to_string(check_result r) noexcept;
+
 /// Tells whether the process of a server has ended, after a connection to it broke.
 ///
 /// Concept: the host of an ended process refuses connections. A reset connection, a cut link and a spoiled
@@ -31,19 +43,20 @@
     server_check& operator=(const server_check&) = delete;
 
     /// @param instance identifies the process of the server.
-    /// @param done called once with true if the process has ended; not called from within this call.
-    void start(const std::string& instance, const net::address& address, std::function<void(bool)> done);
+    /// @param done called once; not called from within this call.
+    void start(const std::string& instance, const net::address& address,
+               std::function<void(check_result)> done);
 
 private:
     struct pending {
         net::address address;
         std::shared_ptr<net::stream> connection;
         int connects = 0;
-        std::vector<std::function<void(bool)>> callbacks;
+        std::vector<std::function<void(check_result)>> callbacks;
     };
 
     void connect(const std::string& instance);
-    void finish(const std::string& instance, bool ended);
+    void finish(const std::string& instance, check_result r);
 
     net::loop& loop_;
     std::map<std::string, pending> pending_;
