--- a/testing/fleet/tests/fleet.h
+++ b/testing/fleet/tests/fleet.h
@@ -14,6 +14,7 @@
 #include "standin/server.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstddef>
@@ -49,6 +50,13 @@
         configure();
     }
 
+    void TearDown() override {
+        daemons.clear();
+        if (!HasFailure()) {
+            std::filesystem::remove_all(folder_);
+        }
+    }
+
     /// Writes the next version of the configuration.
     void configure() {
         ++configuration.version;
@@ -75,10 +83,10 @@
                                         .directory = folder_,
                                         .vm = "vm-" + std::to_string(i),
                                         .zone = std::string(1, static_cast<char>('a' + i)),
-                                        .host = "127.0.60." + std::to_string(i + 1),
+                                        .host = host(i),
                                         .store = d.to_store->address(),
                                         .cloud_api = duties.address(),
-                                        .seeds = {{"127.0.60.1", standin::daemon_process::operators_port}},
+                                        .seeds = {{host(0), standin::daemon_process::operators_port}},
                                         .stop_timeout = stop_timeout});
             d.process->start();
             d.caller = std::make_shared<standin::caller>(loop, d.process->caller_address());
@@ -163,7 +171,12 @@
     std::vector<daemon> daemons;
 
 private:
-    std::string folder_ = testing::TempDir() + "chicorygap-fleet";
+    /// @return loopback address of a daemon. Two runs of the tests at the same time do not meet.
+    [[nodiscard]] static std::string host(std::size_t i) {
+        return "127.0." + std::to_string(128 + ::getpid() % 100) + '.' + std::to_string(i + 1);
+    }
+
+    std::string folder_ = testing::TempDir() + "chicorygap-fleet-" + std::to_string(::getpid());
     std::uint64_t last_id_ = 0;
 };
 
