Give a daemon that starts no share of the fleet's retries at first

Cause: a daemon keeps the count of its retries in memory, and each start begins with an empty count and soon a full share of the allowance. Nobody remembers what the process before has spent. A daemon that starts while it hears part of the fleet also divides the allowance by that part, while the others go on with theirs.

A daemon now has no share of the allowance until what an earlier process may have spent has left the window; what it may repeat in proportion to its own requests is not concerned. Beacons tell the largest number of daemons that the sender remembers, with its age, so that a daemon that starts in a cut divides by the same number as the others.

Without restarts the allowance is still spent.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -66,12 +66,10 @@
 
 proxy::router_options edge_daemon::router_options(const settings::edge_settings& s,
                                                   memory::account& account) {
-    const auto daemons = static_cast<double>(assumed_fleet_size);
+    // The share of the fleet's retries follows when it is known what an earlier process may have spent.
     return {.self = s.vm,
             .zone = s.zone,
-            .retries = {.ratio = s.retries.ratio,
-                        .extra_retries = static_cast<int>(s.retries.extra_retries / daemons),
-                        .window = s.retries.window},
+            .retries = {.ratio = s.retries.ratio, .extra_retries = 0, .window = s.retries.window},
             .max_open_requests = s.memory_limit_bytes / request_memory_divisor / memory_bytes_per_request,
             .account = &account};
 }
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -28,6 +28,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_set>
@@ -62,8 +63,10 @@
 
 private:
     /// Number of daemons that is assumed after the start, until the peers are known. A smaller one would let
-    /// each of many daemons that start together use the retry budget of the whole fleet.
+    /// each of many daemons that start together call the store as often as a small fleet may.
     static constexpr std::size_t assumed_fleet_size = 50;
+    /// The budget counts retries in whole seconds, so that its window is up to one second longer.
+    static constexpr base::duration retry_window_margin = std::chrono::seconds{1};
 
     [[nodiscard]] static proxy::router_options router_options(const settings::edge_settings& s,
                                                               memory::account& account);
@@ -177,10 +180,11 @@
     bool servers_fetch_pending_ = false;
     /// Number of live daemons that `apply_fleet_size` was last called for; 0 makes its next call take effect.
     std::size_t applied_fleet_size_ = 0;
-    retry::fleet_share fleet_share_;
-    /// The same for `apply_retry_share`.
-    std::size_t applied_sharing_daemons_ = 0;
     base::time_point started_at_ = base::boot_clock::now();
+    retry::fleet_share fleet_share_{started_at_, settings_.retries.window + retry_window_margin};
+    /// Values that `apply_retry_share` was last called for.
+    std::size_t applied_sharing_daemons_ = 0;
+    std::optional<int> applied_extra_retries_;
     bool stopping_ = false;
     base::time_point stop_started_at_;
     stop_schedule stop_schedule_;
--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -67,6 +67,10 @@
     b.store_unreachable = store_unreachable();
     b.lease_term = duties_.held_term();
     b.crashes = router_.prompt_guard().report(loop_.now());
+    if (const auto largest = fleet_share_.largest()) {
+        b.largest_fleet = static_cast<std::uint32_t>(largest->live);
+        b.largest_fleet_age = loop_.now() - largest->last_seen;
+    }
     for (auto& [id, load] : router_.local_loads()) {
         b.services.emplace(id, std::move(load));
     }
@@ -98,6 +102,9 @@
     if (!b.crashes.empty()) {
         router_.prompt_guard().merge(b.crashes, loop_.now());
     }
+    if (b.largest_fleet > 0) {
+        fleet_share_.merge({b.largest_fleet, loop_.now() - b.largest_fleet_age});
+    }
     router_.server_signals().merge(b.vm, b.zone, b.signals, b.stopping, loop_.now());
     for (const auto& [w, counts] : b.windows) {
         meter_.merge({b.vm, b.incarnation}, w, counts);
@@ -179,8 +186,7 @@
     const auto live = peer_exchange_.peers().live_count(loop_.now());
     const bool discovering = loop_.now() - started_at_ < fleet_discovery_time;
     const auto daemons = discovering ? std::max(live, assumed_fleet_size) : live;
-    const auto sharing_daemons = fleet_share_.update(live, loop_.now());
-    apply_retry_share(discovering ? std::max(sharing_daemons, assumed_fleet_size) : sharing_daemons);
+    apply_retry_share(fleet_share_.update(live, loop_.now()));
     router_.prompt_guard().set_fleet(router_.servers().size(), live);
     if (std::exchange(applied_fleet_size_, daemons) == daemons) {
         return;
@@ -193,17 +199,18 @@
 }
 
 void edge_daemon::apply_retry_share(std::size_t daemons) {
-    if (std::exchange(applied_sharing_daemons_, daemons) == daemons) {
+    const auto& r = settings_.retries;
+    const auto extra = static_cast<int>(
+        fleet_share_.share(r.extra_retries * usable_retry_budget_ratio, daemons, loop_.now()));
+    const bool same_extra = std::exchange(applied_extra_retries_, extra) == extra;
+    if (std::exchange(applied_sharing_daemons_, daemons) == daemons && same_extra) {
         return;
     }
-    base::log_line{base::log_level::info, "fleet", "Share of the fleet's retries changed."}.field(
-        "daemons", static_cast<long long>(daemons));
-    const auto& r = settings_.retries;
+    base::log_line{base::log_level::info, "fleet", "Share of the fleet's retries changed."}
+        .field("daemons", static_cast<long long>(daemons))
+        .field("extra_retries", extra);
     router_.set_retry_budget_share(
-        {.ratio = r.ratio * usable_retry_budget_ratio,
-         .extra_retries =
-             static_cast<int>(r.extra_retries * usable_retry_budget_ratio / static_cast<double>(daemons)),
-         .window = r.window});
+        {.ratio = r.ratio * usable_retry_budget_ratio, .extra_retries = extra, .window = r.window});
 }
 
 void edge_daemon::add_signals(const base::service_id& service, duties::service_demand& d) const {
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -66,6 +66,11 @@
     bool store_unreachable = false;
     /// Peer addresses of daemons in the receiver's zone, for a receiver that the sender did not know.
     std::vector<net::address> contacts;
+    /// Largest number of daemons that were live at the same time, as far as the sender remembers; 0 if
+    /// unknown.
+    std::uint32_t largest_fleet = 0;
+    /// Time since that number was last live.
+    base::duration largest_fleet_age{};
     /// Evidence and decisions on prompt parts that end servers.
     crash_guard::crash_report crashes;
     /// What servers have said of themselves, and the demand of the sender's callers.
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -56,6 +56,10 @@
   storedWindows @29 :List(WindowCounts);
   # Servers that ended lately.
   serverEnds @30 :List(ServerEnd);
+  # Largest number of daemons that were live at the same time, within the memory of the sender, and when that was last
+  # so; 0 if unknown.
+  largestFleet @31 :UInt32;
+  largestFleetAgeMs @32 :UInt32;
 }
 
 # What is known of the rate limit of a server; of two statements the newer one counts.
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -222,6 +222,8 @@
     b.wall_time = base::wall_time{std::chrono::milliseconds{in.getWallTimeMs()}};
     b.configuration_version = in.getConfigurationVersion();
     b.store_era = in.getStoreEra();
+    b.largest_fleet = in.getLargestFleet();
+    b.largest_fleet_age = from_ms(in.getLargestFleetAgeMs());
     b.servers_revision = in.getServersRevision();
     b.servers_final_revision = in.getServersFinalRevision();
     b.stopping = in.getStopping();
@@ -272,6 +274,8 @@
     out.setWallTimeMs(b.wall_time.time_since_epoch().count());
     out.setConfigurationVersion(b.configuration_version);
     out.setStoreEra(b.store_era);
+    out.setLargestFleet(b.largest_fleet);
+    out.setLargestFleetAgeMs(static_cast<std::uint32_t>(to_ms(b.largest_fleet_age)));
     out.setServersRevision(b.servers_revision);
     out.setServersFinalRevision(b.servers_final_revision);
     out.setStopping(b.stopping);
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -47,6 +47,8 @@
     b.zone_lease_address = {"10.0.0.9", 7200};
     b.store_unreachable = true;
     b.contacts = {{"10.0.0.7", 7200}, {"10.0.0.8", 7200}};
+    b.largest_fleet = 12;
+    b.largest_fleet_age = 90s;
     b.crashes.crashes = {{.part = 0xdead,
                           .server = 77,
                           .instance = 78,
