--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -39,22 +39,29 @@
 constexpr base::duration shortest_copy_age = 500ms;
 constexpr std::uint64_t copy_age_spread_ms = 4000;
 constexpr base::duration restore_pause = 1500ms;
+/// Time between two ends of servers, and how long a process is away, with its random part.
+constexpr base::duration end_interval = 2500ms;
+constexpr base::duration shortest_downtime = 300ms;
+constexpr std::uint64_t downtime_spread_ms = 1500;
 
 }  // namespace
 
 fault_plan::fault_plan(net::loop& l, site& s, promises& p, base::random_function random,
-                       base::random_function signal_random, base::random_function restore_random)
+                       base::random_function signal_random, base::random_function restore_random,
+                       base::random_function end_random)
     : loop_{l},
       site_{s},
       promises_{p},
       random_{std::move(random)},
       signal_random_{std::move(signal_random)},
-      restore_random_{std::move(restore_random)} {}
+      restore_random_{std::move(restore_random)},
+      end_random_{std::move(end_random)} {}
 
 fault_plan::~fault_plan() {
     loop_.cancel(draw_timer_);
     loop_.cancel(signal_timer_);
     loop_.cancel(restore_timer_);
+    loop_.cancel(end_timer_);
     loop_.cancel(check_timer_);
     for (auto& [number, timer] : timers_) {
         loop_.cancel(timer);
@@ -66,6 +73,7 @@
     draw();
     draw_signal();
     draw_restore();
+    draw_process_end();
 }
 
 void fault_plan::stop() {
@@ -73,6 +81,7 @@
     loop_.cancel(draw_timer_);
     loop_.cancel(signal_timer_);
     loop_.cancel(restore_timer_);
+    loop_.cancel(end_timer_);
     for (auto& [number, timer] : timers_) {
         loop_.cancel(timer);
     }
@@ -127,6 +136,18 @@
     });
 }
 
+// The process of a server ends in one of the ways of the stand-in, and another one starts.
+void fault_plan::draw_process_end() {
+    const auto& s = site_.servers()[end_random_() % site_.servers().size()];
+    const auto how = standin::all_process_ends[end_random_() % standin::all_process_ends.size()];
+    const auto downtime = shortest_downtime + std::chrono::milliseconds{end_random_() % downtime_spread_ms};
+    if (!s.drained) {
+        note("end", s.server->options().id + ' ' + std::string{to_string(how)});
+        s.server->end_process(how, downtime);
+    }
+    end_timer_ = loop_.after(end_interval, [this] { draw_process_end(); });
+}
+
 void fault_plan::note(const std::string& name, const std::string& where) {
     ++applied_[name];
     const auto ms =
--- a/testing/soak/src/fault_plan.h
+++ b/testing/soak/src/fault_plan.h
@@ -26,7 +26,8 @@
 class fault_plan {
 public:
     fault_plan(net::loop& l, site& s, promises& p, base::random_function random,
-               base::random_function signal_random, base::random_function restore_random);
+               base::random_function signal_random, base::random_function restore_random,
+               base::random_function end_random);
     ~fault_plan();
     fault_plan(const fault_plan&) = delete;
     fault_plan& operator=(const fault_plan&) = delete;
@@ -43,6 +44,7 @@
     void draw();
     void draw_signal();
     void draw_restore();
+    void draw_process_end();
     /// @return nothing if the server has left.
     [[nodiscard]] site_server* find_server(const std::string& id);
     void check_processes();
@@ -86,9 +88,11 @@
     base::random_function random_;
     base::random_function signal_random_;
     base::random_function restore_random_;
+    base::random_function end_random_;
     std::set<std::string> limited_servers_;
     net::timer_id signal_timer_ = net::timer_id::none;
     net::timer_id restore_timer_ = net::timer_id::none;
+    net::timer_id end_timer_ = net::timer_id::none;
     std::map<std::string, std::size_t> applied_;
     std::map<std::size_t, std::function<void()>> reverts_;
     std::map<std::size_t, net::timer_id> timers_;
--- a/testing/soak/src/main.cpp
+++ b/testing/soak/src/main.cpp
@@ -114,12 +114,14 @@
     soak::traffic traffic{loop, site, promises, [&] { return traffic_generator(); }, o.callers};
     std::mt19937_64 signals_generator{o.seed + 2};
     std::mt19937_64 restores_generator{o.seed + 3};
+    std::mt19937_64 ends_generator{o.seed + 4};
     soak::fault_plan faults{loop,
                             site,
                             promises,
                             [&] { return faults_generator(); },
                             [&] { return signals_generator(); },
-                            [&] { return restores_generator(); }};
+                            [&] { return restores_generator(); },
+                            [&] { return ends_generator(); }};
     run_for(loop, start_time);
     traffic.start();
     faults.start();
--- a/testing/soak/src/site.cpp
+++ b/testing/soak/src/site.cpp
@@ -91,6 +91,10 @@
     s.link = std::make_unique<standin::fault_injection_proxy>(loop_, net::address{"127.0.0.1", 0},
                                                               s.server->address());
     s.server->register_self(s.link->address());
+    s.server->set_restarted([server = s.server.get(), link = s.link.get()](const net::address& a) {
+        link->set_target(a);
+        server->register_self(link->address());
+    });
     servers_.push_back(std::move(s));
 }
 
