Take back the progress of an answer that breaks off with its server

Cause: an answer counted as given 300 ms after its first event, which cleared the prompt before it ended the server, and made the attempt no suspect.

Progress now clears the parts on this daemon only, and is taken back when the attempt breaks off with its server.

--- a/packages/crash_guard/include/crash_guard/prompt_guard.h
+++ b/packages/crash_guard/include/crash_guard/prompt_guard.h
@@ -115,7 +115,11 @@
     /// Records that a process has ended which was taken for one that may live.
     void confirm_end(std::uint64_t instance, base::time_point now);
 
-    /// Records that a request was answered, or that its answer went on well past its beginning.
+    /// Records that an answer went on past its beginning. Clears the parts here until the attempt breaks off
+    /// after all; peers are not told.
+    void record_progress(const part_ids& parts, base::time_point now);
+
+    /// Records that a request was answered, or that its answer went on for long.
     void record_success(const part_ids& parts, base::time_point now);
 
     /// @return evidence and decisions for peers, of bounded size.
@@ -155,6 +159,7 @@
     struct part_state {
         std::map<std::uint64_t, crash> crashes;  ///< by instance of the server
         std::optional<base::time_point> last_success;
+        std::optional<base::time_point> last_progress;  ///< of an answer that may still break off
         std::optional<verdict> decision;
         /// Start of the trial after the quarantine; absent if none runs.
         std::optional<base::time_point> trial_started;
@@ -200,6 +205,8 @@
     [[nodiscard]] part_status status_of(std::uint64_t part, const part_state& s, base::time_point now) const;
     /// @return true if the crash is new evidence.
     bool add_crash(std::uint64_t part, std::uint64_t instance, const crash& c);
+    /// Counts an answered request, whatever its parts.
+    void note_other_success(base::time_point now);
     void report_news(bool own) const;
     /// @return true if peers should hear of it too.
     bool merge_evidence(const crash_report& r, base::time_point now);
@@ -215,8 +222,13 @@
     base::duration settle_time_ = std::chrono::milliseconds{400};
     /// Parts with evidence or a decision.
     std::map<std::uint64_t, part_state> parts_;
-    /// Latest success of parts without evidence.
-    std::unordered_map<std::uint64_t, base::time_point> recent_successes_;
+    using times_by_part = std::unordered_map<std::uint64_t, base::time_point>;
+
+    static void remember(times_by_part& times, const part_ids& parts, base::time_point now);
+
+    /// Latest success and latest progress of parts without evidence.
+    times_by_part recent_successes_;
+    times_by_part recent_progress_;
     base::time_point next_cleanup_;
     /// Requests at the beginning of their answers, by part.
     std::shared_ptr<std::unordered_map<std::uint64_t, int>> beginning_ =
--- a/packages/crash_guard/src/prompt_guard.cpp
+++ b/packages/crash_guard/src/prompt_guard.cpp
@@ -74,7 +74,8 @@
 }
 
 bool prompt_guard::counts(const part_state& s, const crash& c) {
-    const bool cleared = s.last_success && c.at <= *s.last_success + success_memory;
+    const auto covers = [&](const auto& success) { return success && c.at <= *success + success_memory; };
+    const bool cleared = covers(s.last_success) || covers(s.last_progress);
     const bool decided_before = s.decision && !s.decision->quarantined && c.at <= s.decision->at;
     return !cleared && !decided_before;
 }
@@ -144,7 +145,10 @@
 
 prompt_guard::evidence prompt_guard::unexplained(std::uint64_t part, const part_state& s,
                                                  base::time_point now) const {
-    part_state open{.crashes = {}, .last_success = s.last_success, .decision = s.decision};
+    part_state open{.crashes = {},
+                    .last_success = s.last_success,
+                    .last_progress = s.last_progress,
+                    .decision = s.decision};
     auto supported = open;
     bool ended_another = false;
     for (const auto& c : s.crashes) {
@@ -265,6 +269,9 @@
     if (const auto known = recent_successes_.find(part); known != recent_successes_.end()) {
         s.last_success = std::max(s.last_success.value_or(known->second), known->second);
     }
+    if (const auto known = recent_progress_.find(part); known != recent_progress_.end()) {
+        s.last_progress = std::max(s.last_progress.value_or(known->second), known->second);
+    }
     if (!counts(s, c)) {
         return false;
     }
@@ -300,6 +307,10 @@
     bool added = false;
     for (std::size_t i = 0; i < parts.ids.size(); ++i) {
         const auto part = parts.ids[i];
+        if (a.progressed) {
+            recent_progress_.erase(part);
+            state_of(part).last_progress.reset();
+        }
         added |= add_crash(part, a.instance,
                            {.server = a.server,
                             .at = now,
@@ -339,18 +350,37 @@
     }
 }
 
-void prompt_guard::record_success(const part_ids& parts, base::time_point now) {
+void prompt_guard::remember(times_by_part& times, const part_ids& parts, base::time_point now) {
+    for (std::size_t i = 0; i < parts.ids.size(); ++i) {
+        const auto limit = parts.is_own(i) ? max_recent_own_successes : max_recent_successes;
+        if (times.size() < limit || times.contains(parts.ids[i])) {
+            times[parts.ids[i]] = now;
+        }
+    }
+}
+
+void prompt_guard::record_progress(const part_ids& parts, base::time_point now) {
+    note_other_success(now);
+    remember(recent_progress_, parts, now);
+    for (const auto part : parts.ids) {
+        if (const auto it = parts_.find(part); it != parts_.end()) {
+            it->second.last_progress = now;
+        }
+    }
+}
+
+void prompt_guard::note_other_success(base::time_point now) {
     if (latest_successes_.size() >= min_other_successes) {
         latest_successes_.erase(latest_successes_.begin());
     }
     latest_successes_.push_back(now);
     rates_.record_answer(now);
-    for (std::size_t i = 0; i < parts.ids.size(); ++i) {
-        const auto part = parts.ids[i];
-        const auto limit = parts.is_own(i) ? max_recent_own_successes : max_recent_successes;
-        if (recent_successes_.size() < limit || recent_successes_.contains(part)) {
-            recent_successes_[part] = now;
-        }
+}
+
+void prompt_guard::record_success(const part_ids& parts, base::time_point now) {
+    note_other_success(now);
+    remember(recent_successes_, parts, now);
+    for (const auto part : parts.ids) {
         const auto it = parts_.find(part);
         if (it == parts_.end()) {
             continue;
@@ -493,7 +523,9 @@
     next_cleanup_ = now + cleanup_interval;
     rates_.expire(now);
     std::erase_if(told_ends_, [&](const auto& x) { return now - x.second > evidence_lifetime; });
-    std::erase_if(recent_successes_, [&](const auto& x) { return now - x.second > success_memory; });
+    for (auto* times : {&recent_successes_, &recent_progress_}) {
+        std::erase_if(*times, [&](const auto& x) { return now - x.second > success_memory; });
+    }
     for (auto& [part, s] : parts_) {
         std::erase_if(s.crashes, [&, &state = s](const auto& c) {
             const bool settled = now - c.second.at > success_memory && !counts(state, c.second);
@@ -501,7 +533,7 @@
         });
     }
     std::erase_if(parts_, [&](const auto& p) {
-        const auto& [crashes, last_success, d, trial] = p.second;
+        const auto& [crashes, last_success, last_progress, d, trial] = p.second;
         return crashes.empty() && (!last_success || now - *last_success > success_memory) &&
                (!d || now - d->at > d->period + evidence_lifetime);
     });
--- a/packages/crash_guard/tests/prompt_guard_test.cpp
+++ b/packages/crash_guard/tests/prompt_guard_test.cpp
@@ -411,6 +411,27 @@
     EXPECT_EQ(decisions, std::vector<std::string>{"7 in evidence"});
 }
 
+// Failure: servers end some time inside the answer. Guards against an answer that clears its prompt and then
+// ends its server.
+TEST_F(end_without_byte, answer_that_breaks_off_with_its_server_does_not_clear_its_prompt) {
+    std::uint64_t ended = 0;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        const auto now = start + std::chrono::milliseconds{100 * i};
+        guard.record_success({first, 500 + i}, now);
+        guard.record_progress({first, sound}, now);
+        if (i % 6 == 0 && admit({first, deadly}, now) == kind::allowed) {
+            guard.record_progress({first, deadly}, now);
+            auto a = waiting(++ended, 600ms);
+            a.progress = attempt_progress::answering;
+            a.progressed = true;
+            guard.record_crash({first, deadly}, a, now + 50ms);
+        }
+        guard.expire(now + 60ms);
+    }
+    EXPECT_LE(ended, 5U);
+    EXPECT_EQ(decisions, std::vector<std::string>{"7 in evidence"});
+}
+
 TEST_F(end_without_byte, confirmation_completes_the_evidence) {
     for (std::uint64_t i = 1; i <= 2; ++i) {
         guard.record_crash({deadly}, waiting(i, 20ms, false), start + std::chrono::milliseconds{400 * i});
--- a/packages/proxy/src/end_watch.cpp
+++ b/packages/proxy/src/end_watch.cpp
@@ -148,6 +148,7 @@
                              .instance = hash_of(a.server.instance_key()),
                              .progress = a.progress,
                              .length = a.length,
+                             .progressed = a.progressed,
                              .confirmed = state == process_state::ended},
                             now);
     }
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -207,7 +207,8 @@
     return {.request = metadata_.id,
             .server = server_,
             .parts = evidence_.parts(),
-            .progress = evidence_.progress(response_status_ != 0, now),
+            .progress = evidence_.progress(response_status_ != 0),
+            .progressed = evidence_.progressed(),
             .length = now - attempt_started_at_};
 }
 
--- a/packages/proxy/src/request_evidence.cpp
+++ b/packages/proxy/src/request_evidence.cpp
@@ -11,6 +11,8 @@
 
 /// Time after its first event in which an answer is at its beginning.
 constexpr base::duration answer_beginning = 300ms;
+/// Time after its first event from which an answer shows that its prompt is sound, whatever follows.
+constexpr base::duration long_answer = 3s;
 
 }  // namespace
 
@@ -43,24 +45,31 @@
 void request_evidence::attempt_started() {
     beginning_ = parts_.empty() ? nullptr : guard_.begin(parts_);
     first_event_at_.reset();
+    progressed_ = false;
+    succeeded_ = false;
 }
 
 void request_evidence::event_received(base::time_point now) {
     first_event_at_ = first_event_at_.value_or(now);
-    if (now - *first_event_at_ > answer_beginning) {
+    const auto length = now - *first_event_at_;
+    if (length > long_answer) {
         answered(now);
+    } else if (length > answer_beginning && !parts_.empty() && !std::exchange(progressed_, true)) {
+        beginning_.reset();
+        guard_.record_progress(parts_, now);
     }
 }
 
 void request_evidence::answered(base::time_point now) {
-    if (std::exchange(beginning_, nullptr)) {
+    if (!parts_.empty() && !std::exchange(succeeded_, true)) {
+        beginning_.reset();
         guard_.record_success(parts_, now);
     }
 }
 
-crash_guard::attempt_progress request_evidence::progress(bool has_response_head, base::time_point now) const {
+crash_guard::attempt_progress request_evidence::progress(bool has_response_head) const {
     using crash_guard::attempt_progress;
-    if (parts_.empty() || (first_event_at_ && now - *first_event_at_ > answer_beginning)) {
+    if (parts_.empty() || succeeded_) {
         return attempt_progress::none;
     }
     return first_event_at_     ? attempt_progress::answering
--- a/packages/proxy/src/request_evidence.h
+++ b/packages/proxy/src/request_evidence.h
@@ -39,9 +39,12 @@
     void answered(base::time_point now);
     void attempt_ended() { beginning_.reset(); }
 
+    /// @return true if the current answer has gone on past its beginning.
+    [[nodiscard]] bool progressed() const noexcept { return progressed_; }
+
     /// @param has_response_head the head of the response to the current attempt has arrived.
     /// @return weight of the current attempt as evidence if its server has ended.
-    [[nodiscard]] crash_guard::attempt_progress progress(bool has_response_head, base::time_point now) const;
+    [[nodiscard]] crash_guard::attempt_progress progress(bool has_response_head) const;
 
 private:
     crash_guard::prompt_guard& guard_;
@@ -49,7 +52,9 @@
     /// Exists while the answer is at its beginning on a server.
     std::shared_ptr<void> beginning_;
     std::optional<base::time_point> first_event_at_;
-    bool trial_ = false;  ///< tries a part after its quarantine
+    bool progressed_ = false;  ///< the current answer
+    bool succeeded_ = false;   ///< the current answer is complete, or has gone on for long
+    bool trial_ = false;       ///< tries a part after its quarantine
 };
 
 }  // namespace chicorygap::proxy
--- a/packages/proxy/src/suspect_attempt.h
+++ b/packages/proxy/src/suspect_attempt.h
@@ -16,6 +16,7 @@
     catalog::backend_server server;
     crash_guard::part_ids parts;
     crash_guard::attempt_progress progress = crash_guard::attempt_progress::none;
+    bool progressed = false;  ///< the answer had gone on past its beginning
     base::duration length{};  ///< from the start of the attempt until it broke off
 };
 
--- a/testing/server_ends/tests/server_ends.h
+++ b/testing/server_ends/tests/server_ends.h
@@ -28,6 +28,8 @@
 inline constexpr std::uint64_t workspace_part = 0xa1;
 /// Servers that a part may end before it is certain that it does.
 inline constexpr std::size_t tolerated_crashes = 5;
+/// Two requests of three attempts: an error response is repeated at once, before its server ends.
+inline constexpr std::size_t ends_behind_errors = 6;
 /// Requests with the part that are sent before the first one times out, where nothing else shows an end: one
 /// in 0.6 s, up to the deadline of 2 s.
 inline constexpr std::size_t sent_before_timeout = 4;
@@ -90,7 +92,14 @@
     }
 
     [[nodiscard]] static std::size_t most_crashes() {
-        return tolerated_crashes + (GetParam() == process_end::silent_host ? sent_before_timeout : 0);
+        switch (GetParam()) {
+            case process_end::silent_host:
+                return tolerated_crashes + sent_before_timeout;
+            case process_end::after_error:
+                return ends_behind_errors;
+            default:
+                return tolerated_crashes;
+        }
     }
 
     [[nodiscard]] std::size_t crashes() const {
