--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -379,10 +379,19 @@
         if (s == nullptr) {
             return;
         }
-        const auto& arrivals = s->server->arrivals();
-        const auto named = std::lower_bound(arrivals.begin(), arrivals.end(), begin);
-        if (named != arrivals.end()) {
-            promises_.check_limit(id, arrivals, *named, limit);
+        // A new process of the server names its limit anew.
+        auto process_begin = begin;
+        auto process_ends = s->server->restarts();
+        process_ends.push_back(loop_.now());
+        const auto& all = s->server->arrivals();
+        for (const auto& end : process_ends) {
+            const std::vector<base::time_point> arrivals{
+                std::lower_bound(all.begin(), all.end(), process_begin),
+                std::lower_bound(all.begin(), all.end(), std::max(process_begin, end))};
+            if (!arrivals.empty()) {
+                promises_.check_limit(id, arrivals, arrivals.front(), limit);
+            }
+            process_begin = std::max(process_begin, end);
         }
         s->server->set_response_field("Server-Limit", "");
     });
