Let a living connection outweigh a missing entry, and count servers once a list

Reading the fix against its trace again: an entry that is gone counted as the end of a process even while another connection to it lived, as after a store that lost entries. Prompts with named parts are not hashed.

--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -187,7 +187,7 @@
     const bool discovering = loop_.now() - started_at_ < fleet_discovery_time;
     const auto daemons = discovering ? std::max(live, assumed_fleet_size) : live;
     apply_retry_share(fleet_share_.update(live, loop_.now()));
-    router_.prompt_guard().set_fleet(router_.servers().size(), live);
+    router_.prompt_guard().set_daemon_count(live);
     if (std::exchange(applied_fleet_size_, daemons) == daemons) {
         return;
     }
--- a/packages/crash_guard/include/crash_guard/end_rates.h
+++ b/packages/crash_guard/include/crash_guard/end_rates.h
@@ -30,9 +30,10 @@
     /// Time that rates cover at least, and that the number of requests covers.
     static constexpr base::duration window = std::chrono::seconds{10};
 
-    /// @param servers number of servers that the fleet uses.
-    /// @param daemons number of daemons, each of which is taken to observe as many requests as this one.
-    void set_fleet(std::size_t servers, std::size_t daemons);
+    /// Sets the number of servers that the fleet uses.
+    void set_server_count(std::size_t n) { servers_ = std::max<std::size_t>(1, n); }
+    /// Sets the number of daemons, each of which is taken to observe as many requests as this one.
+    void set_daemon_count(std::size_t n) { daemons_ = std::max<std::size_t>(1, n); }
 
     /// Records that a request got past the beginning of its answer.
     void record_answer(base::time_point now);
--- a/packages/crash_guard/include/crash_guard/prompt_guard.h
+++ b/packages/crash_guard/include/crash_guard/prompt_guard.h
@@ -98,9 +98,10 @@
     /// earlier, since servers that end at the same moment accuse the same sound parts.
     void set_settle_time(base::duration d) { settle_time_ = d; }
 
-    /// @param servers number of servers of all services.
-    /// @param daemons number of live daemons.
-    void set_fleet(std::size_t servers, std::size_t daemons) { rates_.set_fleet(servers, daemons); }
+    /// Sets the number of servers of all services.
+    void set_server_count(std::size_t n) { rates_.set_server_count(n); }
+    /// Sets the number of live daemons.
+    void set_daemon_count(std::size_t n) { rates_.set_daemon_count(n); }
 
     /// Decides on a request. Allowing a request with a quarantined part starts the trial of that part.
     [[nodiscard]] admission admit(const part_ids& parts, base::time_point now);
--- a/packages/crash_guard/src/end_rates.cpp
+++ b/packages/crash_guard/src/end_rates.cpp
@@ -19,11 +19,6 @@
 
 }  // namespace
 
-void end_rates::set_fleet(std::size_t servers, std::size_t daemons) {
-    servers_ = std::max<std::size_t>(1, servers);
-    daemons_ = std::max<std::size_t>(1, daemons);
-}
-
 void end_rates::record_answer(base::time_point now) {
     const auto second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
     if (requests_.empty() || requests_.back().second < second) {
--- a/packages/crash_guard/tests/end_rates_test.cpp
+++ b/packages/crash_guard/tests/end_rates_test.cpp
@@ -13,7 +13,7 @@
 
 TEST(end_rates, ends_are_counted_by_server_and_second_without_those_explained) {
     end_rates r;
-    r.set_fleet(10, 1);
+    r.set_server_count(10);
     for (std::uint64_t i = 0; i < 4; ++i) {
         EXPECT_TRUE(r.record_end(i, start + std::chrono::seconds{i}));
         EXPECT_FALSE(r.record_end(i, start + std::chrono::seconds{i + 1})) << "told by a peer";
@@ -25,7 +25,7 @@
 // Guards against rates that forget a wave of ends while a rare part is still weighed against it.
 TEST(end_rates, cover_the_time_of_the_evidence) {
     end_rates r;
-    r.set_fleet(10, 1);
+    r.set_server_count(10);
     for (std::uint64_t i = 0; i < 19; ++i) {
         r.record_end(i, start);
     }
@@ -54,7 +54,7 @@
         r.record_answer(start);
     }
     EXPECT_DOUBLE_EQ(r.significance(start), 0.002 / 100);
-    r.set_fleet(160, 300);
+    r.set_daemon_count(300);
     EXPECT_DOUBLE_EQ(r.significance(start), 0.002 / 30000);
 }
 
--- a/packages/http/include/http/connection_pool.h
+++ b/packages/http/include/http/connection_pool.h
@@ -79,8 +79,8 @@
     net::loop& loop_;
     memory::account* account_;
     std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> idle_;
-    /// All connections that were taken and may be open, by key.
-    std::unordered_map<std::string, std::vector<std::weak_ptr<client_connection>>> in_use_;
+    /// All connections that were taken and may be open, by key; those given back too.
+    std::unordered_map<std::string, std::vector<std::weak_ptr<client_connection>>> taken_;
     std::function<void(const std::string&)> idle_ended_;
     std::size_t opened_ = 0;
 };
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -36,7 +36,7 @@
         c->set_request_id(request_id);
     }
     c->set_idle_ended(nullptr);
-    auto& used = in_use_[key];
+    auto& used = taken_[key];
     std::erase_if(used, [](const auto& x) { return x.expired(); });
     used.push_back(c);
     return c;
@@ -53,7 +53,7 @@
     if (const auto it = idle_.find(key); it != idle_.end()) {
         std::for_each(it->second.begin(), it->second.end(), add);
     }
-    if (const auto it = in_use_.find(key); it != in_use_.end()) {
+    if (const auto it = taken_.find(key); it != taken_.end()) {
         for (const auto& c : it->second) {
             add(c.lock());
         }
@@ -132,10 +132,10 @@
         });
     }
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
-    for (auto& [key, used] : in_use_) {
+    for (auto& [key, used] : taken_) {
         std::erase_if(used, [](const auto& c) { return c.expired(); });
     }
-    std::erase_if(in_use_, [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(taken_, [](const auto& entry) { return entry.second.empty(); });
 }
 
 bool connection_pool::usable(const client_connection& c, base::duration longest_idle) const {
--- a/packages/proxy/src/end_watch.cpp
+++ b/packages/proxy/src/end_watch.cpp
@@ -139,8 +139,9 @@
 void end_watch::record(const suspect_attempt& a, const check_finding& f) {
     const auto now = loop_.now();
     const auto entry = listing_of(a.server);
-    // An entry that is gone without having drained shows the end even if the address has another process.
-    const auto state = entry == listing::gone ? process_state::ended : f.state();
+    // An entry that is gone without having drained shows the end, even if another process has the address.
+    const bool gone = entry == listing::gone && f.state() == process_state::unknown;
+    const auto state = gone ? process_state::ended : f.state();
     const bool recorded = entry != listing::leaving && state != process_state::alive;
     if (recorded) {
         guard_.record_crash(a.parts,
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -198,6 +198,9 @@
 
 // Tells requests apart whose prompts have no named parts.
 std::uint64_t proxied_request::fingerprint() const {
+    if (!metadata_.generation || !metadata_.generation->parts.empty()) {
+        return 0;
+    }
     const auto target = XXH64(request_.head.target.data(), request_.head.target.size(), 0);
     return XXH64(body_->data(), body_->size(), target);
 }
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -88,6 +88,7 @@
         servers_by_service_[s.service].push_back(s);
     }
     signals.set_servers(servers, loop.now());
+    guard.set_server_count(servers.size());
     apply_servers();
 }
 
