Give the servers of evacuated zones no work

Cause: an operator must be able to take a whole zone out of service, and to take it back, with one object of the store. Nothing could mark the servers of a zone as unusable.

The autoscaler sends no requests for evacuated zones and orders what they lack in the others at once.

--- a/packages/catalog/include/catalog/backend_server.h
+++ b/packages/catalog/include/catalog/backend_server.h
@@ -28,6 +28,11 @@
     bool reclaimable = false;
     /// Remaining time for which the server is slow after its start.
     base::duration remaining_warmup{};
+    /// The zone of the server is evacuated: the server gets no new work. Set by `proxy::request_router`.
+    bool evacuated = false;
+    /// Time at which the evacuation of its zone was withdrawn; absent if there was none lately. Set by
+    /// `proxy::request_router`.
+    std::optional<base::time_point> returned_at{};
 
     /// @return a text that is unique to this instance and its address.
     [[nodiscard]] std::string instance_key() const {
--- a/packages/duties/include/duties/autoscaler.h
+++ b/packages/duties/include/duties/autoscaler.h
@@ -29,6 +29,8 @@
     double arrivals_per_s = 0;
     /// Requests per second that servers take at most, as far as they have named a limit.
     std::map<base::backend_server_id, double> server_limits;
+    /// Zones whose servers get no requests.
+    std::set<base::zone_id> evacuated_zones;
 };
 
 /// Request to set the number of reserved or of reclaimable servers in one zone.
@@ -56,6 +58,10 @@
 /// reserved servers are released only after reclaimable ones have started, and requested while the platform
 /// has no reclaimable ones.
 ///
+/// The servers of an evacuated zone are no capacity: the other zones get the requests for what they lack at
+/// once. Requests for an evacuated zone are held back until it returns, so that it neither gets servers that
+/// nothing uses nor loses those that are needed when it returns.
+///
 /// A server that names a rate limit below the rate that a server has to take counts only in part.
 ///
 /// Usage: call `observe` every second, send the requests that `due_capacity_requests` returns, and pass each
@@ -107,6 +113,8 @@
     void record_loss(const pool_key& k, std::uint32_t previous_count);
     /// @return the zones that keep a reserved server whatever the load.
     [[nodiscard]] std::set<base::zone_id> zones_with_reserved_server() const;
+    /// @return the zones with prices that are not evacuated, by price.
+    [[nodiscard]] std::vector<std::pair<double, base::zone_id>> usable_zones() const;
     [[nodiscard]] std::uint32_t active_count(const base::zone_id& zone, bool reclaimable) const;
 
     catalog::scaling_parameters parameters_;
@@ -118,6 +126,7 @@
     std::map<pool_key, pool_state> pools_;
     /// Capacity that limited servers lack, in servers.
     std::map<base::zone_id, double> lacking_servers_;
+    std::set<base::zone_id> evacuated_zones_;
     base::time_point servers_known_since_;
     std::optional<base::time_point> first_observed_at_;
     std::optional<base::time_point> first_load_at_;
--- a/packages/duties/src/autoscaler.cpp
+++ b/packages/duties/src/autoscaler.cpp
@@ -90,6 +90,7 @@
     for (const auto& [k, count] : previous_counts) {
         record_loss(k, count);
     }
+    evacuated_zones_ = d.evacuated_zones;
     record_limits(d, servers);
     plan();
 }
@@ -129,12 +130,19 @@
     return it == active_counts_.end() ? 0 : it->second;
 }
 
-std::set<base::zone_id> autoscaler::zones_with_reserved_server() const {
-    std::vector<std::pair<double, base::zone_id>> by_price;
+std::vector<std::pair<double, base::zone_id>> autoscaler::usable_zones() const {
+    std::vector<std::pair<double, base::zone_id>> out;
     for (const auto& [zone, price] : parameters_.zone_prices) {
-        by_price.emplace_back(price, zone);
+        if (!evacuated_zones_.contains(zone)) {
+            out.emplace_back(price, zone);
+        }
     }
-    std::sort(by_price.begin(), by_price.end());
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+std::set<base::zone_id> autoscaler::zones_with_reserved_server() const {
+    auto by_price = usable_zones();
     by_price.resize(
         std::min(by_price.size(), std::max<std::size_t>(1, by_price.size() / zones_per_reserved_server)));
     std::set<base::zone_id> out;
@@ -145,7 +153,8 @@
 }
 
 void autoscaler::plan() {
-    const auto zones = static_cast<double>(parameters_.zone_prices.size());
+    const auto usable = usable_zones();
+    const auto zones = static_cast<double>(usable.size());
     if (zones == 0) {
         return;
     }
@@ -156,7 +165,7 @@
                             (use_reclaimable && zones > 1 ? zones - 1 : zones);
     const auto max_servers = parameters_.max_servers_per_zone;
     const auto reserved_zones = zones_with_reserved_server();
-    for (const auto& [zone, price] : parameters_.zone_prices) {
+    for (const auto& [price, zone] : usable) {
         const auto limited = lacking_servers_.find(zone);
         const double lacking = limited == lacking_servers_.end() ? 0 : limited->second;
         const auto desired =
@@ -205,6 +214,9 @@
             continue;
         }
         const auto& [zone, reclaimable] = k;
+        if (evacuated_zones_.contains(zone)) {
+            continue;
+        }
         const bool overdue = s.has_accepted && now - s.accepted_at > parameters_.boot_time + startup_margin &&
                              active_count(zone, reclaimable) != s.accepted;
         // No first request is sent for a pool that is empty and not needed.
--- a/packages/duties/tests/autoscaler_test.cpp
+++ b/packages/duties/tests/autoscaler_test.cpp
@@ -309,5 +309,39 @@
     EXPECT_EQ(send_due_requests(p, start + 40s).at({"a", false}), 2U);
 }
 
+// Load: the work of an evacuated zone moves to the others. Guards against orders for the zone, whose servers
+// nothing uses, and against ordering what the others lack only when they are overloaded.
+TEST(autoscaler, evacuated_zone_gets_no_requests_and_the_others_replace_its_capacity_at_once) {
+    autoscaler p{make_parameters(std::nullopt), 10, registration_start};
+    service_demand d{.requests = 28};  // eight servers at the target utilisation
+    p.observe({}, make_servers(1, 0), start - 20s);
+    p.observe(d, make_servers(1, 0), start);
+    p.observe(d, make_servers(1, 0), start + 61s);
+    const auto before = send_due_requests(p, start + 61s);
+    EXPECT_EQ(before.at({"a", false}), 4U);
+    d.evacuated_zones = {base::zone_id{"a"}};
+    p.observe(d, make_servers(4, 0), start + 62s);
+    const auto during = send_due_requests(p, start + 62s);
+    EXPECT_FALSE(during.contains({"a", false}));
+    EXPECT_EQ(during.at({"b", false}), 5U);
+    EXPECT_EQ(during.at({"c", false}), 5U);
+    // Lost servers of the zone are not replaced before it returns.
+    auto servers = make_servers(4, 0);
+    servers.erase(servers.begin(), servers.begin() + 2);
+    p.observe(d, servers, start + 63s);
+    EXPECT_TRUE(send_due_requests(p, start + 63s).empty());
+    d.evacuated_zones.clear();
+    p.observe(d, servers, start + 64s);
+    EXPECT_EQ(send_due_requests(p, start + 64s).at({"a", false}), 4U);
+}
+
+// Failure: all zones are evacuated. Guards against releasing all servers because none is needed.
+TEST(autoscaler, no_requests_are_due_while_all_zones_are_evacuated) {
+    autoscaler p{make_parameters(0.2), 10, registration_start};
+    p.observe({.evacuated_zones = {base::zone_id{"a"}, base::zone_id{"b"}, base::zone_id{"c"}}},
+              make_servers(3, 1), start);
+    EXPECT_TRUE(send_due_requests(p, start).empty());
+}
+
 }  // namespace
 }  // namespace chicorygap::duties
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "catalog/backend_server.h"
+#include "catalog/evacuation_state.h"
 #include "catalog/snapshot.h"
 #include "crash_guard/prompt_guard.h"
 #include "http/server_session.h"
@@ -102,6 +103,10 @@
     /// @param servers all known servers of all services.
     void set_servers(const std::vector<catalog::backend_server>& servers);
 
+    /// Replaces the evacuations. Waiting requests are tried again at once.
+    /// @param state zones whose servers get no new work, and zones that get it again.
+    void set_evacuations(catalog::evacuation_state state);
+
     /// Replaces the load report of a peer.
     /// @param peer daemon that sent the report.
     /// @param loads its load per service.
@@ -138,7 +143,8 @@
     [[nodiscard]] backpressure::signal_table& server_signals();
     [[nodiscard]] const backpressure::signal_table& server_signals() const;
 
-    /// @return the server list; servers that have announced in a response that they stop are draining.
+    /// @return the server list; servers that have announced in a response that they stop are draining, and
+    /// those of evacuated zones are marked.
     [[nodiscard]] std::vector<catalog::backend_server> servers() const;
 
     /// @return load of this daemon per service.
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -18,6 +18,9 @@
 void request_router::set_servers(const std::vector<catalog::backend_server>& servers) {
     impl_->set_servers(servers);
 }
+void request_router::set_evacuations(catalog::evacuation_state state) {
+    impl_->set_evacuations(std::move(state));
+}
 void request_router::set_peer_load(const base::vm_id& peer, const service_loads& loads,
                                    base::duration lifetime) {
     impl_->set_peer_load(peer, loads, lifetime);
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -92,10 +92,24 @@
     apply_servers();
 }
 
+void request_router::impl::set_evacuations(catalog::evacuation_state state) {
+    if (evacuations_ != state) {
+        evacuations_ = std::move(state);
+        apply_servers();
+    }
+}
+
+void request_router::impl::mark_evacuation(catalog::backend_server& s) const {
+    s.evacuated = evacuations_.evacuated.contains(s.zone);
+    const auto it = evacuations_.returned.find(s.zone);
+    s.returned_at = it == evacuations_.returned.end() ? std::nullopt : std::optional{it->second};
+}
+
 void request_router::impl::apply_servers() {
     for (auto& [id, list] : servers_by_service_) {
         for (auto& s : list) {
             s.draining = s.draining || signals.leaving(backpressure::key_of(s));
+            mark_evacuation(s);
         }
     }
     ends.set_servers(servers());
--- a/packages/proxy/src/request_router_impl.h
+++ b/packages/proxy/src/request_router_impl.h
@@ -39,6 +39,7 @@
 
     void set_catalog(std::shared_ptr<const catalog::snapshot> s);
     void set_servers(const std::vector<catalog::backend_server>& servers);
+    void set_evacuations(catalog::evacuation_state state);
     void set_peer_load(const base::vm_id& peer, const service_loads& loads, base::duration lifetime);
     void set_retry_budget_share(const retry_budget_share& s);
     void handle(http::server_session& session, http::request&& r);
@@ -92,8 +93,11 @@
     std::unordered_map<scheduling::local_request_id, std::shared_ptr<proxied_request>> active_requests;
 
 private:
-    /// Marks servers that have announced that they stop, and passes the list to the schedulers.
+    /// Marks servers that have announced that they stop and those of evacuated and returned zones, and passes
+    /// the list to the schedulers.
     void apply_servers();
+    /// Sets what the evacuations say of the server's zone.
+    void mark_evacuation(catalog::backend_server& s) const;
     void on_server_leaving();
     /// Ends those that hold the most until the memory limit is kept: first attempts by the bytes that no
     /// caller has been sent, then requests whose callers do not take their output.
@@ -105,6 +109,7 @@
     std::unordered_map<base::service_id, service_state> services_;
     /// Servers that have announced in a response that they stop are draining here.
     std::unordered_map<base::service_id, std::vector<catalog::backend_server>> servers_by_service_;
+    catalog::evacuation_state evacuations_;
     bool leaving_servers_pending_ = false;  ///< a server has announced that it stops
     std::unordered_map<http::server_session*, scheduling::local_request_id> ids_by_session_;
     bool memory_check_pending_ = false;
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include "backpressure/signal_table.h"
+#include "zone_return.h"
 
 #include <xxhash.h>
 
@@ -133,7 +134,8 @@
     for (const auto* s : candidates) {
         const bool in_group =
             c.long_prompt_server_fraction <= 0 || is_long_prompt(request, c) == in_long_prompt_group(*s, c);
-        if (!in_group || s->health.ejected(now)) {
+        // The cache of an evacuated server is no source either: a KV transfer is work.
+        if (!in_group || s->info.evacuated || s->health.ejected(now)) {
             continue;
         }
         auto weight = rendezvous_weight(part, *s);
@@ -191,8 +193,11 @@
     return std::min(cached, request.generation->prompt_tokens);
 }
 
-bool has_capacity(const server_state& s, const scheduled_request& request, const placement_context& c) {
-    const auto slots = c.engine ? std::min(c.engine->slots, s.info.slots) : s.info.slots;
+bool has_capacity(const server_state& s, const scheduled_request& request, const placement_context& c,
+                  base::time_point now) {
+    const auto all_slots = c.engine ? std::min(c.engine->slots, s.info.slots) : s.info.slots;
+    const auto slots =
+        s.info.returned_at ? zone_return{s.info.returned_at}.usable_slots(all_slots, now) : all_slots;
     if (s.running() + reserved_slots(slots, c.peer_count) >= slots) {
         return false;
     }
@@ -275,7 +280,7 @@
 void assign_zone_positions(const std::vector<server_state*>& servers) {
     std::map<base::zone_id, std::vector<server_state*>> by_zone;
     for (auto* s : servers) {
-        if (!s->info.draining) {
+        if (s->takes_requests()) {
             by_zone[s->info.zone].push_back(s);
         }
     }
@@ -297,8 +302,8 @@
     std::optional<placement> best;
     double best_ms = std::numeric_limits<double>::infinity();
     for (auto* s : candidates) {
-        if (s->info.draining || s->health.ejected(now) || s->has_queue(now) ||
-            !has_capacity(*s, request, c) ||
+        if (!s->takes_requests() || s->health.ejected(now) || s->has_queue(now) ||
+            !has_capacity(*s, request, c, now) ||
             (c.signals != nullptr && !c.signals->may_start(s->signal_key, now))) {
             continue;
         }
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -8,6 +8,7 @@
 #include "signal_wait.h"
 #include "token_gap_monitor.h"
 #include "wait_queue.h"
+#include "zone_return.h"
 
 #include <xxhash.h>
 
@@ -137,6 +138,9 @@
         assign_zone_positions(sorted_servers_);
         peer_loads_.update_servers(sorted_servers_, now);
         start_waiting_requests(now);
+        if (all_evacuated()) {
+            reject_waiting_requests(now);
+        }
     }
 
     void set_peer_load(const base::vm_id& peer, const load_report& r, base::time_point valid_until,
@@ -338,7 +342,7 @@
         const auto slots = engine_ ? engine_->slots : 1;
         const auto streams = local_short_prompt_streams_ + peer_loads_.short_prompt_streams();
         const double stream_slots =
-            slots * stream_slot_utilisation * static_cast<double>(sorted_servers_.size());
+            slots * stream_slot_utilisation * static_cast<double>(non_evacuated_count());
         return std::clamp(stream_slots > 0 ? streams / stream_slots : 0, min_stream_server_fraction,
                           max_stream_server_fraction);
     }
@@ -358,7 +362,11 @@
                 untried.push_back(s);
             }
         }
-        auto p = choose_server(e.request, untried, c, now);
+        const auto preferred = without_returning_servers(untried, now);
+        auto p = choose_server(e.request, preferred, c, now);
+        if (!p && preferred.size() < untried.size()) {
+            p = choose_server(e.request, untried, c, now);
+        }
         // Without another server, one that failed before is better than a rejection.
         if (!p && untried.size() < sorted_servers_.size()) {
             p = choose_server(e.request, sorted_servers_, c, now);
@@ -366,6 +374,47 @@
         return p;
     }
 
+    /// @return the servers without those of returning zones, which this request leaves out by chance.
+    std::vector<server_state*> without_returning_servers(const std::vector<server_state*>& servers,
+                                                         base::time_point now) {
+        constexpr std::uint64_t steps = 1024;
+        std::vector<server_state*> out;
+        std::optional<double> drawn;
+        for (auto* s : servers) {
+            const double share = zone_return{s->info.returned_at}.share(now);
+            if (share < 1 && !drawn) {
+                drawn = (static_cast<double>(random_() % steps) + 0.5) / static_cast<double>(steps);
+            }
+            if (share >= 1 || *drawn < share) {
+                out.push_back(s);
+            }
+        }
+        return out;
+    }
+
+    [[nodiscard]] std::size_t non_evacuated_count() const {
+        return static_cast<std::size_t>(std::count_if(sorted_servers_.begin(), sorted_servers_.end(),
+                                                      [](const auto* s) { return !s->info.evacuated; }));
+    }
+
+    /// @return true if evacuations leave no server that takes requests.
+    [[nodiscard]] bool all_evacuated() const {
+        const auto takes_requests = [](const auto* s) { return s->takes_requests(); };
+        return non_evacuated_count() < sorted_servers_.size() &&
+               std::none_of(sorted_servers_.begin(), sorted_servers_.end(), takes_requests);
+    }
+
+    void reject_waiting_requests(base::time_point now) {
+        std::vector<local_request_id> waiting;
+        queue_.visit([&](local_request_id id) {
+            waiting.push_back(id);
+            return true;
+        });
+        for (const auto id : waiting) {
+            reject(entries_.at(id), result_code::no_backend_server, now);
+        }
+    }
+
     bool try_start(entry& e, base::time_point now) {
         const auto p = choose_placement(e, now);
         if (!p) {
@@ -439,7 +488,7 @@
         const auto latest_start =
             std::max(e.request.arrived + scaled(target, max_wait_target_fraction),
                      e.request.arrived + scaled(time_limit, max_wait_deadline_fraction));
-        if (sorted_servers_.empty()) {
+        if (sorted_servers_.empty() || all_evacuated()) {
             reject(e, result_code::no_backend_server, now);
             return;
         }
@@ -480,7 +529,8 @@
     }
 
     void reject(entry& e, result_code code, base::time_point now) {
-        const auto wait = expected_wait(e.request.priority_rank, now);
+        // An evacuation lasts until the operator withdraws it.
+        const auto wait = all_evacuated() ? max_retry_after : expected_wait(e.request.priority_rank, now);
         const double jitter =
             retry_jitter_fraction * static_cast<double>(random_() % 1024) / 1024.0;  // in 1024 steps
         const auto longest = wait_for_signals(0, now) ? longest_signal_wait : max_retry_after;
--- a/packages/scheduling/src/server_state.h
+++ b/packages/scheduling/src/server_state.h
@@ -53,6 +53,8 @@
     [[nodiscard]] std::int64_t pending_prefill_tokens() const noexcept {
         return local_load.pending_prefill_tokens + peer_load.pending_prefill_tokens;
     }
+    /// @return true if the server may get new requests, as far as its entry and its zone say.
+    [[nodiscard]] bool takes_requests() const noexcept { return !info.draining && !info.evacuated; }
     /// @return true if the server or a peer recently reported that requests queue at the server.
     [[nodiscard]] bool has_queue(base::time_point now) const noexcept {
         return peer_load.queue_reported || now < queue_reported_until;
--- a/packages/scheduling/src/signal_wait.cpp
+++ b/packages/scheduling/src/signal_wait.cpp
@@ -23,7 +23,7 @@
     std::optional<base::duration> first_start;   // on servers with a limit
     double starts_per_s = 0;
     for (const auto* s : servers) {
-        if (s->info.draining || s->health.ejected(now)) {
+        if (!s->takes_requests() || s->health.ejected(now)) {
             continue;
         }
         any_usable = true;
