Read the evacuations of zones in the edge daemon

Cause: the router can leave the servers of evacuated zones without work, but nothing told it which zones an operator has evacuated.

Change: if evacuation_milliseconds is set, an object_cache and an object_mirror read the kind "evacuations" from the store or a mirror. The watches wait up to 3 s at the store and 2 s at mirrors. Beacons name the era and revision of the latest change, and a daemon that is behind fetches the copy of its peer. A daemon passes no servers to the router, and is not ready, before it has read the kind once. The changes are logged, counted in gauges and listed at GET /evacuations, and an entry that names an unknown zone is warned of. The autoscaler is told the evacuated zones.

No test covers the wiring inside edge_daemon: the tests of testing/fleet were not run.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -120,7 +120,11 @@
            .reachable = nullptr,
            .contact = nullptr,
            .removals_final = nullptr,
-           .history_lost = [this] { server_cache_.restart_watch(); },
+           .history_lost =
+               [this] {
+                   server_cache_.restart_watch();
+                   evacuations_.restart_watch();
+               },
            .outlives = platform::is_later_configuration,
            .next_watch = [this](int n) { return next_watch_options(settings_.configuration_deadline, n); }}},
       server_cache_{loop_,
@@ -142,9 +146,16 @@
                          },
                      .contact = [this](platform::store_contact c) { on_store_contact(c); },
                      .removals_final = [this] { on_removals_final("mirror"); },
-                     .history_lost = [this] { configuration_cache_.restart_watch(); },
+                     .history_lost =
+                         [this] {
+                             configuration_cache_.restart_watch();
+                             evacuations_.restart_watch();
+                         },
                      .outlives = nullptr,
                      .next_watch = [this](int n) { return next_watch_options(settings_.drain_time, n); }}},
+      evacuations_{loop_, store_, settings_.evacuation_deadline.has_value(), random(),
+                   make_evacuation_hooks()},
+      evacuation_endpoint_{evacuations_, [this] { return running_by_zone(); }},
       mirror_client_{loop_, settings_.store, store_era_, platform::store_source::mirror},
       configuration_mirror_{loop_, configuration_cache_, max_mirror_confirmation_age},
       server_mirror_{loop_, server_cache_, max_mirror_confirmation_age,
@@ -211,6 +222,7 @@
         [this](std::uint64_t previous, std::uint64_t current) { on_store_era(previous, current); });
     configuration_cache_.start();
     server_cache_.start();
+    evacuations_.start();
     peer_exchange_.start();
     duties_.start();
     router_.prompt_guard().set_hooks(prompt_guard_hooks());
@@ -278,6 +290,7 @@
     hooks.closed = [this](http::server_session& s) {
         configuration_mirror_.session_closed(s);
         server_mirror_.session_closed(s);
+        evacuations_.session_closed(s);
         internal_sessions_.erase(s.shared_from_this());
     };
     internal_sessions_.insert(http::server_session::start(
@@ -285,13 +298,17 @@
 }
 
 bool edge_daemon::ready() const {
-    return catalog_ && servers_known_ && !stopping_;
+    return catalog_ && servers_known_ && evacuations_.ready() && !stopping_;
 }
 
 void edge_daemon::housekeeping() {
     if (directory_.expire(loop_.now())) {
         apply_servers();
     }
+    evacuations_.expire();
+    if (ready()) {
+        evacuations_.check_zones([this] { return known_zones(); });
+    }
     router_.prompt_guard().expire(loop_.now());
     apply_fleet_size();
     apply_fleet_to_signals();
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -7,6 +7,8 @@
 #include "catalog/server_directory.h"
 #include "catalog/snapshot.h"
 #include "duty_agent.h"
+#include "evacuation_agent.h"
+#include "evacuation_endpoint.h"
 #include "http/server_session.h"
 #include "memory/account.h"
 #include "metering/meter.h"
@@ -26,10 +28,13 @@
 #include "signal_endpoint.h"
 #include "stop_schedule.h"
 
+#include <cstddef>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_set>
 
@@ -81,6 +86,12 @@
     [[nodiscard]] bool may_try_quarantined_parts() const;
     void on_configuration_changed();
     void on_servers_changed();
+    void on_evacuations_changed(catalog::evacuation_state state);
+    [[nodiscard]] evacuation_hooks make_evacuation_hooks();
+    /// @return all zones with daemons, servers or prices.
+    [[nodiscard]] std::set<base::zone_id> known_zones() const;
+    /// @return number of requests of this daemon that run on the servers of each zone.
+    [[nodiscard]] std::map<base::zone_id, std::size_t> running_by_zone() const;
     /// Tells the owners of what is kept in the store that it has returned from a copy.
     /// @param previous 0 if no era was known.
     void on_store_era(std::uint64_t previous, std::uint64_t current);
@@ -88,7 +99,7 @@
     /// Removes servers whose entries are missing in the current list.
     /// @param source peer that knows that these servers have left, for the log.
     void on_removals_final(const char* source);
-    /// Passes the server list to the router.
+    /// Passes the server list to the router, once it is known which zones are evacuated.
     void apply_servers();
     /// Activates a configuration that is newer than the active one.
     /// @param s configuration; may be null.
@@ -99,9 +110,23 @@
     /// @param with_counts true to add the usage counts.
     void compose_beacon(sharing::beacon& b, bool with_counts);
     void on_beacon(const sharing::beacon& b);
+    /// Longest waits of watches in a zone with mirrors.
+    struct watch_waits {
+        base::duration store;   ///< of a mirror's watch of the store
+        base::duration mirror;  ///< of a watch of a mirror
+    };
+    /// A mirror that hangs is detected after the wait of its watchers, and the changes that it missed must
+    /// still be applied in time. Its own watches are longer, because calls to the store are charged; daemons
+    /// whose mirror has silently lost the store learn of changes from the beacons of others.
+    static constexpr watch_waits default_waits{std::chrono::milliseconds{1500},
+                                               std::chrono::milliseconds{800}};
+    /// Evacuations are rare and may take 5 s to be in force. A watch of 3 s that goes silent is replaced
+    /// after 3.6 s, which leaves time to read the change.
+    static constexpr watch_waits evacuation_waits{std::chrono::seconds{3}, std::chrono::seconds{2}};
     /// @param deadline time within which a change must be known.
     /// @return source of the next watch, which is the store or a mirror, and its longest wait.
-    [[nodiscard]] platform::watch_options next_watch_options(base::duration deadline, int mirror_failures);
+    [[nodiscard]] platform::watch_options next_watch_options(base::duration deadline, int mirror_failures,
+                                                             watch_waits waits = default_waits);
     /// @return true if recent calls to the store failed.
     [[nodiscard]] bool store_unreachable() const;
     /// In a large fleet few daemons compete for the lease, because each attempt takes calls to the store.
@@ -123,13 +148,16 @@
     /// Logs a change of the memory level, up to a number of lines in a second.
     void log_memory_level(memory::pressure from, memory::pressure to);
     void set_signal_gauges(base::time_point now);
-    /// Adds the limits of the servers and the demand of the fleet to the load of a service.
+    void set_evacuation_gauges(base::time_point now);
+    /// Adds the limits of the servers, the demand of the fleet and the evacuated zones to the load of a
+    /// service.
     void add_signals(const base::service_id& service, duties::service_demand& d) const;
     void check_settings_file();
     void reload();
     void begin_stop();
     void finish_stop_if_due();
-    /// @return true if the configuration and the server list are known and the daemon is not stopping.
+    /// @return true if the configuration, the server list and the evacuations are known and the daemon is not
+    /// stopping.
     [[nodiscard]] bool ready() const;
     [[nodiscard]] http::session_limits caller_session_limits();
     [[nodiscard]] base::random_function random();
@@ -158,6 +186,8 @@
     platform::store_client store_;
     platform::object_cache configuration_cache_;
     platform::object_cache server_cache_;
+    evacuation_agent evacuations_;
+    evacuation_endpoint evacuation_endpoint_;
     platform::store_client mirror_client_;
     platform::object_mirror configuration_mirror_;
     platform::object_mirror server_mirror_;
@@ -178,6 +208,7 @@
     bool servers_known_ = false;
     bool configuration_fetch_pending_ = false;
     bool servers_fetch_pending_ = false;
+    bool evacuations_fetch_pending_ = false;
     /// Number of live daemons that `apply_fleet_size` was last called for; 0 makes its next call take effect.
     std::size_t applied_fleet_size_ = 0;
     base::time_point started_at_ = base::boot_clock::now();
--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -36,13 +36,6 @@
 constexpr base::duration server_batch_delay_per_daemon = 6ms;
 constexpr base::duration max_server_batch_delay = 500ms;
 
-/// Longest wait of a watch of a mirror. A mirror that hangs is detected after this time, and the changes that
-/// it missed must still be applied in time.
-constexpr base::duration max_mirrored_watch_wait = 800ms;
-/// Longest wait of a mirror's watch of the store. Longer, because these calls are charged; daemons whose
-/// mirror has silently lost the store learn of changes from the beacons of others.
-constexpr base::duration max_mirror_store_wait = 1500ms;
-
 }  // namespace
 
 // One daemon of the fleet: the holder of the lease, or the first by name where there are no duties.
@@ -63,6 +56,7 @@
     b.store_era = server_cache_.position().era;
     b.servers_revision = server_cache_.last_changed().revision;
     b.servers_final_revision = directory_.removals_final(loop_.now()) ? server_cache_.position().revision : 0;
+    b.evacuations = evacuations_.announced();
     b.stopping = stopping_;
     b.store_unreachable = store_unreachable();
     b.lease_term = duties_.held_term();
@@ -125,9 +119,13 @@
     if (base::store_position{b.store_era, b.servers_revision} > position) {
         fetch_from_peer(server_cache_, servers_fetch_pending_, b);
     }
+    if (evacuations_.enabled() && b.evacuations > evacuations_.cache().position()) {
+        fetch_from_peer(evacuations_.cache(), evacuations_fetch_pending_, b);
+    }
 }
 
-platform::watch_options edge_daemon::next_watch_options(base::duration deadline, int mirror_failures) {
+platform::watch_options edge_daemon::next_watch_options(base::duration deadline, int mirror_failures,
+                                                        watch_waits waits) {
     const auto max_wait = platform::watch_wait_for(deadline);
     if (!peer_exchange_.zone_has_mirrors()) {
         return {.max_wait = max_wait};
@@ -135,12 +133,12 @@
     const auto zone_size = peer_exchange_.peers().live_peer_count_in_zone(settings_.zone, loop_.now()) + 1;
     platform::watch_options options{
         .mirror = nullptr,
-        .max_wait = std::min(max_mirror_store_wait, max_wait),
+        .max_wait = std::min(waits.store, max_wait),
         .min_retry_delay = store_retry_delay_per_daemon * static_cast<int>(zone_size)};
     if (const auto address = peer_exchange_.mirror(mirror_failures)) {
         mirror_client_.set_address(*address);
         options.mirror = &mirror_client_;
-        options.max_wait = std::min(max_mirrored_watch_wait, max_wait);
+        options.max_wait = std::min(waits.mirror, max_wait);
     }
     return options;
 }
@@ -215,6 +213,9 @@
 
 void edge_daemon::add_signals(const base::service_id& service, duties::service_demand& d) const {
     const auto now = loop_.now();
+    for (const auto& e : evacuations_.evacuations()) {
+        d.evacuated_zones.insert(e.zone);
+    }
     const auto& signals = router_.server_signals();
     for (const auto& s : signals.status(now)) {
         if (s.limit && s.service == service) {
--- a/apps/daemon/src/edge_daemon_operators.cpp
+++ b/apps/daemon/src/edge_daemon_operators.cpp
@@ -42,10 +42,11 @@
 }
 
 void edge_daemon::respond_to_operator(http::server_session& s, const http::request& r) {
-    if (configuration_mirror_.handle(s, r) || server_mirror_.handle(s, r)) {
+    if (configuration_mirror_.handle(s, r) || server_mirror_.handle(s, r) || evacuations_.handle(s, r)) {
         return;
     }
-    if (quarantine_endpoint_.handle(s, r, loop_.now()) || signal_endpoint_.handle(s, r, loop_.now())) {
+    if (quarantine_endpoint_.handle(s, r, loop_.now()) || signal_endpoint_.handle(s, r, loop_.now()) ||
+        evacuation_endpoint_.handle(s, r, loop_.now())) {
         return;
     }
     if (r.head.target != "/metrics") {
@@ -85,6 +86,7 @@
     metrics_->set_gauge("prompt_parts_in_doubt",
                         static_cast<double>(parts.size()) - static_cast<double>(quarantined));
     set_signal_gauges(now);
+    set_evacuation_gauges(now);
     set_memory_gauges();
 }
 
@@ -122,6 +124,21 @@
     }
 }
 
+void edge_daemon::set_evacuation_gauges(base::time_point now) {
+    if (!evacuations_.enabled()) {
+        return;
+    }
+    const auto in_force = evacuations_.evacuations();
+    std::optional<base::duration> oldest;
+    for (const auto& e : in_force) {
+        oldest = std::max(oldest.value_or(base::duration{}), now - e.since);
+    }
+    metrics_->set_gauge("zones_evacuated", static_cast<double>(in_force.size()));
+    metrics_->set_gauge("zones_evacuated_unknown", static_cast<double>(evacuations_.unknown_zone_count()));
+    metrics_->set_gauge("evacuation_age_seconds", to_seconds(oldest));
+    metrics_->set_gauge("evacuations_list_age_seconds", to_seconds(confirmation_age(evacuations_.cache())));
+}
+
 void edge_daemon::set_signal_gauges(base::time_point now) {
     const auto& signals = router_.server_signals();
     std::size_t limited = 0;
--- a/apps/daemon/src/edge_daemon_store.cpp
+++ b/apps/daemon/src/edge_daemon_store.cpp
@@ -3,6 +3,7 @@
 #include "edge_daemon.h"
 #include "platform/object_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chicorygap::daemon_app {
@@ -50,6 +51,7 @@
         configuration_cache_.store_restored();
         directory_.store_restored(loop_.now());
         server_cache_.store_restored();
+        evacuations_.store_restored();
         peer_exchange_.store_restored();
     }
 }
@@ -84,7 +86,67 @@
     apply_servers();
 }
 
+evacuation_hooks edge_daemon::make_evacuation_hooks() {
+    return {.changed = [this](catalog::evacuation_state s) { on_evacuations_changed(std::move(s)); },
+            .history_lost =
+                [this] {
+                    configuration_cache_.restart_watch();
+                    server_cache_.restart_watch();
+                },
+            .next_watch =
+                [this](int failures) {
+                    auto o = next_watch_options(*settings_.evacuation_deadline, failures, evacuation_waits);
+                    o.max_wait = std::min(o.max_wait, evacuation_waits.store);
+                    return o;
+                }};
+}
+
+void edge_daemon::on_evacuations_changed(catalog::evacuation_state state) {
+    router_.set_evacuations(std::move(state));
+    if (servers_known_ && router_.servers().empty()) {
+        apply_servers();  // it waited for the first list of the evacuations
+    }
+    peer_exchange_.send_soon(true);
+}
+
+std::set<base::zone_id> edge_daemon::known_zones() const {
+    std::set<base::zone_id> out{settings_.zone};
+    for (const auto& s : router_.servers()) {
+        out.insert(s.zone);
+    }
+    for (const auto* p : peer_exchange_.peers().live_peers(loop_.now())) {
+        out.insert(p->zone);
+    }
+    for (const auto& [id, service] : catalog_->services()) {
+        for (const auto& [zone, price] :
+             service.scaling ? service.scaling->zone_prices : std::map<base::zone_id, double>{}) {
+            out.insert(zone);
+        }
+    }
+    return out;
+}
+
+std::map<base::zone_id, std::size_t> edge_daemon::running_by_zone() const {
+    std::map<base::backend_server_id, base::zone_id> zones;
+    for (const auto& s : router_.servers()) {
+        zones.emplace(s.id, s.zone);
+    }
+    std::map<base::zone_id, std::size_t> out;
+    for (const auto& [id, load] : router_.local_loads()) {
+        for (const auto& s : load.servers) {
+            if (const auto it = zones.find(s.server); it != zones.end()) {
+                out[it->second] += s.running;
+            }
+        }
+    }
+    return out;
+}
+
 void edge_daemon::apply_servers() {
+    // A zone of which it is not known whether it is evacuated gets no requests.
+    if (!evacuations_.ready()) {
+        return;
+    }
     const auto servers = directory_.servers();
     router_.set_servers(servers);
     base::log_line{base::log_level::info, "daemon", "Server list updated."}
--- a/packages/settings/include/settings/edge_settings.h
+++ b/packages/settings/include/settings/edge_settings.h
@@ -58,6 +58,8 @@
     base::duration drain_time{};
     /// Time within which a new configuration must be in force.
     base::duration configuration_deadline{};
+    /// Time within which an evacuated zone must get no more requests; absent if evacuations are not read.
+    std::optional<base::duration> evacuation_deadline;
     retry_budget retries;
     duty_settings duties;
     bool requests_capacity = false;  ///< performs autoscaling while it holds the lease of the duties
--- a/packages/settings/src/edge_settings.cpp
+++ b/packages/settings/src/edge_settings.cpp
@@ -104,6 +104,9 @@
     s.configuration_deadline = has_no_value(r, "configuration_milliseconds")
                                    ? default_configuration_deadline
                                    : read_milliseconds(r, "configuration_milliseconds");
+    if (!has_no_value(r, "evacuation_milliseconds")) {
+        s.evacuation_deadline = read_milliseconds(r, "evacuation_milliseconds");
+    }
 }
 
 void read_retries(section_reader& r, edge_settings& s) {
--- a/packages/settings/tests/edge_settings_test.cpp
+++ b/packages/settings/tests/edge_settings_test.cpp
@@ -66,6 +66,20 @@
     }
 }
 
+// A platform without evacuations does not know the kind, and a daemon that reads it would never be ready.
+TEST(edge_settings, evacuations_are_read_only_if_their_bound_is_set) {
+    EXPECT_FALSE(parse_edge(sample, "e.ini").settings->evacuation_deadline);
+    const std::string line = "drain_milliseconds = 2000\n";
+    const auto with = [&](const std::string& value) {
+        const auto r =
+            parse_edge(replace_in_sample(line, line + "evacuation_milliseconds =" + value + "\n"), "e.ini");
+        EXPECT_TRUE(r.settings) << document::to_string(r.faults);
+        return r.settings ? r.settings->evacuation_deadline : std::nullopt;
+    };
+    EXPECT_EQ(with(""), std::nullopt);
+    EXPECT_EQ(with(" 5000"), std::optional<base::duration>{5s});
+}
+
 TEST(edge_settings, reads_all_sections) {
     const auto r = parse_edge(sample, "e.ini");
     ASSERT_TRUE(r.settings) << document::to_string(r.faults);
--- a/packages/sharing/include/sharing/beacon.h
+++ b/packages/sharing/include/sharing/beacon.h
@@ -4,6 +4,7 @@
 
 #include "backpressure/signal_report.h"
 #include "base/id.h"
+#include "base/store_position.h"
 #include "base/time.h"
 #include "crash_guard/crash_report.h"
 #include "metering/window_counts.h"
@@ -42,6 +43,9 @@
     /// Not 0 if servers that are missing in the sender's list are known to have left. The list is then the
     /// content of the store from `servers_revision` up to this revision.
     std::uint64_t servers_final_revision = 0;
+    /// Position of the latest change to the evacuations of zones that the sender has seen; 0 if it does not
+    /// read them.
+    base::store_position evacuations;
     /// The sender is shutting down.
     bool stopping = false;
     /// Fencing token of the lease that the sender holds; 0 if it holds no lease.
--- a/packages/sharing/schema/beacon.capnp
+++ b/packages/sharing/schema/beacon.capnp
@@ -60,6 +60,10 @@
   # so; 0 if unknown.
   largestFleet @31 :UInt32;
   largestFleetAgeMs @32 :UInt32;
+  # Store era and revision of the latest change to the evacuations of zones that the sender has seen; 0 if it does not
+  # read them.
+  evacuationsEra @33 :UInt64;
+  evacuationsRevision @34 :UInt64;
 }
 
 # What is known of the rate limit of a server; of two statements the newer one counts.
--- a/packages/sharing/src/beacon.cpp
+++ b/packages/sharing/src/beacon.cpp
@@ -226,6 +226,7 @@
     b.largest_fleet_age = from_ms(in.getLargestFleetAgeMs());
     b.servers_revision = in.getServersRevision();
     b.servers_final_revision = in.getServersFinalRevision();
+    b.evacuations = {in.getEvacuationsEra(), in.getEvacuationsRevision()};
     b.stopping = in.getStopping();
     b.lease_term = in.getLeaseTerm();
     b.processor_share = in.getProcessorShare();
@@ -278,6 +279,8 @@
     out.setLargestFleetAgeMs(static_cast<std::uint32_t>(to_ms(b.largest_fleet_age)));
     out.setServersRevision(b.servers_revision);
     out.setServersFinalRevision(b.servers_final_revision);
+    out.setEvacuationsEra(b.evacuations.era);
+    out.setEvacuationsRevision(b.evacuations.revision);
     out.setStopping(b.stopping);
     out.setLeaseTerm(b.lease_term);
     out.setProcessorShare(b.processor_share);
--- a/packages/sharing/tests/sharing_test.cpp
+++ b/packages/sharing/tests/sharing_test.cpp
@@ -31,6 +31,7 @@
     b.store_era = 2;
     b.servers_revision = 77;
     b.servers_final_revision = 79;
+    b.evacuations = {2, 81};
     b.stopping = true;
     b.lease_term = 3;
     auto& load = b.services[base::service_id{"s"}];
