--- a/testing/fleet/tests/fleet.h
+++ b/testing/fleet/tests/fleet.h
@@ -20,6 +20,7 @@
 #include <filesystem>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unistd.h>
@@ -63,8 +64,9 @@
         store.put("config", "main", configuration.to_json());
     }
 
-    standin::server& add_server(const std::string& id, const std::string& service) {
-        standin::server_options o{.id = id, .service = service, .zone = "a"};
+    standin::server& add_server(const std::string& id, const std::string& service,
+                                const std::string& zone = "a") {
+        standin::server_options o{.id = id, .service = service, .zone = zone};
         o.processing_time = processing_time;
         o.event_count = service == standin::assistant_service ? 4 : 0;
         servers.push_back(std::make_unique<standin::server>(loop, o, store, runs));
@@ -87,7 +89,8 @@
                                         .store = d.to_store->address(),
                                         .cloud_api = duties.address(),
                                         .seeds = {{host(0), standin::daemon_process::operators_port}},
-                                        .stop_timeout = stop_timeout});
+                                        .stop_timeout = stop_timeout,
+                                        .evacuation_deadline = evacuation_deadline});
             d.process->start();
             d.caller = std::make_shared<standin::caller>(loop, d.process->caller_address());
             daemons.push_back(std::move(d));
@@ -160,6 +163,8 @@
 
     /// Time from SIGTERM until a daemon must have ended.
     base::duration stop_timeout = std::chrono::seconds{6};
+    /// Time within which evacuated zones must get no more requests; absent if evacuations are not read.
+    std::optional<base::duration> evacuation_deadline;
     /// Time until the response of the servers that are added.
     base::duration processing_time = std::chrono::milliseconds{10};
     net::loop loop;
