--- a/apps/tool/src/command_line.cpp
+++ b/apps/tool/src/command_line.cpp
@@ -110,6 +110,7 @@
            "  apply FILE           store FILE unless the stored document changed since its base version\n"
            "  status               show the status of a daemon\n"
            "  burn                 show the burn rates that a daemon reports\n"
+           "  evacuations          show the evacuations of zones that a daemon knows\n"
            "  hash-key             read an API key from standard input and print its digest\n"
            "Options:\n"
            "  --platform IP:PORT   address of the platform (default 127.0.0.1:9100)\n"
--- a/apps/tool/src/commands.h
+++ b/apps/tool/src/commands.h
@@ -40,6 +40,9 @@
 /// Prints the burn rates that a daemon reports.
 exit_code burn(const command_line& c, const streams& s);
 
+/// Prints the evacuations of zones that a daemon of the users' platform knows.
+exit_code evacuations(const command_line& c, const streams& s);
+
 /// Reads an API key from the first line of standard input and prints its digest.
 exit_code hash_key(const command_line& c, const streams& s);
 
--- a/apps/tool/src/daemon_commands.cpp
+++ b/apps/tool/src/daemon_commands.cpp
@@ -50,28 +50,36 @@
     s.out << '\n';
 }
 
-}  // namespace
-
-exit_code status(const command_line& c, const streams& s) {
+exit_code print_daemon_table(const command_line& c, const streams& s, const std::string& path) {
     expect_operands(c, 0, "no operands");
-    const auto v = get_daemon_json(c, "/status");
+    const auto v = get_daemon_json(c, path);
     if (c.json) {
         print_json(v, s);
     } else {
-        print_lines(v, s.out);
+        print_table(v, s.out);
     }
     return exit_code::success;
 }
 
-exit_code burn(const command_line& c, const streams& s) {
+}  // namespace
+
+exit_code status(const command_line& c, const streams& s) {
     expect_operands(c, 0, "no operands");
-    const auto v = get_daemon_json(c, "/burn");
+    const auto v = get_daemon_json(c, "/status");
     if (c.json) {
         print_json(v, s);
     } else {
-        print_table(v, s.out);
+        print_lines(v, s.out);
     }
     return exit_code::success;
 }
 
+exit_code burn(const command_line& c, const streams& s) {
+    return print_daemon_table(c, s, "/burn");
+}
+
+exit_code evacuations(const command_line& c, const streams& s) {
+    return print_daemon_table(c, s, "/evacuations");
+}
+
 }  // namespace chicorygap::tool
--- a/apps/tool/tests/tool_test.cpp
+++ b/apps/tool/tests/tool_test.cpp
@@ -4,13 +4,17 @@
 #include "table.h"
 
 #include <Poco/JSON/Parser.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/TemporaryFile.h>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <chrono>
 #include <fstream>
 #include <iterator>
 #include <sstream>
+#include <string>
+#include <thread>
 
 namespace chicorygap::tool {
 namespace {
@@ -193,5 +197,26 @@
               "w             1  true\n");
 }
 
+// Guards against a command that asks the daemon for another path or drops the rows of its answer.
+TEST_F(tool_test, evacuations_of_a_daemon_are_printed_as_a_table) {
+    Poco::Net::ServerSocket listener{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+    std::string request;
+    std::thread daemon{[&] {
+        auto socket = listener.acceptConnection();
+        std::array<char, 1024> buf{};
+        request.assign(buf.data(), static_cast<std::size_t>(socket.receiveBytes(buf.data(), buf.size())));
+        const std::string body = R"([{"zone":"zone-a","age_ms":4200,"source":"mirror","running":3}])";
+        const auto answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+    }};
+    const auto port = std::to_string(listener.address().port());
+    EXPECT_EQ(run({"evacuations", "--daemon", "127.0.0.1:" + port}), exit_code::success) << err_.str();
+    daemon.join();
+    EXPECT_TRUE(request.starts_with("GET /evacuations ")) << request;
+    EXPECT_NE(out_.str().find("zone-a"), std::string::npos) << out_.str();
+    EXPECT_NE(out_.str().find("4200"), std::string::npos) << out_.str();
+}
+
 }  // namespace
 }  // namespace chicorygap::tool
