Read the warm-up of services and what servers say of it

Servers of some services take few requests after their start. Nothing read cold_start_s and cold_per_s of a service, the header X-Cold-Ms, or the bound on the requests to such servers.

Both fields become catalog::service::warmup, the header server_signals::cold, and the optional settings cold_overage and cold_slack of the section [servers] edge_settings::cold_servers. A server keeps the revision of its entry, so that an entry that is written again with the same time is told from the old one.

--- a/packages/backpressure/include/backpressure/server_signals.h
+++ b/packages/backpressure/include/backpressure/server_signals.h
@@ -16,6 +16,8 @@
     std::optional<base::duration> retry_after;
     /// The server is about to stop.
     bool leaving = false;
+    /// Time for which the server stays cold; 0 if it says that it is not.
+    std::optional<base::duration> cold;
 
     bool operator==(const server_signals&) const = default;
 };
--- a/packages/catalog/include/catalog/backend_server.h
+++ b/packages/catalog/include/catalog/backend_server.h
@@ -28,6 +28,8 @@
     bool reclaimable = false;
     /// Remaining time for which the server is slow after its start.
     base::duration remaining_warmup{};
+    /// Revision of the entry in the store. A new one with the same content confirms what the entry says.
+    std::uint64_t entry_revision = 0;
 
     /// @return a text that is unique to this instance and its address.
     [[nodiscard]] std::string instance_key() const {
--- a/packages/catalog/include/catalog/service.h
+++ b/packages/catalog/include/catalog/service.h
@@ -49,6 +49,16 @@
     bool operator==(const scaling_parameters&) const = default;
 };
 
+/// What the servers of a service take while they are cold.
+struct warmup {
+    /// Longest time for which a server is cold after its start.
+    base::duration duration{};
+    /// Requests per second that a cold server takes.
+    double requests_per_s = 0;
+
+    bool operator==(const warmup&) const = default;
+};
+
 /// Group of backend servers that requests are routed to.
 struct service {
     base::service_id id;
@@ -60,6 +70,8 @@
     std::optional<engine_parameters> engine;
     /// Present if the service is scaled automatically.
     std::optional<scaling_parameters> scaling;
+    /// Present if the servers take fewer requests for a while after their start.
+    std::optional<catalog::warmup> warmup;
 
     bool operator==(const service&) const = default;
 };
--- a/packages/settings/include/settings/edge_settings.h
+++ b/packages/settings/include/settings/edge_settings.h
@@ -36,6 +36,14 @@
     bool operator==(const retry_budget&) const = default;
 };
 
+/// Requests that a cold server may get above what its service says that it takes.
+struct cold_server_bounds {
+    double overage = 0;  ///< factor on the requests per second
+    double slack = 0;    ///< requests in addition to these
+
+    bool operator==(const cold_server_bounds&) const = default;
+};
+
 /// Settings of an edge daemon.
 struct edge_settings {
     base::vm_id vm;
@@ -59,6 +67,8 @@
     /// Time within which a new configuration must be in force.
     base::duration configuration_deadline{};
     retry_budget retries;
+    /// Bound of the requests to a cold server; absent if there is none.
+    std::optional<cold_server_bounds> cold_servers;
     duty_settings duties;
     bool requests_capacity = false;  ///< performs autoscaling while it holds the lease of the duties
     bool reports_usage = false;      ///< reports usage while it holds the lease of the duties
--- a/packages/settings/src/edge_settings.cpp
+++ b/packages/settings/src/edge_settings.cpp
@@ -112,6 +112,17 @@
     s.retries.window = read_seconds(r, "window_seconds");
 }
 
+void read_servers(section_reader& r, edge_settings& s) {
+    const auto read = [&r](const char* key) {
+        return has_no_value(r, key) ? std::nullopt : std::optional{r.real(key, {0, 1'000'000})};
+    };
+    const auto overage = read("cold_overage");
+    const auto slack = read("cold_slack");
+    if (overage && slack) {
+        s.cold_servers = cold_server_bounds{*overage, *slack};
+    }
+}
+
 void read_duties(section_reader& r, edge_settings& s) {
     s.duties.lease_duration = read_milliseconds(r, "lease_milliseconds");
     s.duties.usage_window = read_seconds(r, "usage_window_seconds");
@@ -130,13 +141,14 @@
 
 edge_parse_result parse_edge(const std::string& text, const std::string& file) {
     using reader = std::function<void(section_reader&, edge_settings&)>;
-    const std::array<std::pair<const char*, reader>, 8> sections{{{"daemon", read_daemon},
+    const std::array<std::pair<const char*, reader>, 9> sections{{{"daemon", read_daemon},
                                                                   {"listen", read_listen},
                                                                   {"fleet", read_fleet},
                                                                   {"platform", read_platform},
                                                                   {"limits", read_limits},
                                                                   {"times", read_times},
                                                                   {"retries", read_retries},
+                                                                  {"servers", read_servers},
                                                                   {"duties", read_duties}}};
     const auto ini = document::read_ini(text, file);
     auto faults = ini.faults;
--- a/packages/settings/tests/edge_settings_test.cpp
+++ b/packages/settings/tests/edge_settings_test.cpp
@@ -66,6 +66,17 @@
     }
 }
 
+// Guards against a limit in deployments that name none, or whose template is filled in partly.
+TEST(edge_settings, bound_of_cold_servers_needs_both_keys) {
+    const auto bound_of = [](const std::string& keys) {
+        return parse_edge(sample + "[servers]\n" + keys, "e.ini").settings.value().cold_servers;
+    };
+    EXPECT_EQ(bound_of("cold_overage = 1.5\ncold_slack = 5\n"), (cold_server_bounds{1.5, 5}));
+    EXPECT_EQ(bound_of("cold_overage =\ncold_slack = 5\n"), std::nullopt);
+    EXPECT_EQ(bound_of("cold_overage = 1.5\n"), std::nullopt);
+    EXPECT_EQ(parse_edge(sample, "e.ini").settings.value().cold_servers, std::nullopt);
+}
+
 TEST(edge_settings, reads_all_sections) {
     const auto r = parse_edge(sample, "e.ini");
     ASSERT_TRUE(r.settings) << document::to_string(r.faults);
