Limit the starts on cold servers for every second

All daemons see a server that has just started as idle, so that a burst goes there first, and the server ends.

backpressure::warmup_table decides which servers are cold: by their entry, their responses, as instances that were not listed before, after a broken connection, and after their zone takes requests again (signal_table::zone_returned). Only a few daemons, selected by rendezvous hashing, send to a cold server, each with a least time between two starts (divide_warmup), so that two sets of daemons that know nothing of each other keep the bound together without messages. forecast tells waiting requests when a cold server takes the next one or is warm. Placement prefers warm servers; the autoscaler counts a cold server as what it takes. Gauges, a log line and rows in GET /server-signals show it.

Tests of apps/daemon and testing/ were not run.

--- a/apps/daemon/src/decision_log.cpp
+++ b/apps/daemon/src/decision_log.cpp
@@ -100,4 +100,14 @@
     line.field("wait_ms", to_ms(s.wait)).field("leaving", s.leaving ? "yes" : "no");
 }
 
+void log_cold_server(const backpressure::server_status& s) {
+    base::log_line{base::log_level::info, "proxy", "Server is cold."}
+        .field("server", s.server.str())
+        .field("service", s.service.str())
+        .field("source", std::string{s.cold_source})
+        .field("remaining_ms", to_ms(s.cold))
+        .field("share", std::to_string(s.cold_share))
+        .field("daemons", static_cast<long long>(s.cold_daemons));
+}
+
 }  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/decision_log.h
+++ b/apps/daemon/src/decision_log.h
@@ -35,5 +35,7 @@
 /// Logs a change of what a server says of itself.
 /// @param source "server" or "peer".
 void log_server_signals(const backpressure::server_status& s, std::string_view source);
+/// Logs that a server was found to be cold.
+void log_cold_server(const backpressure::server_status& s);
 
 }  // namespace chicorygap::daemon_app
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -70,6 +70,10 @@
     return {.self = s.vm,
             .zone = s.zone,
             .retries = {.ratio = s.retries.ratio, .extra_retries = 0, .window = s.retries.window},
+            .cold_servers = s.cold_servers
+                                ? std::optional<backpressure::warmup_bounds>{{s.cold_servers->overage,
+                                                                              s.cold_servers->slack}}
+                                : std::nullopt,
             .max_open_requests = s.memory_limit_bytes / request_memory_divisor / memory_bytes_per_request,
             .account = &account};
 }
@@ -103,6 +107,7 @@
                    },
                .signals_changed = log_server_signals,
                .signal_news = [this](bool own) { peer_exchange_.send_soon(own); },
+               .server_cold = log_cold_server,
                .check_event = platform::check_event}},
       quarantine_endpoint_{router_.prompt_guard()},
       signal_endpoint_{router_.server_signals()},
--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -220,6 +220,11 @@
         if (s.limit && s.service == service) {
             d.server_limits.emplace(s.server, *s.limit);
         }
+        // A cold server counts as the part of a server that it takes.
+        if (s.cold > base::duration{} && s.service == service) {
+            auto& limit = d.server_limits.try_emplace(s.server, s.cold_limit).first->second;
+            limit = std::min(limit, s.cold_limit);
+        }
     }
     // In a large fleet only the daemons of this zone tell their demand.
     const double covered = static_cast<double>(signals.demands().known_demand_daemons(now)) /
--- a/apps/daemon/src/edge_daemon_operators.cpp
+++ b/apps/daemon/src/edge_daemon_operators.cpp
@@ -127,6 +127,7 @@
     std::size_t limited = 0;
     std::size_t paused = 0;
     std::size_t leaving = 0;
+    std::size_t cold = 0;
     double limits = 0;
     double share = 0;
     for (const auto& s : signals.status(now)) {
@@ -135,12 +136,16 @@
         share += s.share;
         paused += s.wait > base::duration{} ? 1 : 0;
         leaving += s.leaving ? 1 : 0;
+        cold += s.cold > base::duration{} ? 1 : 0;
     }
     metrics_->set_gauge("servers_limited", static_cast<double>(limited));
     metrics_->set_gauge("server_limits_per_second", limits);
     metrics_->set_gauge("server_limit_share_per_second", share);
     metrics_->set_gauge("servers_paused", static_cast<double>(paused));
     metrics_->set_gauge("servers_leaving", static_cast<double>(leaving));
+    metrics_->set_gauge("servers_cold", static_cast<double>(cold));
+    metrics_->set_gauge("starts_deferred_by_warmup",
+                        static_cast<double>(signals.starts_deferred_by_warmup()));
     metrics_->set_gauge("starts_deferred_by_signals", static_cast<double>(signals.deferred_starts()));
 }
 
--- a/apps/daemon/src/signal_endpoint.cpp
+++ b/apps/daemon/src/signal_endpoint.cpp
@@ -22,6 +22,11 @@
                R"(,"daemons":)" + std::to_string(s.daemons) + R"(,"limit_age_ms":)" +
                std::to_string(to_ms(s.limit_age));
     }
+    if (s.cold > base::duration{}) {
+        out += R"(,"cold_ms":)" + std::to_string(to_ms(s.cold)) + R"(,"cold_source":")" +
+               std::string{s.cold_source} + R"(","cold_share_per_s":)" + std::to_string(s.cold_share) +
+               R"(,"cold_daemons":)" + std::to_string(s.cold_daemons);
+    }
     return out + R"(,"wait_ms":)" + std::to_string(to_ms(s.wait)) + R"(,"leaving":)" +
            (s.leaving ? "true" : "false") + '}';
 }
--- a/packages/backpressure/include/backpressure/demand_table.h
+++ b/packages/backpressure/include/backpressure/demand_table.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace chicorygap::backpressure {
@@ -42,6 +43,15 @@
     bool operator==(const limit_share&) const = default;
 };
 
+/// Place of this daemon among those that may send to a server.
+struct sender_place {
+    /// Number of daemons that come before this one. Daemons that were not heard of yet count as such. Absent
+    /// if only daemons of another zone send to the server.
+    std::optional<std::size_t> rank;
+    /// Daemons among which the senders are selected, heard of or not.
+    std::size_t daemons = 1;
+};
+
 /// Demand of the daemons of the fleet, by which the limits of servers are divided.
 ///
 /// Concept: a limit of a few requests per second is useless when each of many daemons has an equal part, so
@@ -86,6 +96,11 @@
                                     const base::zone_id& server_zone, double rate,
                                     base::time_point now) const;
 
+    /// Ranks the daemons for a server by rendezvous hashing alone, whatever their demand.
+    [[nodiscard]] sender_place place(server_key server, const base::zone_id& server_zone,
+                                     base::time_point now) const;
+    [[nodiscard]] base::time_point started_at() const noexcept { return started_at_; }
+
 private:
     struct peer {
         base::zone_id zone;
--- a/packages/backpressure/include/backpressure/server_status.h
+++ b/packages/backpressure/include/backpressure/server_status.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string_view>
 
 namespace chicorygap::backpressure {
 
@@ -27,6 +28,16 @@
     /// Remaining time for which the server wants no requests from this daemon.
     base::duration wait{};
     bool leaving = false;
+    /// Remaining time for which the server counts as cold; 0 if it does not.
+    base::duration cold{};
+    /// Requests per second that the fleet sends to the cold server at most.
+    double cold_limit = 0;
+    /// Starts per second that this daemon may make on the cold server.
+    double cold_share = 0;
+    /// Daemons that send to the cold server.
+    std::size_t cold_daemons = 0;
+    /// What says that the server is cold.
+    std::string_view cold_source;
 };
 
 }  // namespace chicorygap::backpressure
--- a/packages/backpressure/include/backpressure/signal_table.h
+++ b/packages/backpressure/include/backpressure/signal_table.h
@@ -4,10 +4,12 @@
 
 #include "backpressure/demand_table.h"
 #include "backpressure/rate_limit.h"
+#include "backpressure/server_key.h"
 #include "backpressure/server_signals.h"
 #include "backpressure/server_status.h"
 #include "backpressure/signal_report.h"
 #include "backpressure/token_bucket.h"
+#include "backpressure/warmup_table.h"
 #include "base/id.h"
 #include "base/time.h"
 #include "catalog/backend_server.h"
@@ -24,9 +26,6 @@
 
 namespace chicorygap::backpressure {
 
-/// @return key of a server.
-[[nodiscard]] server_key key_of(const catalog::backend_server& s);
-
 struct signal_table_hooks {
     /// The limit of a server, its wait or its leaving has changed.
     /// @param source "server" or "peer".
@@ -36,6 +35,8 @@
     std::function<void(bool own)> news;
     /// A listed server is about to stop.
     std::function<void()> server_leaving;
+    /// A listed server was found to be cold.
+    std::function<void(const server_status&)> server_cold;
 };
 
 /// When a server takes further requests of this daemon.
@@ -44,6 +45,8 @@
     base::duration first{};
     /// Requests per second that it takes then; absent without a limit.
     std::optional<double> rate;
+    /// Time until the server takes any number of requests; absent if no end of its limits is known.
+    std::optional<base::duration> limit_ends;
 };
 
 /// Signals of the servers, and what they allow this daemon to send.
@@ -52,7 +55,8 @@
 /// requests, and the announcement that it stops. Limits and announcements are exchanged with the peers. The
 /// share of a limit that this daemon may use (`demand_table`) fills a token bucket, which every start of a
 /// request on the server takes from. A daemon that was just started, or has just become one of those that
-/// send to a server, begins without tokens after the time in which the others learn of it.
+/// send to a server, begins without tokens after the time in which the others learn of it. Starts on servers
+/// that are cold are limited besides, by what is known beforehand (`warmup_table`).
 ///
 /// Usage:
 /// @code
@@ -68,6 +72,9 @@
     /// Takes effect with the next call of `expire`.
     void set_fleet(const fleet_parameters& p) { demands_.set_parameters(p); }
 
+    /// Sets what cold servers take; without bounds or without warm-ups there is no limit.
+    void set_warmups(std::optional<warmup_bounds> b, warmup_table::service_warmups s, base::time_point now);
+
     /// Replaces the server list. Signals of servers that are not listed are forgotten after a while.
     void set_servers(const std::vector<catalog::backend_server>& servers, base::time_point now);
 
@@ -77,6 +84,13 @@
     void observe(const catalog::backend_server& server, const server_signals& s, base::time_point sent_at,
                  base::time_point now);
 
+    /// Records that this daemon could not reach a server, or that a connection to it broke: it may come back
+    /// as a new, cold process under the same entry.
+    void record_unreachable(server_key server, base::time_point now);
+    /// Records that the servers of a zone may get requests again. They count as cold for the warm-up time of
+    /// their service, so that the requests return gradually.
+    void zone_returned(const base::zone_id& zone, base::time_point now);
+
     /// Counts a request of a caller.
     void record_arrival(const base::service_id& service, base::time_point now) {
         demands_.record_arrival(service, now);
@@ -93,6 +107,11 @@
     /// @return requests per second that the fleet may send to the server; nothing without a limit.
     [[nodiscard]] std::optional<double> limit(server_key server) const;
 
+    /// @return true if the server is cold, and thus slower than others.
+    [[nodiscard]] bool cold(server_key server, base::time_point now) const {
+        return warmups_.remaining(server, now) > base::duration{};
+    }
+
     [[nodiscard]] const demand_table& demands() const noexcept { return demands_; }
 
     /// @return what the receivers should know, of bounded size: what was reported to them least often since
@@ -112,6 +131,8 @@
     [[nodiscard]] std::vector<server_status> status(base::time_point now) const;
     /// @return number of times that a server was passed over because of its signals.
     [[nodiscard]] std::uint64_t deferred_starts() const noexcept { return deferred_starts_; }
+    /// @return number of times that a server was passed over because it is cold.
+    [[nodiscard]] std::uint64_t starts_deferred_by_warmup() const noexcept { return deferred_by_warmup_; }
 
 private:
     /// Division of a limit as last computed.
@@ -148,10 +169,12 @@
     void report_change(server_key key, const server_state& s, std::string_view source,
                        base::time_point now) const;
     [[nodiscard]] server_status status_of(server_key key, const server_state& s, base::time_point now) const;
+    void refresh_warmups(base::time_point now);
     void limit_size();
 
     signal_table_hooks hooks_;
     demand_table demands_;
+    warmup_table warmups_;
     base::time_point started_at_;
     std::uint32_t last_statement_;
     /// Servers that have or had a signal.
@@ -159,6 +182,7 @@
     /// All listed servers.
     std::unordered_map<server_key, catalog::backend_server> listed_;
     mutable std::uint64_t deferred_starts_ = 0;
+    mutable std::uint64_t deferred_by_warmup_ = 0;
 };
 
 }  // namespace chicorygap::backpressure
--- a/packages/backpressure/src/demand_table.cpp
+++ b/packages/backpressure/src/demand_table.cpp
@@ -175,4 +175,23 @@
     return out;
 }
 
+sender_place demand_table::place(server_key server, const base::zone_id& server_zone,
+                                 base::time_point now) const {
+    if (parameters_.within_zones && sending_zone(server, server_zone) != zone_) {
+        return {};
+    }
+    const auto own = rendezvous_weight(server, self_hash_);
+    std::size_t daemons = 1;
+    std::size_t before = 0;
+    for (const auto& [vm, p] : peers_) {
+        if (!parameters_.within_zones || p.zone == zone_) {
+            ++daemons;
+            before += rendezvous_weight(server, p.vm_hash) > own ? 1 : 0;
+        }
+    }
+    const auto expected = now - started_at_ <= silent_peer_memory ? parameters_.known_daemons : 0;
+    const auto unheard = expected > daemons ? expected - daemons : 0;
+    return {.rank = before + unheard, .daemons = daemons + unheard};
+}
+
 }  // namespace chicorygap::backpressure
--- a/packages/backpressure/src/signal_table.cpp
+++ b/packages/backpressure/src/signal_table.cpp
@@ -70,11 +70,43 @@
             update_allowance(key, state, true, now);
         }
     }
+    warmups_.set_servers(servers, now);
+    refresh_warmups(now);
+}
+
+void signal_table::set_warmups(std::optional<warmup_bounds> b, warmup_table::service_warmups s,
+                               base::time_point now) {
+    warmups_.set_bounds(b);
+    warmups_.set_services(std::move(s));
+    refresh_warmups(now);
+}
+
+void signal_table::record_unreachable(server_key server, base::time_point now) {
+    warmups_.record_unreachable(server, now);
+    refresh_warmups(now);
+}
+
+void signal_table::zone_returned(const base::zone_id& zone, base::time_point now) {
+    warmups_.record_zone_returned(zone, now);
+    refresh_warmups(now);
+}
+
+void signal_table::refresh_warmups(base::time_point now) {
+    warmups_.refresh(demands_, now, [this, now](server_key key) {
+        if (hooks_.server_cold) {
+            const auto it = servers_.find(key);
+            hooks_.server_cold(status_of(key, it == servers_.end() ? server_state{} : it->second, now));
+        }
+    });
 }
 
 void signal_table::observe(const catalog::backend_server& server, const server_signals& s,
                            base::time_point sent_at, base::time_point now) {
     const auto key = key_of(server);
+    if (s.cold) {
+        warmups_.record_response(key, *s.cold, now);
+        refresh_warmups(now);
+    }
     const bool has_signal = s.rate_limit || s.retry_after || s.leaving;
     const auto it = servers_.find(key);
     if (it == servers_.end() && !has_signal) {
@@ -169,6 +201,10 @@
 }
 
 bool signal_table::may_start(server_key server, base::time_point now) const {
+    if (!warmups_.may_start(server, now)) {
+        ++deferred_by_warmup_;
+        return false;
+    }
     const auto it = servers_.find(server);
     if (it == servers_.end()) {
         return true;
@@ -183,6 +219,7 @@
 }
 
 void signal_table::record_start(server_key server, base::time_point now) {
+    warmups_.record_start(server, now);
     const auto it = servers_.find(server);
     if (it != servers_.end() && it->second.limit.active()) {
         it->second.own.bucket.take(now);
@@ -190,24 +227,29 @@
 }
 
 std::optional<start_forecast> signal_table::forecast(server_key server, base::time_point now) const {
+    start_forecast f;
+    if (const auto cold = warmups_.forecast(server, now)) {
+        f = {.first = cold->first, .rate = cold->rate, .limit_ends = cold->remaining};
+    }
     const auto it = servers_.find(server);
     if (it == servers_.end()) {
-        return start_forecast{};
+        return f;
     }
     const auto& s = it->second;
     if (s.leaving) {
         return std::nullopt;
     }
-    start_forecast f{.first = std::max(base::duration{}, s.paused_until - now)};
+    f.first = std::max(f.first, s.paused_until - now);
     if (!s.limit.active()) {
         return f;
     }
+    f.limit_ends.reset();
     const auto token = s.own.bucket.time_until_available(now);
     if (!s.own.usable_from || !token) {
         return std::nullopt;
     }
     f.first = std::max({f.first, *token, *s.own.usable_from - now});
-    f.rate = s.own.bucket.per_second();
+    f.rate = std::min(s.own.bucket.per_second(), f.rate.value_or(s.own.bucket.per_second()));
     return f;
 }
 
@@ -310,6 +352,7 @@
     for (auto& [key, s] : servers_) {
         update_allowance(key, s, false, now);
     }
+    refresh_warmups(now);
 }
 
 // Forgets servers that are not listed first: they get no requests.
@@ -333,9 +376,10 @@
         out.share = s.own.bucket.per_second();
         out.daemons = s.own.share.daemons;
     }
-    out.limit_age = s.limit.age(now);
+    out.limit_age = s.limit.known() ? s.limit.age(now) : base::duration{};
     out.wait = std::max(base::duration{}, s.paused_until - now);
     out.leaving = s.leaving;
+    warmups_.describe(key, out, now);
     return out;
 }
 
@@ -353,6 +397,12 @@
             out.push_back(status_of(key, s, now));
         }
     }
+    for (const auto key : warmups_.cold_servers(now)) {
+        const auto it = servers_.find(key);
+        if (it == servers_.end() || !it->second.listed || !has_signal(it->second, now)) {
+            out.push_back(status_of(key, it == servers_.end() ? server_state{} : it->second, now));
+        }
+    }
     return out;
 }
 
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -57,6 +57,8 @@
     base::vm_id self;
     base::zone_id zone;
     retry_budget_share retries;
+    /// Bound of the requests to cold servers; no limit if absent.
+    std::optional<backpressure::warmup_bounds> cold_servers;
     /// Limit on concurrent requests, above which new ones are rejected; no limit if absent.
     std::optional<std::size_t> max_open_requests;
     /// Counts the buffers of requests and connections to servers, and outlives the router; null counts
@@ -74,6 +76,8 @@
     std::function<void(const backpressure::server_status&, std::string_view source)> signals_changed;
     /// Called when peers should be told a signal soon, with false if a peer told it.
     std::function<void(bool own)> signal_news;
+    /// Called when a server was found to be cold.
+    std::function<void(const backpressure::server_status&)> server_cold;
     /// Tells which blocks of a server's stream are events. Required.
     event_check check_event;
 };
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -355,6 +355,9 @@
     const auto self = shared_from_this();
     router_.loop.cancel(attempt_timer_);
     connection_.reset();
+    if (failure != http::exchange_failure::malformed && failure != http::exchange_failure::early_bytes) {
+        router_.signals.record_unreachable(backpressure::key_of(server_), router_.loop.now());
+    }
     const bool sent =
         failure != http::exchange_failure::connect_failed && failure != http::exchange_failure::early_bytes;
     const bool has_output = response_started_ || !response_body_.empty() || discarded_bytes_ > 0;
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -40,9 +40,10 @@
     if (!hooks.check_event) {
         throw base::error{base::result_code::internal, "a router needs a check of events"};
     }
-    signals.set_hooks({.changed = hooks.signals_changed, .news = hooks.signal_news, .server_leaving = [this] {
-                           on_server_leaving();
-                       }});
+    signals.set_hooks({.changed = hooks.signals_changed,
+                       .news = hooks.signal_news,
+                       .server_leaving = [this] { on_server_leaving(); },
+                       .server_cold = hooks.server_cold});
     loop.every(expiry_interval, [this] { pool.expire(); });
 }
 
@@ -76,9 +77,14 @@
             state.scheduler->set_engine(known->engine);
         }
     }
+    backpressure::warmup_table::service_warmups warmups;
     for (const auto& [id, known] : catalog->services()) {
         service(id);
+        if (known.warmup) {
+            warmups.emplace(id, *known.warmup);
+        }
     }
+    signals.set_warmups(options.cold_servers, std::move(warmups), loop.now());
 }
 
 void request_router::impl::set_servers(const std::vector<catalog::backend_server>& servers) {
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -40,6 +40,9 @@
 constexpr std::uint32_t max_reserved_slots_divisor = 4;
 /// Cost of a reclaimable server for a request that cannot be repeated on another one.
 constexpr double reclaimable_cost_ms = 15;
+/// Cost of a cold server, which is slower than others: about the prefill of a short prompt. It looks idle to
+/// all daemons at the same time.
+constexpr double cold_server_cost_ms = 25;
 /// Fraction of a shared part that is expected in the cache of each of its affinity servers, by rank.
 constexpr std::array<double, 3> affinity_cached_fraction{1.0, 0.5, 0.25};
 /// Additional cost of a shared token that another server has cached, relative to its prefill time: the
@@ -237,6 +240,7 @@
 double placement_cost_ms(const server_state& s, const scheduled_request& request, const prefill_plan& p,
                          const placement_context& c, base::time_point now) {
     double ms = (s.info.zone == c.zone ? 0 : cross_zone_cost_ms) + cost_jitter_ms(request, c);
+    ms += c.signals != nullptr && c.signals->cold(s.signal_key, now) ? cold_server_cost_ms : 0;
     if (!request.generation) {
         return ms + used_slot_cost_ms * s.running();
     }
--- a/packages/scheduling/src/signal_wait.cpp
+++ b/packages/scheduling/src/signal_wait.cpp
@@ -19,7 +19,7 @@
                                                const backpressure::signal_table& signals, std::size_t ahead,
                                                base::time_point now) {
     bool any_usable = false;
-    std::optional<base::duration> end_of_pause;  // of servers without a limit
+    std::optional<base::duration> end_of_pause;  // of servers without a limit from then on
     std::optional<base::duration> first_start;   // on servers with a limit
     double starts_per_s = 0;
     for (const auto* s : servers) {
@@ -34,6 +34,9 @@
         auto& earliest = f->rate ? first_start : end_of_pause;
         earliest = std::min(earliest.value_or(f->first), f->first);
         starts_per_s += f->rate.value_or(0);
+        if (f->rate && f->limit_ends) {
+            end_of_pause = std::min(end_of_pause.value_or(*f->limit_ends), *f->limit_ends);
+        }
     }
     if (!any_usable || (end_of_pause && *end_of_pause <= 0ms)) {
         return std::nullopt;
--- a/packages/scheduling/tests/server_signals_test.cpp
+++ b/packages/scheduling/tests/server_signals_test.cpp
@@ -87,6 +87,47 @@
     EXPECT_TRUE(rejected.empty());
 }
 
+// Load: a burst while one server is cold, which looks idle to all daemons. Guards against requests that wait
+// for it, or are refused, while a warm server has room.
+TEST_F(server_signals_test, burst_goes_to_the_warm_server_while_another_is_cold) {
+    signals.set_warmups(backpressure::warmup_bounds{1.5, 5}, {{base::service_id{"orders"}, {3s, 10}}},
+                        start_time);
+    auto cold = make_server("cold");
+    cold.remaining_warmup = 3s;
+    set_servers({cold, make_server("warm")});
+    for (auto now = start_time; now < start_time + 2s; now += 20ms) {
+        tick(now);
+        submit(now);
+    }
+    EXPECT_LE(starts["cold"], 17);
+    EXPECT_EQ(starts["cold"] + starts["warm"], 100);
+    EXPECT_TRUE(rejected.empty());
+}
+
+// Load: the whole service is cold. Guards against holding requests beyond their time, and against telling
+// callers to return later than the servers are warm.
+TEST_F(server_signals_test, callers_are_told_when_cold_servers_take_their_request) {
+    signals.set_warmups(backpressure::warmup_bounds{1.5, 5}, {{base::service_id{"orders"}, {3s, 10}}},
+                        start_time);
+    auto cold = make_server("cold");
+    cold.remaining_warmup = 3s;
+    set_servers({cold});
+    for (int i = 0; i < 100; ++i) {
+        submit(start_time);
+    }
+    EXPECT_EQ(starts["cold"], 1);
+    ASSERT_GE(rejected.size(), 80U);
+    for (const auto& r : rejected) {
+        EXPECT_LE(r.retry_after, 4500ms) << "3 s, and half of it to spread the callers";
+    }
+    for (auto now = start_time; now < start_time + 3s; now += 20ms) {
+        tick(now);
+    }
+    EXPECT_EQ(static_cast<std::size_t>(starts["cold"]) + rejected.size(), 100U);
+    EXPECT_EQ(submit(start_time + 3s), local_request_id{101});
+    EXPECT_GE(starts["cold"], 2);
+}
+
 // Guards against a limit that costs something although the load is far below it.
 TEST_F(server_signals_test, limit_above_the_load_delays_nothing) {
     set_servers({make_server("limited")});
