--- a/packages/catalog/include/catalog/backend_server.h
+++ b/packages/catalog/include/catalog/backend_server.h
@@ -33,6 +33,8 @@
     /// Time at which the evacuation of its zone was withdrawn; absent if there was none lately. Set by
     /// `proxy::request_router`.
     std::optional<base::time_point> returned_at{};
+    /// Revision of the entry in the store. A new one with the same content confirms what the entry says.
+    std::uint64_t entry_revision = 0;
 
     /// @return a text that is unique to this instance and its address.
     [[nodiscard]] std::string instance_key() const {
