Count the heads of requests and bound their memory

Cause: the fields of a head that was being read were two strings each, 64 bytes and more for a line of 4 bytes, and not on the account of held bytes. The limit counted names and values without separators, so heads of 31,000 bytes passed a limit of 16,384. Fields of trailers were kept until the next request.

Change: the reader keeps an unfinished head as one text with lengths. Unfinished and whole heads are charged with their memory until the request is destroyed, as are connections, parts of prompts and heads of responses. `head_budget` gives all heads together a quarter of the account; heads up to 4 KiB are always taken, others are refused with 503 as not run. `connections_to_close` gives up unfinished heads and then idle connections under pressure. The limit counts the head on the wire, and a sixteenth more is read. Fields of one connection are found in n log n instead of n * n comparisons. New gauges, a log line, owners `connection` and `request_head`.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -206,7 +206,7 @@
         .field("zone", settings_.zone.str())
         .field("callers", net::to_string(settings_.callers));
     memory_.set_change_hook(
-        [this](memory::pressure from, memory::pressure to) { log_memory_level(from, to); });
+        [this](memory::pressure from, memory::pressure to) { on_memory_level(from, to); });
     store_era_.set_changed_hook(
         [this](std::uint64_t previous, std::uint64_t current) { on_store_era(previous, current); });
     configuration_cache_.start();
@@ -234,6 +234,8 @@
     session_set& sessions, std::function<void(http::server_session&, http::request&&)> received) {
     return {.received = std::move(received),
             .body_refused = nullptr,
+            .head_refused = nullptr,
+            .head_too_long = nullptr,
             .caller_gone = nullptr,
             .drained = nullptr,
             .closed = [&sessions](http::server_session& s) { sessions.erase(s.shared_from_this()); }};
@@ -257,6 +259,11 @@
     hooks.body_refused = [this](http::server_session& s, const http::request_head& h) {
         router_.refuse_body(s, h);
     };
+    hooks.head_refused = [this](http::server_session& s, const http::request_head* h) {
+        memory_relief_.head_refused();
+        router_.refuse_head(s, h);
+    };
+    hooks.head_too_long = [this] { memory_relief_.head_too_long(); };
     hooks.caller_gone = [this](http::server_session& s) { router_.caller_disconnected(s); };
     hooks.drained = [this](http::server_session& s) { router_.drained(s); };
     caller_sessions_.insert(
@@ -268,7 +275,7 @@
         s.respond({.status = ready() ? 200 : 503}, {});
     });
     internal_sessions_.insert(http::server_session::start(
-        loop_, socket, {.body_bytes = max_internal_body_bytes}, std::move(hooks)));
+        loop_, socket, {.body_bytes = max_internal_body_bytes, .account = &memory_}, std::move(hooks)));
 }
 
 void edge_daemon::accept_operator(const Poco::Net::StreamSocket& socket) {
@@ -281,7 +288,7 @@
         internal_sessions_.erase(s.shared_from_this());
     };
     internal_sessions_.insert(http::server_session::start(
-        loop_, socket, {.body_bytes = max_internal_body_bytes}, std::move(hooks)));
+        loop_, socket, {.body_bytes = max_internal_body_bytes, .account = &memory_}, std::move(hooks)));
 }
 
 bool edge_daemon::ready() const {
@@ -296,6 +303,8 @@
     apply_fleet_size();
     apply_fleet_to_signals();
     router_.server_signals().expire(loop_.now());
+    memory_relief_.relieve(caller_sessions_);
+    memory_relief_.log_if_due(loop_.now());
     if (reload_requested.exchange(false)) {
         base::log_line{base::log_level::info, "daemon", "Reload requested."}.field("file", settings_path_);
         reload();
--- a/apps/daemon/src/edge_daemon.h
+++ b/apps/daemon/src/edge_daemon.h
@@ -9,6 +9,7 @@
 #include "duty_agent.h"
 #include "http/server_session.h"
 #include "memory/account.h"
+#include "memory_relief.h"
 #include "metering/meter.h"
 #include "net/line_output.h"
 #include "net/listener.h"
@@ -120,6 +121,7 @@
     void apply_fleet_to_signals();
     void set_gauges();
     void set_memory_gauges();
+    void on_memory_level(memory::pressure from, memory::pressure to);
     /// Logs a change of the memory level, up to a number of lines in a second.
     void log_memory_level(memory::pressure from, memory::pressure to);
     void set_signal_gauges(base::time_point now);
@@ -147,6 +149,7 @@
     std::size_t rejected_connections_ = 0;
     std::mt19937_64 random_engine_;
     memory::account memory_;  ///< outlives all holders of its charges
+    memory_relief memory_relief_{memory_};
     net::loop loop_;
     net::line_output log_output_;
     platform::platform_header_codec header_codec_;
@@ -175,6 +178,7 @@
     net::listener operator_listener_;
     base::time_point memory_log_window_;
     int memory_log_lines_ = 0;  ///< in the current window, with those that were left out
+    bool memory_relief_pending_ = false;
     bool servers_known_ = false;
     bool configuration_fetch_pending_ = false;
     bool servers_fetch_pending_ = false;
--- a/apps/daemon/src/edge_daemon_operators.cpp
+++ b/apps/daemon/src/edge_daemon_operators.cpp
@@ -95,12 +95,28 @@
     metrics_->set_gauge("memory_account_bytes", static_cast<double>(memory_.held()));
     metrics_->set_gauge("memory_account_peak_bytes", static_cast<double>(memory_.peak()));
     metrics_->set_gauge("memory_account_level", static_cast<double>(memory_.level()));
+    const auto& refused = memory_relief_.total();
+    metrics_->set_gauge("request_heads_refused", static_cast<double>(refused.heads_refused));
+    metrics_->set_gauge("request_heads_too_long", static_cast<double>(refused.heads_too_long));
+    metrics_->set_gauge("connections_closed_for_memory", static_cast<double>(refused.connections_closed));
     for (const auto o : memory::all_owners) {
         metrics_->set_gauge("memory_account_bytes_" + std::string{memory::to_string(o)},
                             static_cast<double>(memory_.held(o)));
     }
 }
 
+// The hook is called inside a change of a charge, where no connection may be closed.
+void edge_daemon::on_memory_level(memory::pressure from, memory::pressure to) {
+    log_memory_level(from, to);
+    if (to < memory::pressure::critical || std::exchange(memory_relief_pending_, true)) {
+        return;
+    }
+    loop_.after({}, [this] {
+        memory_relief_pending_ = false;
+        memory_relief_.relieve(caller_sessions_);
+    });
+}
+
 void edge_daemon::log_memory_level(memory::pressure from, memory::pressure to) {
     const auto now = loop_.now();
     if (now - memory_log_window_ >= memory_log_interval) {
--- a/packages/http/include/http/message.h
+++ b/packages/http/include/http/message.h
@@ -2,6 +2,7 @@
 /// Heads of HTTP/1.1 messages.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,9 @@
 public:
     void add(std::string_view name, std::string_view value);
 
+    /// Allocates room for this number of fields.
+    void reserve(std::size_t n) { fields_.reserve(n); }
+
     /// Removes every field with that name.
     void remove(std::string_view name);
 
@@ -33,6 +37,9 @@
 
     [[nodiscard]] const std::vector<header_field>& fields() const noexcept { return fields_; }
 
+    /// @return memory of the fields in bytes.
+    [[nodiscard]] std::size_t memory_bytes() const noexcept;
+
     bool operator==(const header_list&) const = default;
 
 private:
--- a/packages/http/include/http/message_reader.h
+++ b/packages/http/include/http/message_reader.h
@@ -41,7 +41,7 @@
 
     /// @param k which messages are read.
     /// @param h what is reported.
-    /// @param head_limit longest head in bytes.
+    /// @param head_limit longest head in bytes, as it is on the wire; a sixteenth more is read.
     message_reader(kind k, reader_hooks h, std::size_t head_limit);
     ~message_reader();
     message_reader(const message_reader&) = delete;
@@ -63,8 +63,11 @@
     /// @return true after a head and before the end of its message.
     [[nodiscard]] bool in_body() const;
 
-    /// @return approximate memory of the head that is being read, in bytes.
-    [[nodiscard]] std::size_t head_bytes() const;
+    /// @return memory of the head that is being read, in bytes.
+    [[nodiscard]] std::size_t memory_bytes() const;
+
+    /// Gives up the memory. Further bytes are invalid.
+    void stop();
 
     /// @return true if the last message was invalid because its head is too long.
     [[nodiscard]] bool head_too_long() const;
--- a/packages/http/include/http/server_session.h
+++ b/packages/http/include/http/server_session.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "base/time.h"
+#include "http/connection_shedding.h"
+#include "http/head_budget.h"
 #include "http/message.h"
 #include "http/message_reader.h"
 #include "memory/charge.h"
@@ -21,6 +23,8 @@
     request_head head;
     std::string body;
     memory::charge body_charge;
+    /// Of the head, until the request is destroyed.
+    memory::charge head_charge;
 };
 
 /// @return the body with its charge, both of which are released with the last reference.
@@ -32,7 +36,8 @@
     std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
     base::duration head_time = std::chrono::seconds{3};
     base::duration idle_time = std::chrono::seconds{15};
-    /// Counts the buffers of the session; null counts nothing. Bodies for which it has no room are refused.
+    /// Counts the buffers of the session; null counts nothing. Bodies and heads for which it has no room are
+    /// refused.
     memory::account* account = nullptr;
 };
 
@@ -44,6 +49,12 @@
     /// There is no memory for the body of a request, which was not read. The owner answers it; the connection
     /// is closed afterwards. Without this hook the session answers with 503.
     std::function<void(server_session&, const request_head&)> body_refused;
+    /// There is no memory for the head of a request, which is not run. The owner answers it; the connection
+    /// is closed afterwards. Without this hook the session answers with 503.
+    /// @param head null if the head is not complete.
+    std::function<void(server_session&, const request_head* head)> head_refused;
+    /// A head was refused with 431 since it is longer than the limit.
+    std::function<void()> head_too_long;
     /// The caller left while its request was not answered.
     std::function<void(server_session&)> caller_gone;
     /// All output was taken by the kernel.
@@ -78,6 +89,12 @@
     /// Closes the connection at once; an answer that was begun stays visibly incomplete.
     void abort();
 
+    /// Closes an idle connection, or refuses the head that is being read. Does nothing else.
+    void give_up();
+
+    /// @return what the connection is doing, and what it holds for that.
+    [[nodiscard]] held_connection holding() const;
+
     /// Answers name `Connection: close` from now on.
     void close_after_answer() noexcept { last_request_ = true; }
 
@@ -101,6 +118,12 @@
     void request_complete();
     void refuse_input(int status);
     void refuse_body();
+    /// Refuses the head that was read, or is being read.
+    void refuse_head();
+    /// Sets the state in which a refusal is answered.
+    void begin_refusal();
+    /// Takes a whole head, or marks its request as refused.
+    void take_head(request_head&& h);
     /// Takes part of a body, or marks the request as refused.
     void add_to_body(std::string_view part);
     /// Reserves memory for the declared length of a body.
@@ -108,6 +131,10 @@
     /// @return false if a body of this size is refused.
     [[nodiscard]] bool charge_body(std::size_t bytes);
     void count_input();
+    /// Counts a head that is being read.
+    /// @return false if there is no memory for it.
+    [[nodiscard]] bool count_head();
+    [[nodiscard]] bool in_unfinished_head() const { return reader_.in_message() && !reader_.in_body(); }
     void ended();
     void set_timer(base::duration d);
     void on_timer();
@@ -123,17 +150,23 @@
     std::shared_ptr<net::stream> stream_;
     net::timer_id timer_ = net::timer_id::none;
     std::string input_;
+    head_budget budget_;
+    memory::charge connection_charge_;
     memory::charge input_charge_;
+    memory::charge head_charge_;  ///< of a head that is not complete
+    base::time_point last_input_;
     request current_;
     bool busy_ = false;
     bool processing_ = false;
     bool last_request_ = false;
     bool close_after_current_ = false;
+    bool ending_ = false;  ///< the last answer was given
     bool chunked_answer_ = false;
     bool ends_with_connection_ = false;  ///< only the end of the connection ends the answer that was begun
     bool no_answer_body_ = false;
     bool body_too_large_ = false;
     bool no_memory_for_body_ = false;
+    bool no_memory_for_head_ = false;
     bool body_time_added_ = false;
     bool dropping_input_ = false;
     std::size_t dropped_bytes_ = 0;
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -170,7 +170,7 @@
             return;
         }
         const auto r = reader_.read(bytes);
-        head_charge_.set(reader_.head_bytes());
+        head_charge_.set(reader_.memory_bytes());
         if (!stream_->open()) {
             return;  // a hook aborted the exchange
         }
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -1,9 +1,12 @@
 #include "http/message.h"
 
+#include "heap_bytes.h"
+
 #include <Poco/Net/HTTPResponse.h>
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace chicorygap::http {
 
@@ -33,6 +36,29 @@
     return s.substr(first, s.find_last_not_of(" \t") - first + 1);
 }
 
+/// @return names of the fields that concern one connection only, in lower case and in order.
+std::vector<std::string> connection_names(const header_list& fields) {
+    std::vector<std::string> out;
+    const auto add = [&out](std::string_view name) {
+        std::string text{name};
+        std::transform(text.begin(), text.end(), text.begin(), lower);
+        out.push_back(std::move(text));
+    };
+    for (const auto* name : connection_fields) {
+        add(name);
+    }
+    for (const auto& f : fields.fields()) {
+        for (std::string_view rest = equal_names(f.name, "Connection") ? f.value : std::string_view{};
+             !rest.empty();) {
+            const auto comma = rest.find(',');
+            add(trimmed(rest.substr(0, comma)));
+            rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+        }
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
 void append_fields(std::string& out, const header_list& headers) {
     for (const auto& f : headers.fields()) {
         out.append(f.name).append(": ").append(f.value).append("\r\n");
@@ -56,6 +82,14 @@
     return it == fields_.end() ? nullptr : &it->value;
 }
 
+std::size_t header_list::memory_bytes() const noexcept {
+    std::size_t out = fields_.capacity() * sizeof(header_field);
+    for (const auto& f : fields_) {
+        out += heap_bytes(f.name) + heap_bytes(f.value);
+    }
+    return out;
+}
+
 std::size_t header_list::count(std::string_view name) const {
     return static_cast<std::size_t>(std::count_if(
         fields_.begin(), fields_.end(), [&](const header_field& f) { return equal_names(f.name, name); }));
@@ -100,16 +134,16 @@
                                                               : body_framing::connection_end;
 }
 
+// A comparison of each field with all others would take tens of milliseconds for a head of short lines.
 header_list end_to_end(const header_list& fields) {
+    const auto dropped = connection_names(fields);
     header_list out;
+    out.reserve(fields.fields().size());
+    std::string name;
     for (const auto& f : fields.fields()) {
-        const bool standard = std::any_of(connection_fields.begin(), connection_fields.end(),
-                                          [&](const char* name) { return equal_names(f.name, name); });
-        const bool named =
-            std::any_of(fields.fields().begin(), fields.fields().end(), [&](const header_field& c) {
-                return equal_names(c.name, "Connection") && has_token(c.value, f.name);
-            });
-        if (!standard && !named) {
+        name.resize(f.name.size());
+        std::transform(f.name.begin(), f.name.end(), name.begin(), lower);
+        if (!std::binary_search(dropped.begin(), dropped.end(), name)) {
             out.add(f.name, f.value);
         }
     }
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -1,5 +1,8 @@
 #include "http/message_reader.h"
 
+#include "head_buffer.h"
+
+#include <algorithm>
 #include <http_parser.h>
 #include <limits>
 #include <string>
@@ -14,8 +17,11 @@
 constexpr std::size_t max_interim_bytes = std::size_t{16} * 1024;
 /// Line with the size of a chunk and its extensions, with the end of the chunk before it.
 constexpr std::size_t max_chunk_line_bytes = 1024;
-/// Fields behind a chunked body.
+/// Fields behind a chunked body of a response. Those of a request may be as long as its head.
 constexpr std::size_t max_trailer_bytes = std::size_t{8} * 1024;
+/// Part of the head limit that a head may have in addition. Callers may count their head without its first
+/// line, or without the blank after each colon.
+constexpr std::size_t head_allowance_divisor = 16;
 /// Bytes around the chunks of a body, per byte of the body. A chunk of one byte needs five.
 constexpr std::size_t max_framing_per_body_byte = 8;
 /// Such bytes in addition to these, for small bodies.
@@ -37,12 +43,10 @@
             return self(p).count_head(n);
         };
         settings_.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
-            return self(p).on_field(at, n);
+            return self(p).on_name({at, n});
         };
         settings_.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
-            self(p).in_value_ = true;
-            self(p).value_.append(at, n);
-            return self(p).count_head(n);
+            return self(p).on_value({at, n});
         };
         settings_.on_headers_complete = [](http_parser* p) { return self(p).on_head(); };
         settings_.on_body = [](http_parser* p, const char* at, std::size_t n) {
@@ -59,7 +63,12 @@
         std::size_t consumed = 0;
         while (consumed < bytes.size()) {
             done_ = false;
-            const auto rest = bytes.substr(consumed);
+            const auto rest = bytes.substr(consumed, in_body_ ? std::string_view::npos : head_room());
+            if (rest.empty()) {
+                head_too_long_ = true;
+                fail();
+                return {read_state::invalid, consumed};
+            }
             const bool counted = chunked_;
             uncounted_ = rest.data();
             const auto n = http_parser_execute(&parser_, &settings_, rest.data(), rest.size());
@@ -67,7 +76,7 @@
             message_bytes_ += n;
             const auto ec = HTTP_PARSER_ERRNO(&parser_);
             if (counted && (ec == HPE_OK || ec == HPE_PAUSED) && !count_framing(rest.data() + n)) {
-                failed_ = true;
+                fail();
                 return {read_state::invalid, consumed};
             }
             if (ec == HPE_PAUSED && !done_) {
@@ -79,7 +88,7 @@
                 interim_bytes_ = interim_ ? interim_bytes_ + message_bytes_ : 0;
                 restart();
                 if (interim_bytes_ > max_interim_bytes) {
-                    failed_ = true;
+                    fail();
                     return {read_state::invalid, consumed};
                 }
                 if (std::exchange(interim_, false)) {
@@ -88,7 +97,7 @@
                 return {read_state::complete, consumed};
             }
             if (ec != HPE_OK || (parser_.upgrade != 0 && kind_ == kind::response)) {
-                failed_ = true;
+                fail();
                 return {read_state::invalid, consumed};
             }
         }
@@ -106,11 +115,19 @@
         return complete ? read_state::complete : read_state::invalid;
     }
 
+    [[nodiscard]] std::size_t memory_bytes() const { return heap_bytes(target_) + head_.memory_bytes(); }
+
+    /// No message can be read any more, so that nothing of the last one is kept.
+    void fail() {
+        failed_ = true;
+        std::string{}.swap(target_);
+        head_.clear();
+    }
+
     bool no_body_ = false;
     bool in_message_ = false;
     bool in_body_ = false;
     bool head_too_long_ = false;
-    std::size_t head_bytes_ = 0;
 
 private:
     static impl& self(http_parser* p) { return *static_cast<impl*>(p->data); }
@@ -133,21 +150,22 @@
     int on_begin() {
         in_message_ = true;
         head_bytes_ = 0;
-        target_.clear();
-        headers_ = {};
-        field_.clear();
-        value_.clear();
-        in_value_ = false;
+        std::string{}.swap(target_);
+        head_.clear();
         return 0;
     }
 
-    /// A field takes more memory than its text. The limit on requests is that of the text, as callers are
-    /// told.
-    int count_field() { return count_head(kind_ == kind::response ? sizeof(header_field) : 0); }
+    /// @return bytes that the head may still have on the wire, the blank lines before it among them.
+    [[nodiscard]] std::size_t head_room() const {
+        const auto limit = head_limit_ + head_limit_ / head_allowance_divisor;
+        return limit - std::min(limit, message_bytes_);
+    }
 
+    /// Bounds the memory of a response's head, in which a field takes more than its text. That of a request's
+    /// head is bounded by its account.
     int count_head(std::size_t n) {
         head_bytes_ += n;
-        if (head_bytes_ > head_limit_) {
+        if (kind_ == kind::response && head_bytes_ > head_limit_) {
             head_too_long_ = true;
             return 1;
         }
@@ -161,7 +179,8 @@
         const auto n = static_cast<std::size_t>(end - std::exchange(uncounted_, end));
         if (in_trailer_) {
             trailer_bytes_ += n;
-            return trailer_bytes_ <= max_trailer_bytes;
+            return trailer_bytes_ <=
+                   (kind_ == kind::request ? std::max(max_trailer_bytes, head_limit_) : max_trailer_bytes);
         }
         chunk_line_bytes_ += n;
         framing_bytes_ += n;
@@ -169,33 +188,27 @@
                framing_bytes_ <= extra_framing_bytes + max_framing_per_body_byte * body_bytes_;
     }
 
-    int on_field(const char* at, std::size_t n) {
+    int on_name(std::string_view part) {
         if (chunked_ && !in_trailer_) {
-            if (!count_framing(at)) {
+            if (!count_framing(part.data())) {
                 return -1;
             }
             in_trailer_ = true;
         }
-        if (in_value_) {
-            finish_field();
-            if (count_field() != 0) {
-                return 1;
-            }
+        if (in_trailer_) {
+            return 0;  // counted by `count_framing`, and passed on to nobody
         }
-        field_.append(at, n);
-        return count_head(n);
+        const auto overhead = head_.in_value() ? sizeof(header_field) : 0;
+        head_.append_name(part);
+        return count_head(part.size() + overhead);
     }
 
-    void finish_field() {
-        if (field_.find_first_of(" \t") != std::string::npos) {
-            bad_field_ = true;  // other readers take "Length : 5" for a length
-        }
-        if (!field_.empty()) {
-            headers_.add(field_, value_);
+    int on_value(std::string_view part) {
+        if (in_trailer_) {
+            return 0;
         }
-        field_.clear();
-        value_.clear();
-        in_value_ = false;
+        head_.append_value(part);
+        return count_head(part.size());
     }
 
     int on_head() {
@@ -208,8 +221,7 @@
     }
 
     int report_head() {
-        finish_field();
-        if (bad_field_) {
+        if (!head_.names_are_valid()) {
             return -1;
         }
         in_body_ = true;
@@ -221,7 +233,7 @@
             request_head h;
             h.method = http_method_str(static_cast<http_method>(parser_.method));
             h.target = std::move(target_);
-            h.headers = std::move(headers_);
+            h.headers = head_.take_fields();
             h.keep_alive = keep_alive;
             h.http_1_1 = parser_.http_major > 1 || (parser_.http_major == 1 && parser_.http_minor >= 1);
             if (hooks_.request) {
@@ -235,7 +247,7 @@
         }
         response_head h;
         h.status = static_cast<int>(parser_.status_code);
-        h.headers = std::move(headers_);
+        h.headers = head_.take_fields();
         h.keep_alive = keep_alive;
         const bool chunked = (parser_.flags & F_CHUNKED) != 0;
         if (!chunked && parser_.content_length != std::numeric_limits<std::uint64_t>::max()) {
@@ -274,10 +286,8 @@
     http_parser parser_{};
     http_parser_settings settings_{};
     std::string target_;
-    header_list headers_;
-    std::string field_;
-    std::string value_;
-    bool in_value_ = false;
+    head_buffer head_;
+    std::size_t head_bytes_ = 0;  ///< texts of the head, and what the fields of a response take beside them
     bool done_ = false;
     bool interim_ = false;
     std::size_t interim_bytes_ = 0;  ///< since the last final response
@@ -290,7 +300,6 @@
     std::size_t trailer_bytes_ = 0;
     std::size_t body_bytes_ = 0;  ///< content of a chunked body
     bool failed_ = false;
-    bool bad_field_ = false;
 };
 
 message_reader::message_reader(kind k, reader_hooks h, std::size_t head_limit)
@@ -312,8 +321,11 @@
 bool message_reader::in_body() const {
     return impl_->in_body_;
 }
-std::size_t message_reader::head_bytes() const {
-    return impl_->in_message_ && !impl_->in_body_ ? impl_->head_bytes_ : 0;
+std::size_t message_reader::memory_bytes() const {
+    return impl_->memory_bytes();
+}
+void message_reader::stop() {
+    impl_->fail();
 }
 bool message_reader::head_too_long() const {
     return impl_->head_too_long_;
--- a/packages/http/tests/message_reader_test.cpp
+++ b/packages/http/tests/message_reader_test.cpp
@@ -100,6 +100,50 @@
     EXPECT_TRUE(r.reader.head_too_long());
 }
 
+/// @return request whose head has this size on the wire, in lines of 5 bytes and one that fills the rest.
+std::string request_of_short_lines(std::size_t bytes) {
+    std::string out = "GET / HTTP/1.1\r\n";
+    while (out.size() + 12 < bytes) {
+        out += "a:b\r\n";
+    }
+    return out + "c:" + std::string(bytes - out.size() - 6, 'd') + "\r\n\r\n";
+}
+
+// Failure: separators were not counted, so that a head of short lines passed with twice the limit. A caller
+// that stays within the limit must not be refused.
+TEST(message_reader, head_of_a_request_is_counted_as_it_is_on_the_wire) {
+    for (const std::size_t size : {std::size_t{1}, std::size_t{100}, 2 * head_limit}) {
+        reading legal{message_reader::kind::request};
+        EXPECT_EQ(legal.feed(request_of_short_lines(head_limit), size).state, read_state::complete);
+        reading longer{message_reader::kind::request};
+        EXPECT_EQ(longer.feed(request_of_short_lines(head_limit + head_limit / 8), size).state,
+                  read_state::invalid);
+        EXPECT_TRUE(longer.reader.head_too_long());
+        EXPECT_EQ(longer.reader.memory_bytes(), 0U);
+    }
+}
+
+// Failure: an unfinished head of 16 KiB in lines of 4 bytes took 256 KiB.
+TEST(message_reader, unfinished_head_takes_little_more_than_its_bytes) {
+    reading r{message_reader::kind::request};
+    auto text = request_of_short_lines(head_limit);
+    text.resize(text.size() - 4);
+    EXPECT_EQ(r.feed(text, 16).state, read_state::more);
+    EXPECT_GT(r.reader.memory_bytes(), 0U);
+    EXPECT_LT(r.reader.memory_bytes(), 6 * head_limit);
+    EXPECT_EQ(r.feed("\r\n\r\n", 16).state, read_state::complete);
+    EXPECT_EQ(r.reader.memory_bytes(), 0U);
+}
+
+// Failure: the fields of a trailer, which are passed on to nobody, were kept until the next request.
+TEST(message_reader, trailer_of_a_request_may_be_as_long_as_its_head_and_is_not_kept) {
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    reading r{message_reader::kind::request};
+    EXPECT_EQ(r.feed(head + "A: " + std::string(kib, 'x') + "\r\n", 100).state, read_state::more);
+    EXPECT_EQ(r.reader.memory_bytes(), 0U);
+    EXPECT_EQ(r.feed("\r\n", 100).state, read_state::complete);
+}
+
 TEST(message_reader, response_that_ends_with_its_connection) {
     reading r{message_reader::kind::response};
     EXPECT_EQ(r.feed("HTTP/1.1 200 OK\r\n\r\nabc", 5).state, read_state::more);
--- a/packages/http/tests/session_memory_test.cpp
+++ b/packages/http/tests/session_memory_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,6 +25,8 @@
     std::vector<std::shared_ptr<server_session>> sessions;
     std::vector<std::string> received;
     std::vector<std::shared_ptr<const std::string>> held;
+    bool keep_open = false;  ///< requests are not answered
+    std::vector<request> open;
     int refused = 0;
     net::listener listener{
         loop, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& s) {
@@ -31,6 +34,10 @@
                                                      {.received =
                                                           [this](server_session& x, request&& r) {
                                                               received.push_back(r.head.target);
+                                                              if (keep_open) {
+                                                                  open.push_back(std::move(r));
+                                                                  return;
+                                                              }
                                                               held.push_back(share_body(std::move(r)));
                                                               x.respond({.status = 200}, {});
                                                           },
@@ -98,6 +105,53 @@
     EXPECT_LT(account.peak(), account_limit);
 }
 
+std::string get_with_short_lines(const std::string& path, std::size_t lines) {
+    std::string out = "GET " + path + " HTTP/1.1\r\n";
+    for (std::size_t i = 0; i < lines; ++i) {
+        out += "a:b\r\n";
+    }
+    return out;
+}
+
+// Failure: unfinished heads were not on the account, so that a crowd of them took more than the memory.
+TEST_F(session_memory_test, heads_are_charged_and_the_crowd_is_refused) {
+    std::vector<std::shared_ptr<caller>> crowd;
+    crowd.reserve(40);
+    for (int i = 0; i < 40; ++i) {
+        crowd.push_back(send(get_with_short_lines("/odd", 2500)));
+    }
+    ASSERT_TRUE(run_until([&] {
+        return std::any_of(crowd.begin(), crowd.end(),
+                           [](const auto& c) { return c->received.starts_with("HTTP/1.1 503"); });
+    }));
+    EXPECT_GT(account.held(memory::owner::request_head), 0U);
+    EXPECT_LE(account.held(memory::owner::request_head), account_limit / 4);
+    const auto ordinary = send("GET /ordinary HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(run_until([&] { return ordinary->received.starts_with("HTTP/1.1 200"); }));
+    for (const auto& c : crowd) {
+        c->stream->close();
+    }
+    run_until([&] { return account.held(memory::owner::request_head) == 0; });
+    sessions.clear();
+    EXPECT_EQ(account.held(), 0U);
+}
+
+// Failure: a whole head of short lines takes 16 times its bytes while its request is open. One that is alone
+// is served; the next one is refused as not run.
+TEST_F(session_memory_test, whole_head_is_charged_until_its_request_ends) {
+    keep_open = true;
+    const auto first = send(get_with_short_lines("/first", 2500) + "\r\n");
+    ASSERT_TRUE(run_until([&] { return open.size() == 1; }));
+    EXPECT_GE(account.held(memory::owner::request_head), 2500 * sizeof(header_field));
+    const auto second = send(get_with_short_lines("/second", 2500) + "\r\n");
+    ASSERT_TRUE(run_until([&] { return second->received.starts_with("HTTP/1.1 503"); }));
+    EXPECT_EQ(received.size(), 1U);
+    open.clear();
+    EXPECT_EQ(account.held(memory::owner::request_head), 0U);
+    const auto third = send(get_with_short_lines("/third", 2500) + "\r\n");
+    ASSERT_TRUE(run_until([&] { return received.size() == 2; }));
+}
+
 // Guards against bytes that stay on the account after their connection has ended.
 TEST_F(session_memory_test, account_is_empty_after_all_connections_have_ended) {
     for (int i = 0; i < 8; ++i) {
--- a/packages/memory/include/memory/account.h
+++ b/packages/memory/include/memory/account.h
@@ -43,8 +43,8 @@
 
     /// @return true if the sum with these bytes does not enter the critical level.
     [[nodiscard]] bool has_room_for(std::size_t bytes) const noexcept;
-    /// @return bytes to be given up until the level `exceeded` is left; 0 at the other levels.
-    [[nodiscard]] std::size_t excess() const noexcept;
+    /// @return bytes to be given up until the level `p` is left; 0 at the levels below it.
+    [[nodiscard]] std::size_t excess(pressure p = pressure::exceeded) const noexcept;
 
 private:
     friend class charge;
--- a/packages/memory/src/account.cpp
+++ b/packages/memory/src/account.cpp
@@ -28,8 +28,12 @@
 
 std::string_view to_string(owner o) noexcept {
     switch (o) {
+        case owner::connection:
+            return "connection";
         case owner::caller_input:
             return "caller_input";
+        case owner::request_head:
+            return "request_head";
         case owner::request_body:
             return "request_body";
         case owner::server_output:
@@ -71,9 +75,12 @@
     return held_ < end && bytes < end - held_;
 }
 
-std::size_t account::excess() const noexcept {
-    const auto end = part_of(limit_, bounds[index(pressure::exceeded) - 1].left_percent);
-    return level_ == pressure::exceeded && held_ >= end ? held_ - end + 1 : 0;
+std::size_t account::excess(pressure p) const noexcept {
+    if (p == pressure::none) {
+        return 0;
+    }
+    const auto end = part_of(limit_, bounds[index(p) - 1].left_percent);
+    return level_ >= p && held_ >= end ? held_ - end + 1 : 0;
 }
 
 void account::replace(owner o, std::size_t old_bytes, std::size_t new_bytes) {
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -124,6 +124,10 @@
     /// Answers a request whose body there is no memory for: 503 with Retry-After, not run.
     void refuse_body(http::server_session& session, const http::request_head& head);
 
+    /// Answers a request whose head there is no memory for: 503 with Retry-After, not run.
+    /// @param head null if the head is not complete.
+    void refuse_head(http::server_session& session, const http::request_head* head);
+
     /// Cancels the session's request after its caller disconnected. A non-idempotent request that a server
     /// has received whole runs to its end.
     void caller_disconnected(http::server_session& session);
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -31,6 +31,9 @@
 /// Interval of the questions whether a request whose prompt is in doubt may be sent.
 constexpr base::duration admission_retry_interval = 20ms;
 
+/// The parts of a prompt are held by the request, by its evidence and by the scheduler.
+constexpr std::size_t copies_of_parts = 3;
+
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_bad_gateway = 502;
@@ -54,6 +57,10 @@
       event_charge_{router_.options.account, memory::owner::partial_event},
       events_{router.hooks.check_event} {
     record_.id = metadata_.id;
+    if (metadata_.generation) {
+        const auto parts = metadata_.generation->parts.size() * sizeof(scheduling::prefix_part);
+        request_.head_charge.set(request_.head_charge.bytes() + copies_of_parts * parts);
+    }
 }
 
 proxied_request::~proxied_request() {
--- a/packages/proxy/src/proxied_request.h
+++ b/packages/proxy/src/proxied_request.h
@@ -173,6 +173,7 @@
     base::time_point attempt_started_at_;
     std::uint32_t current_attempt_ = 0;
     http::response_head response_head_;
+    std::size_t response_head_bytes_ = 0;  ///< memory of the fields
     response_metadata response_metadata_;
     int response_status_ = 0;
     http::body_framing response_framing_ = http::body_framing::none;
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -87,6 +87,7 @@
     response_framing_ = http::body_framing::none;
     if (!response_started_) {
         response_head_ = {};
+        response_head_bytes_ = 0;
     }
     server_ = server;
     connection_key_ = server.instance_key();
@@ -202,6 +203,8 @@
     }
     if (!response_started_) {
         response_head_ = std::move(head);  // the head sent to the caller is that of the first server
+        response_head_bytes_ = response_head_.headers.memory_bytes();
+        charge_response();
     }
 }
 
@@ -224,7 +227,7 @@
 }
 
 void proxied_request::charge_response() {
-    response_charge_.set(response_body_.capacity());
+    response_charge_.set(response_body_.capacity() + response_head_bytes_);
     event_charge_.set(events_.held_bytes());
     router_.check_memory();
 }
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -37,6 +37,9 @@
 void request_router::refuse_body(http::server_session& session, const http::request_head& head) {
     impl_->refuse_body(session, head);
 }
+void request_router::refuse_head(http::server_session& session, const http::request_head* head) {
+    impl_->refuse_head(session, head);
+}
 
 void request_router::caller_disconnected(http::server_session& session) {
     impl_->caller_disconnected(session);
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -18,7 +18,8 @@
 constexpr base::duration tick_interval = 40ms;
 /// Interval at which idle connections are checked for expiry.
 constexpr base::duration expiry_interval = 1s;
-/// Retry-After of a request that was refused because of its body; most requests end within this time.
+/// Retry-After of a request that was refused because of the memory that it needs; most requests end within
+/// this time.
 constexpr base::duration retry_after_no_memory = 500ms;
 constexpr int status_unavailable = 503;
 /// Attempts and requests that hold less are not ended for their memory: all that are open together hold less
@@ -175,11 +176,24 @@
 }
 
 void request_router::impl::refuse_body(http::server_session& session, const http::request_head& head) {
+    refuse_for_memory(session, head, "no_memory_for_body");
+}
+
+void request_router::impl::refuse_head(http::server_session& session, const http::request_head* head) {
+    if (head != nullptr) {
+        refuse_for_memory(session, *head, "no_memory_for_head");
+        return;
+    }
+    session.respond(codec.error_response(status_unavailable, {}, retry_after_no_memory), {});
+}
+
+void request_router::impl::refuse_for_memory(http::server_session& session, const http::request_head& head,
+                                             const char* cause) {
     request_record record;
     record.id = codec.decode(head).id;
     record.status = status_unavailable;
     record.code = base::result_code::queue_full;
-    record.failure_cause = "no_memory_for_body";
+    record.failure_cause = cause;
     session.respond(codec.error_response(status_unavailable, record.id, retry_after_no_memory), {});
     if (hooks.request_ended) {
         hooks.request_ended(record);
--- a/packages/proxy/src/request_router_impl.h
+++ b/packages/proxy/src/request_router_impl.h
@@ -43,6 +43,7 @@
     void set_retry_budget_share(const retry_budget_share& s);
     void handle(http::server_session& session, http::request&& r);
     void refuse_body(http::server_session& session, const http::request_head& head);
+    void refuse_head(http::server_session& session, const http::request_head* head);
     void caller_disconnected(http::server_session& session);
     void drained(http::server_session& session);
     void end_requests();
@@ -99,6 +100,8 @@
     /// caller has been sent, then requests whose callers do not take their output.
     void shed_memory();
     void tick(const base::service_id& id);
+    /// Answers a request that there is no memory for.
+    void refuse_for_memory(http::server_session& session, const http::request_head& head, const char* cause);
     void schedule_tick(const base::service_id& id);
     [[nodiscard]] retry::budget_options budget_options() const;
 
