End attempts whose unfinished response heads exceed the memory

Cause: the head of a response that is being read was on the account, but `unvalidated_bytes` left it out, so no attempt was ended for it. The check ran only when a request changed a charge of its own.

Change: the bytes of the head count for its attempt, and the daemon lets the router check when the level rises.

--- a/apps/daemon/src/edge_daemon_operators.cpp
+++ b/apps/daemon/src/edge_daemon_operators.cpp
@@ -114,6 +114,7 @@
     loop_.after({}, [this] {
         memory_relief_pending_ = false;
         memory_relief_.relieve(caller_sessions_);
+        router_.check_memory();
     });
 }
 
--- a/packages/http/include/http/client_connection.h
+++ b/packages/http/include/http/client_connection.h
@@ -99,6 +99,8 @@
     [[nodiscard]] bool fresh() const noexcept { return exchanges_ <= 1; }
     /// @return how long the server keeps the idle connection, if it said so.
     [[nodiscard]] std::optional<base::duration> idle_time() const noexcept { return idle_time_; }
+    /// @return memory of a response's head that is not complete, in bytes.
+    [[nodiscard]] std::size_t head_bytes() const noexcept { return head_charge_.bytes(); }
     /// @return when the last exchange ended.
     [[nodiscard]] base::time_point idle_since() const noexcept { return idle_since_; }
 
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -128,6 +128,10 @@
     /// @param head null if the head is not complete.
     void refuse_head(http::server_session& session, const http::request_head* head);
 
+    /// Ends attempts and then requests that hold the most memory if the account's limit is exceeded. Expected
+    /// when the account enters that level; may be called inside a change of a charge.
+    void check_memory();
+
     /// Cancels the session's request after its caller disconnected. A non-idempotent request that a server
     /// has received whole runs to its end.
     void caller_disconnected(http::server_session& session);
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -233,7 +233,9 @@
 }
 
 std::size_t proxied_request::unvalidated_bytes() const {
-    return connection_ && !ended_ ? response_charge_.bytes() + event_charge_.bytes() : 0;
+    return connection_ && !ended_
+               ? response_charge_.bytes() + event_charge_.bytes() + connection_->head_bytes()
+               : 0;
 }
 
 std::size_t proxied_request::pending_output_bytes() const {
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -41,6 +41,10 @@
     impl_->refuse_head(session, head);
 }
 
+void request_router::check_memory() {
+    impl_->check_memory();
+}
+
 void request_router::caller_disconnected(http::server_session& session) {
     impl_->caller_disconnected(session);
 }
--- a/packages/proxy/tests/memory_limits_test.cpp
+++ b/packages/proxy/tests/memory_limits_test.cpp
@@ -107,6 +107,31 @@
     }
 }
 
+// Failure: heads of responses that are never completed were on the account, but no attempt was ended for
+// them.
+TEST_F(memory_limits_test, attempts_with_unfinished_heads_end_when_the_limit_is_exceeded) {
+    load_catalog();
+    add_server([](const connection& c, const std::string&) {
+        c->write("HTTP/1.1 200 OK\r\nA: " + std::string(30'000, 'x'));
+    });
+    account.set_change_hook([this](memory::pressure, memory::pressure to) {
+        if (to == memory::pressure::exceeded) {
+            router.check_memory();
+        }
+    });
+    memory::charge others{&account, memory::owner::response};
+    others.set(memory_limit_bytes - mebibyte / 4);
+    for (int i = 0; i < 16; ++i) {
+        add_caller("/order/", i, false);
+    }
+    ASSERT_TRUE(run_until([&] { return !records.empty(); }));
+    EXPECT_EQ(records[0].failure_cause, "memory_limit");
+    account.set_change_hook(nullptr);
+    for (const auto& c : callers) {
+        c->close();
+    }
+}
+
 std::vector<endless_response> endless_responses() {
     const std::string text(1000, 'x');
     const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
