--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -133,6 +133,14 @@
     /// Answers a request whose body there is no memory for: 503 with Retry-After, not run.
     void refuse_body(http::server_session& session, const http::request_head& head);
 
+    /// Answers a request whose head there is no memory for: 503 with Retry-After, not run.
+    /// @param head null if the head is not complete.
+    void refuse_head(http::server_session& session, const http::request_head* head);
+
+    /// Ends attempts and then requests that hold the most memory if the account's limit is exceeded. Expected
+    /// when the account enters that level; may be called inside a change of a charge.
+    void check_memory();
+
     /// Cancels the session's request after its caller disconnected. A non-idempotent request that a server
     /// has received whole runs to its end.
     void caller_disconnected(http::server_session& session);
