Count a server that ends as cold for all connected daemons

A server that ends may come back cold under its old entry, which is written again about 1.2 s later and read up to 1 s after. Only daemons whose requests failed there knew of it.

The end of an idle connection starts the check of the server's process that failed attempts use (one connect, no request). If the process has ended, the server counts as unreachable, and thus as cold for the warm-up time of its service. This is done only for services with a warm-up and while the bound is set.

--- a/packages/proxy/src/end_watch.cpp
+++ b/packages/proxy/src/end_watch.cpp
@@ -140,11 +140,24 @@
 void end_watch::idle_connection_ended(const std::string& instance) {
     forget_old_failures();
     const auto it = failures_.find(instance);
-    if (it == failures_.end()) {
+    const auto* server = it == failures_.end() ? watched(instance) : &it->second.front().attempt.server;
+    if (server == nullptr) {
         return;
     }
-    check_.start(instance, it->second.front().attempt.server.address, witnesses(instance),
-                 [this, instance](const check_finding& f) { record_failures(instance, f); });
+    check_.start(instance, server->address, witnesses(instance), [this, instance](const check_finding& f) {
+        record_failures(instance, f);
+        const auto* ended = f.state() == process_state::ended ? watched(instance) : nullptr;
+        if (ended != nullptr) {
+            hooks_.ended(*ended);
+        }
+    });
+}
+
+const catalog::backend_server* end_watch::watched(const std::string& instance) const {
+    const auto it = listed_.find(instance);
+    const bool wanted =
+        it != listed_.end() && !drained_.contains(instance) && hooks_.watched && hooks_.watched(it->second);
+    return wanted ? &it->second : nullptr;
 }
 
 void end_watch::forget_old_failures() {
--- a/packages/proxy/src/end_watch.h
+++ b/packages/proxy/src/end_watch.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chicorygap::crash_guard {
@@ -28,6 +29,14 @@
 
 namespace chicorygap::proxy {
 
+/// What is done about servers that end while this daemon runs nothing there.
+struct end_watch_hooks {
+    /// @return true if the end of the server should be found even if no attempt on it has failed.
+    std::function<bool(const catalog::backend_server&)> watched;
+    /// A watched server has ended; another process may take its place under the same entry.
+    std::function<void(const catalog::backend_server&)> ended;
+};
+
 /// Finds out which servers end, and tells the prompt guard which requests were there.
 ///
 /// Concept: no single sign shows the end of a process on every network. A refused connect shows it, and so do
@@ -43,6 +52,7 @@
     end_watch(const end_watch&) = delete;
     end_watch& operator=(const end_watch&) = delete;
 
+    void set_hooks(end_watch_hooks hooks) { hooks_ = std::move(hooks); }
     void set_servers(const std::vector<catalog::backend_server>& servers);
 
     /// @param done called once, not from within this call.
@@ -72,12 +82,15 @@
     /// Records the failed attempts on an instance that has ended.
     void record_failures(const std::string& instance, const check_finding& f);
     void idle_connection_ended(const std::string& instance);
+    /// @return the listed server that the hooks watch, or null.
+    [[nodiscard]] const catalog::backend_server* watched(const std::string& instance) const;
     void forget_old_failures();
 
     net::loop& loop_;
     http::connection_pool& pool_;
     crash_guard::prompt_guard& guard_;
     server_check check_;
+    end_watch_hooks hooks_;
     std::unordered_map<std::string, catalog::backend_server> listed_;  ///< by instance
     /// Instances that drained, and when they were last listed.
     std::map<std::string, base::time_point> drained_;
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -44,6 +44,13 @@
                        .news = hooks.signal_news,
                        .server_leaving = [this] { on_server_leaving(); },
                        .server_cold = hooks.server_cold});
+    ends.set_hooks(
+        {.watched =
+             [this](const catalog::backend_server& s) { return signals.limits_cold_servers(s.service); },
+         .ended =
+             [this](const catalog::backend_server& s) {
+                 signals.record_unreachable(backpressure::key_of(s), loop.now());
+             }});
     loop.every(expiry_interval, [this] { pool.expire(); });
 }
 
--- a/packages/proxy/tests/server_signals_test.cpp
+++ b/packages/proxy/tests/server_signals_test.cpp
@@ -77,6 +77,35 @@
     EXPECT_EQ(limit_of("other"), 1.0);
 }
 
+// Failure: a server ends, and its successor starts cold under the same entry. Guards against daemons that
+// only notice it when a request of theirs fails, and against a retry that does not keep to the limit.
+TEST_F(server_signals_test, server_that_ends_counts_as_cold_for_all_that_were_connected) {
+    router.server_signals().set_warmups(backpressure::warmup_bounds{1.5, 5},
+                                        {{base::service_id{"s"}, {3s, 10}}}, loop.now());
+    add_server([](const connection& c, const std::string&) { c->write(make_response("1", "ok")); });
+    send_request("/read/", "1");
+    ASSERT_TRUE(wait_for_records());
+    const auto key = backpressure::key_of(entry("server0", {}));
+    EXPECT_FALSE(router.server_signals().cold(key, loop.now()));
+    servers[0]->end_process();
+    EXPECT_TRUE(run_until([&] { return router.server_signals().cold(key, loop.now()); }));
+}
+
+TEST_F(server_signals_test, cold_server_gets_no_more_by_retries) {
+    router.server_signals().set_warmups(backpressure::warmup_bounds{1.5, 5},
+                                        {{base::service_id{"s"}, {3s, 10}}}, loop.now());
+    std::vector<base::time_point> arrivals;
+    add_server([&arrivals](const connection& c, const std::string&) {
+        arrivals.push_back(base::boot_clock::now());
+        c->write(make_response("1", "", 500, "Cold: 3000\r\n"));
+    });
+    send_request("/read/", "1");
+    ASSERT_TRUE(wait_for_records());
+    for (std::size_t i = 1; i < arrivals.size(); ++i) {
+        EXPECT_GE(arrivals[i] - arrivals[i - 1], 100ms) << "alone in its fleet, one start in 125 ms";
+    }
+}
+
 // Guards against a limit read from a late copy of a response to another request.
 TEST_F(server_signals_test, responses_to_other_requests_say_nothing) {
     int requests = 0;
--- a/packages/proxy/tests/test_header_codec.h
+++ b/packages/proxy/tests/test_header_codec.h
@@ -12,7 +12,8 @@
 namespace chicorygap::proxy {
 
 /// Header codec for tests. Requests use the fields Id, Key, Last and Parts (ids in decimal); responses use
-/// Id, Unsigned, Not-Run, Limit (requests per second), Wait (seconds), Leaving and status 421.
+/// Id, Unsigned, Not-Run, Limit (requests per second), Wait (seconds), Cold (milliseconds), Leaving and
+/// status 421.
 class test_header_codec final : public header_codec {
 public:
     [[nodiscard]] request_metadata decode(const http::request_head& head) const override {
@@ -56,6 +57,9 @@
         if (const auto* wait = head.headers.find("Wait")) {
             r.signals.retry_after = std::chrono::seconds{std::stoi(*wait)};
         }
+        if (const auto* cold = head.headers.find("Cold")) {
+            r.signals.cold = std::chrono::milliseconds{std::stoi(*cold)};
+        }
         r.signals.leaving = head.headers.find("Leaving") != nullptr;
         return r;
     }
