Prefer other servers to one that got many starts within a second

A server may become cold again at any moment, and its daemons read of it up to 3.2 s later.

A daemon that has started an equal part of the bound, at least two, on one server within a second prefers others (signal_table::crowded), for services with a warm-up only. It uses the server nevertheless if no other one has room.

--- a/packages/backpressure/include/backpressure/signal_table.h
+++ b/packages/backpressure/include/backpressure/signal_table.h
@@ -107,6 +107,13 @@
     /// @return requests per second that the fleet may send to the server; nothing without a limit.
     [[nodiscard]] std::optional<double> limit(server_key server) const;
 
+    /// @return true if this daemon has started so many requests on the server within a second that others
+    /// should be preferred (`warmup_table::crowded`).
+    [[nodiscard]] bool crowded(server_key server, base::time_point now) const;
+    /// @return true if starts on the servers of the service are limited while they are cold.
+    [[nodiscard]] bool limits_cold_servers(const base::service_id& service) const {
+        return warmups_.limits(service);
+    }
     /// @return true if the server is cold, and thus slower than others.
     [[nodiscard]] bool cold(server_key server, base::time_point now) const {
         return warmups_.remaining(server, now) > base::duration{};
--- a/packages/backpressure/include/backpressure/warmup_table.h
+++ b/packages/backpressure/include/backpressure/warmup_table.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -88,6 +89,11 @@
     [[nodiscard]] base::duration remaining(server_key server, base::time_point now) const;
     /// @return false if the server is cold and takes no request of this daemon now.
     [[nodiscard]] bool may_start(server_key server, base::time_point now) const;
+    /// Any server of a service with a warm-up may have become cold already without this daemon knowing it.
+    /// @param daemons daemons that send to the server.
+    /// @return true if this daemon has started so many requests on the server within the last second that
+    /// others should be preferred, whether it is known to be cold or not.
+    [[nodiscard]] bool crowded(server_key server, std::size_t daemons, base::time_point now) const;
     /// Counts the start of a request on the server, cold or not.
     void record_start(server_key server, base::time_point now);
     /// @return when the server takes further requests; nothing if it is not cold.
@@ -95,6 +101,11 @@
     /// @return requests per second that all daemons together send to the server; nothing if it is not cold.
     [[nodiscard]] std::optional<double> limit(server_key server, base::time_point now) const;
 
+    /// @return true if starts on the servers of the service are limited while they are cold.
+    [[nodiscard]] bool limits(const base::service_id& service) const {
+        return bounds_ && services_.contains(service);
+    }
+
     /// @return the listed servers that are cold.
     [[nodiscard]] std::vector<server_key> cold_servers(base::time_point now) const;
     /// Adds what is known of the server's coldness.
@@ -120,8 +131,8 @@
         bool listed = false;
         base::time_point last_listed;
         std::array<statement, cold_source_count> statements;
-        std::optional<part> own;  ///< absent while the server is not known to be cold
-        std::optional<base::time_point> last_start;
+        std::optional<part> own;                     ///< absent while the server is not known to be cold
+        std::deque<base::time_point> recent_starts;  ///< the last one, and those of the last second
     };
 
     [[nodiscard]] const catalog::warmup* warmup_of(const server_state& s) const;
--- a/packages/backpressure/src/warmup_table.cpp
+++ b/packages/backpressure/src/warmup_table.cpp
@@ -4,6 +4,7 @@
 #include "backpressure/server_key.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 
 namespace chicorygap::backpressure {
@@ -20,6 +21,12 @@
 /// A daemon has heard of its peers, from the store's list or theirs, within this time after its start. News
 /// take longer in large fleets.
 constexpr base::duration min_start_delay = 1s;
+/// The window of the bound.
+constexpr base::duration bound_window = 1s;
+/// Starts within a second on one server that a daemon may always make before it prefers others. With an equal
+/// part of the bound, daemons of large fleets could not send two related requests to the same server.
+constexpr std::size_t min_usual_starts = 2;
+constexpr std::size_t max_recent_starts = 64;
 /// Longer than any warm-up, which bounds it.
 constexpr base::duration whole_warmup = 24h;
 
@@ -168,14 +175,33 @@
     if (s == nullptr) {
         return true;
     }
-    const bool rested = !s->last_start || now - *s->last_start >= s->own->division.gap;
+    const bool rested = s->recent_starts.empty() || now - s->recent_starts.back() >= s->own->division.gap;
     return s->own->usable_from && now >= *s->own->usable_from && rested;
 }
 
+bool warmup_table::crowded(server_key server, std::size_t daemons, base::time_point now) const {
+    const auto it = servers_.find(server);
+    const auto* w = it == servers_.end() ? nullptr : warmup_of(it->second);
+    if (w == nullptr) {
+        return false;
+    }
+    const auto& starts = it->second.recent_starts;
+    const auto recent = starts.end() - std::upper_bound(starts.begin(), starts.end(), now - bound_window);
+    const double even =
+        (w->requests_per_s * bounds_->overage + bounds_->slack) / static_cast<double>(daemons);
+    return static_cast<double>(recent) >= std::max<double>(min_usual_starts, std::floor(even));
+}
+
 void warmup_table::record_start(server_key server, base::time_point now) {
-    if (const auto it = servers_.find(server); it != servers_.end()) {
-        it->second.last_start = now;
+    const auto it = servers_.find(server);
+    if (it == servers_.end()) {
+        return;
+    }
+    auto& starts = it->second.recent_starts;
+    while (!starts.empty() && (starts.front() <= now - bound_window || starts.size() >= max_recent_starts)) {
+        starts.pop_front();
     }
+    starts.push_back(now);
 }
 
 std::optional<warmup_forecast> warmup_table::forecast(server_key server, base::time_point now) const {
@@ -186,7 +212,8 @@
     warmup_forecast f{.remaining = remaining(*s, now)};
     f.first = f.remaining;
     if (s->own->usable_from) {
-        const auto rested_at = s->last_start ? *s->last_start + s->own->division.gap : now;
+        const auto rested_at =
+            s->recent_starts.empty() ? now : s->recent_starts.back() + s->own->division.gap;
         const auto next = std::max(now, std::max(rested_at, *s->own->usable_from)) - now;
         if (next < f.remaining) {
             f.first = next;
--- a/packages/backpressure/tests/warmup_fleet.h
+++ b/packages/backpressure/tests/warmup_fleet.h
@@ -51,6 +51,8 @@
     /// @return true if beacons between two daemons are lost.
     std::function<bool(std::size_t, std::size_t)> cut = [](std::size_t, std::size_t) { return false; };
     double load = 1;  ///< factor on the requests of callers
+    /// Requests per second of the first daemon whose prompts are cached on the first server, besides others.
+    double hot_requests_per_s = 0;
 
     /// Replaces a daemon by a new process that knows nothing.
     void restart(std::size_t i, base::time_point started_at) {
@@ -78,6 +80,7 @@
         servers_[i].cold_until = now_ + cold_time;
         servers_[i].became_cold_at = now_;
         servers_[i].next_write = now_ + written_after;
+        write_entry(servers_[i]);
     }
 
     void run(base::duration d) {
@@ -192,6 +195,9 @@
         const bool arrives =
             std::bernoulli_distribution{options_.requests_per_s * load * dt.count()}(random_);
         d.waiting += arrives ? 1 : 0;
+        if (i == 0 && std::bernoulli_distribution{hot_requests_per_s * dt.count()}(random_)) {
+            d.waiting += start_one(d, true) ? 0 : 1;
+        }
         while (d.waiting > 0 && start_one(d)) {
             --d.waiting;
         }
@@ -208,15 +214,17 @@
         }
     }
 
-    bool start_one(daemon& d) {
+    bool start_one(daemon& d, bool hot = false) {
         auto order = d.list;
-        std::shuffle(order.begin(), order.end(), random_);
+        std::shuffle(order.begin() + (hot ? 1 : 0), order.end(), random_);
         // With low load, requests spread over the servers; a burst goes to those that look idle.
         if (load > 1) {
             std::stable_sort(order.begin(), order.end(), [this](const auto& a, const auto& b) {
                 return truth(a).became_cold_at > truth(b).became_cold_at;
             });
         }
+        std::stable_partition(order.begin(), order.end(),
+                              [&](const auto& s) { return !d.table->crowded(key_of(s), now_); });
         for (const auto& s : order) {
             const auto key = key_of(s);
             if (d.table->may_start(key, now_)) {
--- a/packages/backpressure/tests/warmup_fleet_test.cpp
+++ b/packages/backpressure/tests/warmup_fleet_test.cpp
@@ -120,6 +120,20 @@
     }
 }
 
+// Failure: the same, while one daemon has many requests whose prompts that server has cached.
+TEST_P(warmup_fleet_test, hot_prompt_does_not_overrun_a_server_that_becomes_cold_again) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto o = make_options(seed);
+        o.servers = o.daemons;
+        warmup_fleet f{o};
+        f.hot_requests_per_s = 15;
+        f.run(2s);
+        f.make_cold(0, 1200ms);
+        f.run(4s);
+        EXPECT_LE(f.most_cold_arrivals(), bound) << seed;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(fleets, warmup_fleet_test, testing::Values<std::size_t>(6, 12, 62));
 
 }  // namespace
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -298,8 +298,12 @@
                                        const placement_context& c, base::time_point now) {
     const auto affinity =
         request.generation ? find_affinity_servers(request, candidates, c, now) : affinity_servers{};
-    std::optional<placement> best;
-    double best_ms = std::numeric_limits<double>::infinity();
+    struct choice {
+        std::optional<placement> server;
+        double ms = std::numeric_limits<double>::infinity();
+    };
+    choice usual;
+    choice crowded;  // only if no other server has room
     for (auto* s : candidates) {
         if (s->info.draining || s->health.ejected(now) || s->has_queue(now) ||
             !has_capacity(*s, request, c) ||
@@ -308,13 +312,14 @@
         }
         const auto p = request.generation ? plan_prefill(*s, request, affinity, c) : prefill_plan{};
         const double ms = placement_cost_ms(*s, request, p, c, now);
-        if (ms < best_ms) {
-            best_ms = ms;
-            best = placement{s, p.prefill_tokens, p.kv_transfer_source, affinity.rank(*s),
-                             is_long_prompt(request, c)};
+        auto& best = c.signals != nullptr && c.signals->crowded(s->signal_key, now) ? crowded : usual;
+        if (ms < best.ms) {
+            best.ms = ms;
+            best.server = placement{s, p.prefill_tokens, p.kv_transfer_source, affinity.rank(*s),
+                                    is_long_prompt(request, c)};
         }
     }
-    return best;
+    return usual.server ? usual.server : crowded.server;
 }
 
 }  // namespace chicorygap::scheduling
