--- a/packages/backpressure/include/backpressure/signal_table.h
+++ b/packages/backpressure/include/backpressure/signal_table.h
@@ -109,7 +109,9 @@
 
     /// @return true if this daemon has started so many requests on the server within a second that others
     /// should be preferred (`warmup_table::crowded`).
-    [[nodiscard]] bool crowded(server_key server, base::time_point now) const;
+    [[nodiscard]] bool crowded(server_key server, base::time_point now) const {
+        return warmups_.crowded(server, now);
+    }
     /// @return true if starts on the servers of the service are limited while they are cold.
     [[nodiscard]] bool limits_cold_servers(const base::service_id& service) const {
         return warmups_.limits(service);
--- a/packages/backpressure/include/backpressure/warmup_table.h
+++ b/packages/backpressure/include/backpressure/warmup_table.h
@@ -90,10 +90,9 @@
     /// @return false if the server is cold and takes no request of this daemon now.
     [[nodiscard]] bool may_start(server_key server, base::time_point now) const;
     /// Any server of a service with a warm-up may have become cold already without this daemon knowing it.
-    /// @param daemons daemons that send to the server.
     /// @return true if this daemon has started so many requests on the server within the last second that
     /// others should be preferred, whether it is known to be cold or not.
-    [[nodiscard]] bool crowded(server_key server, std::size_t daemons, base::time_point now) const;
+    [[nodiscard]] bool crowded(server_key server, base::time_point now) const;
     /// Counts the start of a request on the server, cold or not.
     void record_start(server_key server, base::time_point now);
     /// @return when the server takes further requests; nothing if it is not cold.
--- a/packages/backpressure/src/signal_table.cpp
+++ b/packages/backpressure/src/signal_table.cpp
@@ -253,14 +253,6 @@
     return f;
 }
 
-bool signal_table::crowded(server_key server, base::time_point now) const {
-    const auto& p = demands_.parameters();
-    // Fleets that divide limits within zones are so large that a daemon's part of the bound is below the
-    // least.
-    return warmups_.crowded(server, p.within_zones ? max_servers : std::max<std::size_t>(1, p.known_daemons),
-                            now);
-}
-
 bool signal_table::leaving(server_key server) const {
     const auto it = servers_.find(server);
     return it != servers_.end() && it->second.leaving;
--- a/packages/backpressure/src/warmup_table.cpp
+++ b/packages/backpressure/src/warmup_table.cpp
@@ -23,8 +23,10 @@
 constexpr base::duration min_start_delay = 1s;
 /// The window of the bound.
 constexpr base::duration bound_window = 1s;
-/// Starts within a second on one server that a daemon may always make before it prefers others. With an equal
-/// part of the bound, daemons of large fleets could not send two related requests to the same server.
+/// Part of the bound that one daemon may start within a second before it prefers other servers. With a third,
+/// three such daemons exceed the bound; a tenth sends a quarter of the requests for a part that is used 1.2
+/// times a second away from the server that has cached it, a fifth 3 percent.
+constexpr double usual_part = 0.2;
 constexpr std::size_t min_usual_starts = 2;
 constexpr std::size_t max_recent_starts = 64;
 /// Longer than any warm-up, which bounds it.
@@ -160,12 +162,12 @@
 }
 
 base::duration warmup_table::remaining(server_key server, base::time_point now) const {
-    const auto it = servers_.find(server);
+    const auto it = bounds_ ? servers_.find(server) : servers_.end();
     return it == servers_.end() ? base::duration{} : remaining(it->second, now);
 }
 
 const warmup_table::server_state* warmup_table::find_cold(server_key server, base::time_point now) const {
-    const auto it = servers_.find(server);
+    const auto it = bounds_ ? servers_.find(server) : servers_.end();
     const bool cold = it != servers_.end() && it->second.own && remaining(it->second, now) > base::duration{};
     return cold ? &it->second : nullptr;
 }
@@ -179,17 +181,16 @@
     return s->own->usable_from && now >= *s->own->usable_from && rested;
 }
 
-bool warmup_table::crowded(server_key server, std::size_t daemons, base::time_point now) const {
-    const auto it = servers_.find(server);
+bool warmup_table::crowded(server_key server, base::time_point now) const {
+    const auto it = bounds_ ? servers_.find(server) : servers_.end();
     const auto* w = it == servers_.end() ? nullptr : warmup_of(it->second);
     if (w == nullptr) {
         return false;
     }
     const auto& starts = it->second.recent_starts;
     const auto recent = starts.end() - std::upper_bound(starts.begin(), starts.end(), now - bound_window);
-    const double even =
-        (w->requests_per_s * bounds_->overage + bounds_->slack) / static_cast<double>(daemons);
-    return static_cast<double>(recent) >= std::max<double>(min_usual_starts, std::floor(even));
+    const double usual = usual_part * (w->requests_per_s * bounds_->overage + bounds_->slack);
+    return static_cast<double>(recent) >= std::max<double>(min_usual_starts, std::floor(usual));
 }
 
 void warmup_table::record_start(server_key server, base::time_point now) {
--- a/packages/scheduling/tests/server_signals_test.cpp
+++ b/packages/scheduling/tests/server_signals_test.cpp
@@ -104,6 +104,24 @@
     EXPECT_TRUE(rejected.empty());
 }
 
+// Load: one daemon sends much, and one server looks better than the other. Guards against requests that all
+// go to a server which may have become cold again, and against requests that wait although it has room.
+TEST_F(server_signals_test, other_servers_are_preferred_after_many_starts_within_a_second) {
+    signals.set_warmups(backpressure::warmup_bounds{1.5, 5}, {{base::service_id{"orders"}, {3s, 10}}},
+                        start_time);
+    auto far = make_server("far");
+    far.zone = base::zone_id{"other"};
+    set_servers({make_server("near"), far});
+    for (int i = 0; i < 8; ++i) {
+        submit(start_time + i * 10ms);
+    }
+    EXPECT_EQ(starts["near"], 4);
+    EXPECT_EQ(starts["far"], 4);
+    submit(start_time + 100ms);
+    EXPECT_EQ(starts["near"], 5) << "no other server is better";
+    EXPECT_TRUE(rejected.empty());
+}
+
 // Load: the whole service is cold. Guards against holding requests beyond their time, and against telling
 // callers to return later than the servers are warm.
 TEST_F(server_signals_test, callers_are_told_when_cold_servers_take_their_request) {
