Keep the places of silent daemons for cold servers for ten minutes

Three parts of a fleet that did not hear each other for more than a minute forgot each other, and each took the whole of what a cold server may get from one set of daemons: up to 30 within a second, where 20 are allowed. A daemon that was started within a partition between zones took its zone for the only one.

Places are now kept for ten minutes unless the daemon has announced its end, and a daemon sends to cold servers of other zones only if it is older than a minute and knows of no daemon there.

--- a/packages/backpressure/include/backpressure/demand_table.h
+++ b/packages/backpressure/include/backpressure/demand_table.h
@@ -96,7 +96,8 @@
                                     const base::zone_id& server_zone, double rate,
                                     base::time_point now) const;
 
-    /// Ranks the daemons for a server by rendezvous hashing alone, whatever their demand.
+    /// Ranks the daemons for a server by rendezvous hashing alone, whatever their demand. A silent daemon
+    /// keeps its place longer than its part of a limit.
     [[nodiscard]] sender_place place(server_key server, const base::zone_id& server_zone,
                                      base::time_point now) const;
     [[nodiscard]] base::time_point started_at() const noexcept { return started_at_; }
@@ -117,10 +118,21 @@
         bool silent = false;
     };
 
+    /// A daemon that was heard of, remembered longer than its demand.
+    struct member {
+        base::zone_id zone;
+        std::uint64_t vm_hash = 0;
+        bool stopping = false;
+        base::time_point heard_at;
+    };
+
     /// @return requests per second.
     [[nodiscard]] static double mean_demand(const std::vector<candidate>& list);
+    /// @param others other daemons that count.
     /// @return zone whose daemons send to the server.
-    [[nodiscard]] base::zone_id sending_zone(server_key server, const base::zone_id& server_zone) const;
+    template <typename Daemons>
+    [[nodiscard]] base::zone_id sending_zone(server_key server, const base::zone_id& server_zone,
+                                             const Daemons& others) const;
     [[nodiscard]] std::vector<candidate> candidates(server_key server, const base::service_id& service,
                                                     const base::zone_id& server_zone,
                                                     base::time_point now) const;
@@ -132,6 +144,7 @@
     fleet_parameters parameters_;
     std::map<base::service_id, base::decaying_rate> arrivals_;
     std::map<base::vm_id, peer> peers_;
+    std::map<base::vm_id, member> members_;
 };
 
 }  // namespace chicorygap::backpressure
--- a/packages/backpressure/src/demand_table.cpp
+++ b/packages/backpressure/src/demand_table.cpp
@@ -19,6 +19,10 @@
 constexpr base::duration demand_time = 4s;
 /// A silent peer keeps its shares for this time. A partition between daemons is expected to end before.
 constexpr base::duration silent_peer_memory = 60s;
+/// A silent peer keeps its place among the daemons that send to cold servers for this time. Three parts of a
+/// fleet that do not hear each other for longer exceed the bound of a cold server; a daemon that is lost
+/// without having announced its end costs its part of them for this time.
+constexpr base::duration member_memory = 10min;
 /// Daemons that send to a server besides one for each request per second of its limit. Each of them may hold
 /// one unused start, so that their number bounds the burst at the server.
 constexpr std::size_t min_sending_daemons = 3;
@@ -60,6 +64,7 @@
     if (!demands.empty()) {
         p.demands = demands;
     }
+    members_[vm] = {.zone = zone, .vm_hash = p.vm_hash, .stopping = stopping, .heard_at = now};
 }
 
 void demand_table::expire(base::time_point now) {
@@ -67,6 +72,10 @@
         const auto& p = entry.second;
         return now - p.heard_at > (p.stopping ? parameters_.silence_time : silent_peer_memory);
     });
+    std::erase_if(members_, [&](const auto& entry) {
+        const auto& m = entry.second;
+        return now - m.heard_at > (m.stopping ? parameters_.silence_time : member_memory);
+    });
 }
 
 std::map<base::service_id, double> demand_table::local_demands(base::time_point now) const {
@@ -94,15 +103,17 @@
            }));
 }
 
-base::zone_id demand_table::sending_zone(server_key server, const base::zone_id& server_zone) const {
+template <typename Daemons>
+base::zone_id demand_table::sending_zone(server_key server, const base::zone_id& server_zone,
+                                         const Daemons& others) const {
     const bool has_daemons =
-        server_zone == zone_ || std::any_of(peers_.begin(), peers_.end(),
+        server_zone == zone_ || std::any_of(others.begin(), others.end(),
                                             [&](const auto& p) { return p.second.zone == server_zone; });
     if (has_daemons) {
         return server_zone;
     }
     std::set<base::zone_id> zones{zone_};
-    for (const auto& [vm, p] : peers_) {
+    for (const auto& [vm, p] : others) {
         zones.insert(p.zone);
     }
     return *std::max_element(zones.begin(), zones.end(), [server](const auto& a, const auto& b) {
@@ -114,7 +125,7 @@
                                                               const base::service_id& service,
                                                               const base::zone_id& server_zone,
                                                               base::time_point now) const {
-    const auto zone = parameters_.within_zones ? sending_zone(server, server_zone) : base::zone_id{};
+    const auto zone = parameters_.within_zones ? sending_zone(server, server_zone, peers_) : base::zone_id{};
     const auto sends = [&](const base::zone_id& z) { return !parameters_.within_zones || z == zone; };
     std::vector<candidate> out;
     if (sends(zone_)) {
@@ -177,19 +188,24 @@
 
 sender_place demand_table::place(server_key server, const base::zone_id& server_zone,
                                  base::time_point now) const {
-    if (parameters_.within_zones && sending_zone(server, server_zone) != zone_) {
-        return {};
+    const bool young = now - started_at_ <= silent_peer_memory;
+    if (parameters_.within_zones) {
+        // A daemon that was started within a partition has not heard of the zones beyond it.
+        const bool zone_may_have_daemons = server_zone != zone_ && young;
+        if (zone_may_have_daemons || sending_zone(server, server_zone, members_) != zone_) {
+            return {};
+        }
     }
     const auto own = rendezvous_weight(server, self_hash_);
     std::size_t daemons = 1;
     std::size_t before = 0;
-    for (const auto& [vm, p] : peers_) {
-        if (!parameters_.within_zones || p.zone == zone_) {
+    for (const auto& [vm, m] : members_) {
+        if (!parameters_.within_zones || m.zone == zone_) {
             ++daemons;
-            before += rendezvous_weight(server, p.vm_hash) > own ? 1 : 0;
+            before += rendezvous_weight(server, m.vm_hash) > own ? 1 : 0;
         }
     }
-    const auto expected = now - started_at_ <= silent_peer_memory ? parameters_.known_daemons : 0;
+    const auto expected = young ? parameters_.known_daemons : 0;
     const auto unheard = expected > daemons ? expected - daemons : 0;
     return {.rank = before + unheard, .daemons = daemons + unheard};
 }
--- a/packages/backpressure/tests/demand_table_test.cpp
+++ b/packages/backpressure/tests/demand_table_test.cpp
@@ -163,5 +163,37 @@
     EXPECT_TRUE(t.share(1, service, zone, 10, start + 61s).complete);
 }
 
+// Failure: parts of a fleet hear nothing of each other for minutes. Guards against a daemon in each part that
+// takes itself for the first one, and against a daemon that has ended as planned and keeps its place.
+TEST(demand_table, silent_daemons_keep_their_places) {
+    demand_table t{base::vm_id{"a"}, base::zone_id{"z"}, base::time_point{1000s} - 1h};
+    const base::time_point now{1000s};
+    for (const auto* vm : {"b", "c", "d", "e"}) {
+        t.observe_peer(base::vm_id{vm}, base::zone_id{"z"}, {}, false, now);
+    }
+    const auto place = t.place(7, base::zone_id{"z"}, now);
+    t.expire(now + 9min);
+    EXPECT_EQ(t.place(7, base::zone_id{"z"}, now + 9min).rank, place.rank);
+    EXPECT_EQ(t.place(7, base::zone_id{"z"}, now + 9min).daemons, 5U);
+    for (const auto* vm : {"b", "c", "d", "e"}) {
+        t.observe_peer(base::vm_id{vm}, base::zone_id{"z"}, {}, true, now + 9min);
+    }
+    t.expire(now + 10min);
+    EXPECT_EQ(t.place(7, base::zone_id{"z"}, now + 10min).rank, 0U);
+}
+
+// Failure: daemons start while they hear nothing of the others. Guards against daemons of each zone that send
+// to the same server, and against a new daemon that counts only those that it has heard of.
+TEST(demand_table, daemon_that_has_just_started_comes_last) {
+    const base::time_point now{1000s};
+    demand_table t{base::vm_id{"a"}, base::zone_id{"z"}, now};
+    t.set_parameters({.within_zones = true, .known_daemons = 21});
+    EXPECT_EQ(t.place(7, base::zone_id{"z"}, now + 30s).rank, 20U);
+    EXPECT_FALSE(t.place(7, base::zone_id{"other"}, now + 30s).rank);
+    EXPECT_EQ(t.place(7, base::zone_id{"other"}, now + 61s).rank, 0U) << "the only zone that has daemons";
+    t.observe_peer(base::vm_id{"o"}, base::zone_id{"other"}, {}, false, now + 61s);
+    EXPECT_FALSE(t.place(7, base::zone_id{"other"}, now + 8min).rank);
+}
+
 }  // namespace
 }  // namespace chicorygap::backpressure
--- a/packages/backpressure/tests/warmup_fleet_test.cpp
+++ b/packages/backpressure/tests/warmup_fleet_test.cpp
@@ -51,17 +51,17 @@
     EXPECT_EQ(f.waiting(), 0U);
 }
 
-// Failure: the fleet is cut in two while servers are cold. Guards against two sides that each use all that a
+// Failure: the fleet is cut in three while servers are cold. Guards against parts that each use all that a
 // cold server takes.
-TEST_P(warmup_fleet_test, bound_is_kept_by_both_sides_of_a_partition) {
+TEST_P(warmup_fleet_test, bound_is_kept_by_the_parts_of_a_partition) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         warmup_fleet f{make_options(seed)};
         f.run(2s);
         f.load = 5;
-        f.cut = [](std::size_t a, std::size_t b) { return (a % 2 == 0) != (b % 2 == 0); };
+        f.cut = [](std::size_t a, std::size_t b) { return a % 3 != b % 3; };
         release(f);
         f.run(3s);
-        // Longer than the memory for silent daemons, after which each side is on its own.
+        // Longer than a daemon's part of a limit is kept while it is silent.
         f.load = 0.1;
         f.run(65s);
         f.load = 5;
