Decide by price and spare places whether requests leave their zone

Cause: a server of another zone always costs 6 ms in the placement, so that a zone that is short of places fills the others as their daemons' reports age, and the price of the traffic has no say.

Change: scheduling::zone_preference decides from the demand and the places of each zone, as the reports tell them, which share of the requests leaves, with hysteresis, a reserve in each zone for its own callers and a bound on starts elsewhere. choose_in_zones ranks the servers of each zone separately and adds the cost of the way. Used only if scheduler_options::zones is set; without it the placement is unchanged.

--- a/packages/scheduling/include/scheduling/scheduled_request.h
+++ b/packages/scheduling/include/scheduling/scheduled_request.h
@@ -51,6 +51,8 @@
     base::time_point target_at;
     /// Time after which the caller no longer waits for a response.
     base::time_point deadline;
+    /// Bytes of the request and of its expected answer, which a server in another zone receives and sends.
+    std::uint64_t traffic_bytes = 0;
 };
 
 }  // namespace chicorygap::scheduling
--- a/packages/scheduling/include/scheduling/scheduler.h
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -9,6 +9,8 @@
 #include "scheduling/decision.h"
 #include "scheduling/load.h"
 #include "scheduling/scheduled_request.h"
+#include "scheduling/zone_preference.h"
+#include "scheduling/zone_status.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,6 +42,8 @@
     /// What the servers say of themselves, which bounds the starts on each of them; null for no bounds. Must
     /// outlive the scheduler.
     backpressure::signal_table* signals = nullptr;
+    /// Price of the traffic between zones; without it a server of another zone has a fixed cost.
+    std::optional<zone_options> zones = std::nullopt;
 };
 
 /// State of the scheduler for logs, metrics and autoscaling.
@@ -55,6 +59,8 @@
     double prefill_tokens_per_s = 0;
     /// Prefill speed of one server in tokens per millisecond; 0 until measured.
     double prefill_tokens_per_ms = 0;
+    /// Whether requests leave their zone; absent without a price of the traffic between zones.
+    std::optional<zone_status> zones;
 };
 
 /// Decides on which server each request of one service starts, which requests wait and which are rejected.
@@ -87,9 +93,11 @@
 
     /// Stores the load report of a peer, which replaces the previous one.
     /// @param valid_until time after which the report is removed.
+    /// @param zone zone of the peer, or the zone that the report sums up; empty if unknown.
     /// @return decisions on waiting requests.
     std::vector<decision> set_peer_load(const base::vm_id& peer, const load_report& r,
-                                        base::time_point valid_until, base::time_point now);
+                                        base::time_point valid_until, base::time_point now,
+                                        const base::zone_id& zone = {});
 
     /// Submits a new request. Exactly one `start_decision` or `reject_decision` follows, now or from a later
     /// call, unless the request is removed before.
--- a/packages/scheduling/src/peer_loads.cpp
+++ b/packages/scheduling/src/peer_loads.cpp
@@ -26,8 +26,14 @@
 }  // namespace
 
 void peer_loads::set(const base::vm_id& peer, const load_report& r, base::time_point valid_until,
-                     base::time_point now) {
-    reports_[peer] = {r, now, valid_until};
+                     base::time_point now, const base::zone_id& zone) {
+    reports_[peer] = {r, now, valid_until, zone};
+}
+
+void peer_loads::for_each(const std::function<void(const base::zone_id&, const load_report&)>& f) const {
+    for (const auto& [peer, r] : reports_) {
+        f(r.zone, r.load);
+    }
 }
 
 void peer_loads::update_servers(const std::vector<server_state*>& servers, base::time_point now) {
--- a/packages/scheduling/src/peer_loads.h
+++ b/packages/scheduling/src/peer_loads.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <unordered_map>
 #include <vector>
 
@@ -24,8 +25,9 @@
 public:
     /// Stores a report, which replaces the previous one of the peer.
     /// @param valid_until time after which the report is removed.
+    /// @param zone zone of the peer, or the zone that a digest sums up; empty if unknown.
     void set(const base::vm_id& peer, const load_report& r, base::time_point valid_until,
-             base::time_point now);
+             base::time_point now, const base::zone_id& zone = {});
 
     /// Removes expired reports and writes the sums of the others into the servers.
     void update_servers(const std::vector<server_state*>& servers, base::time_point now);
@@ -41,6 +43,9 @@
     /// @return number of requests that wait for a server at all peers.
     [[nodiscard]] std::size_t waiting() const;
 
+    /// Calls a function for each stored report, with the zone of its sender.
+    void for_each(const std::function<void(const base::zone_id&, const load_report&)>& f) const;
+
     /// Uses the measurements of all daemons, since in a large fleet each daemon measures few first tokens.
     /// @param local prefill tokens per millisecond measured by this daemon; 0 if not measured.
     /// @return median over all daemons that have a measurement; 0 if none has.
@@ -51,6 +56,7 @@
         load_report load;
         base::time_point received_at;
         base::time_point valid_until;
+        base::zone_id zone;
     };
 
     std::unordered_map<base::vm_id, report> reports_;
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -18,7 +18,8 @@
 
 /// Fraction of a server's KV cache that is allocated; outputs may be longer than expected.
 constexpr double usable_kv_cache_fraction = 0.92;
-/// Cost of a server in another zone: the round trip between zones and the charge for the traffic.
+/// Cost of a server in another zone: the round trip between zones and the charge for the traffic. With a
+/// price of the bytes `choose_in_zones` compares the zones instead.
 constexpr double cross_zone_cost_ms = 6;
 /// Cost for each running request on the server: each of them makes the steps of the batch longer.
 constexpr double running_request_cost_ms = 0.5;
@@ -306,8 +307,8 @@
         const double ms = placement_cost_ms(*s, request, p, c, now);
         if (ms < best_ms) {
             best_ms = ms;
-            best = placement{s, p.prefill_tokens, p.kv_transfer_source, affinity.rank(*s),
-                             is_long_prompt(request, c)};
+            best = placement{
+                s, p.prefill_tokens, p.kv_transfer_source, affinity.rank(*s), is_long_prompt(request, c), ms};
         }
     }
     return best;
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -61,6 +61,8 @@
     std::optional<std::size_t> affinity_rank;
     /// The prefill of the prompt makes streams on the same server exceed their token gap limit.
     bool long_prompt = false;
+    /// Expected time to the first event plus penalties, by which servers are compared.
+    double cost_ms = 0;
 };
 
 /// Selects the server with the lowest cost among those with free capacity. The cost is the expected time to
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -8,6 +8,8 @@
 #include "signal_wait.h"
 #include "token_gap_monitor.h"
 #include "wait_queue.h"
+#include "zone_loads.h"
+#include "zone_placement.h"
 
 #include <xxhash.h>
 
@@ -33,6 +35,8 @@
 /// Maximum waiting time as a fraction of the time to the deadline, if this is longer: a late response is
 /// better than none.
 constexpr double max_wait_deadline_fraction = 0.2;
+/// Time for which a request waits to save the way to another zone, as a fraction of the target latency.
+constexpr double max_price_wait_target_fraction = 0.5;
 /// Window over which the rate of request starts is measured.
 constexpr base::duration start_rate_window = 2s;
 /// Minimum number of starts in the window for an estimate of the rate.
@@ -84,7 +88,11 @@
 class scheduler::impl {
 public:
     impl(scheduler_options o, base::random_function random)
-        : options_{std::move(o)}, random_{std::move(random)} {}
+        : options_{std::move(o)}, random_{std::move(random)} {
+        if (options_.zones) {
+            zones_ = std::make_unique<zone_preference>(options_.zone, *options_.zones, random_);
+        }
+    }
 
     struct entry {
         scheduled_request request;
@@ -95,6 +103,7 @@
         bool output_started = false;       ///< first output of the attempt has arrived
         bool short_prompt_stream = false;  ///< counted in `local_short_prompt_streams_`
         bool token_gap_exceeded = false;   ///< already recorded in the token gap monitor
+        bool refused_otherwise = false;    ///< does not wait to save the way to another zone
     };
 
     std::vector<decision> take_decisions() { return std::exchange(decisions_, {}); }
@@ -140,8 +149,8 @@
     }
 
     void set_peer_load(const base::vm_id& peer, const load_report& r, base::time_point valid_until,
-                       base::time_point now) {
-        peer_loads_.set(peer, r, valid_until, now);
+                       base::time_point now, const base::zone_id& zone) {
+        peer_loads_.set(peer, r, valid_until, now, zone);
         // The loads are summed when they are used: in a large fleet reports are more frequent than requests.
         if (!queue_.empty()) {
             peer_loads_.update_servers(sorted_servers_, now);
@@ -153,6 +162,9 @@
         const auto id = request.id;
         auto& e = entries_[id];
         e.request = std::move(request);
+        if (zones_) {
+            zones_->record_arrival(e.request.traffic_bytes);
+        }
         if (e.request.generation && e.request.generation->max_token_gap) {
             token_gap_monitor_.add_gap_limit(*e.request.generation->max_token_gap);
         }
@@ -226,6 +238,9 @@
             return;
         }
         auto& e = it->second;
+        if (zones_ && o == outcome::success) {
+            zones_->record_run_time(now - e.started_at);
+        }
         if (o != outcome::success && o != outcome::cancelled) {
             e.tried_servers.push_back(e.server->info.id);
         }
@@ -274,6 +289,10 @@
             st.peer_running += s->peer_load.running;
         }
         st.peer_waiting = peer_loads_.waiting();
+        if (zones_) {
+            update_zones(make_placement_context(now), now);
+            st.zones = zones_->status();
+        }
         return st;
     }
 
@@ -349,8 +368,31 @@
             [now](double sum, const auto* s) { return sum + s->prefill_tokens_per_s(now); });
     }
 
-    std::optional<placement> choose_placement(const entry& e, base::time_point now) {
+    void update_zones(const placement_context& c, base::time_point now) {
+        if (zones_->update_due(now)) {
+            const zone_load_inputs in{options_.zone,           peer_loads_,         local_load(now), engine_,
+                                      c.prefill_tokens_per_ms, mean_prefill_tokens_};
+            zones_->update(sum_zone_loads(sorted_servers_, in, now), now);
+        }
+    }
+
+    std::optional<zone_placement> choose_among(const entry& e, const std::vector<server_state*>& candidates,
+                                               const placement_context& c, base::time_point now) {
+        if (zones_) {
+            const auto longest_wait = e.refused_otherwise ? base::duration{}
+                                                          : scaled(e.request.target_at - e.request.arrived,
+                                                                   max_price_wait_target_fraction);
+            return choose_in_zones(e.request, candidates, c, *zones_, longest_wait, now);
+        }
+        const auto p = choose_server(e.request, candidates, c, now);
+        return p ? std::optional{zone_placement{*p, leave_reason::none}} : std::nullopt;
+    }
+
+    std::optional<zone_placement> choose_placement(const entry& e, base::time_point now) {
         const auto c = make_placement_context(now);
+        if (zones_) {
+            update_zones(c, now);
+        }
         std::vector<server_state*> untried;
         for (auto* s : sorted_servers_) {
             if (std::find(e.tried_servers.begin(), e.tried_servers.end(), s->info.id) ==
@@ -358,19 +400,23 @@
                 untried.push_back(s);
             }
         }
-        auto p = choose_server(e.request, untried, c, now);
+        auto p = choose_among(e, untried, c, now);
         // Without another server, one that failed before is better than a rejection.
         if (!p && untried.size() < sorted_servers_.size()) {
-            p = choose_server(e.request, sorted_servers_, c, now);
+            p = choose_among(e, sorted_servers_, c, now);
         }
         return p;
     }
 
     bool try_start(entry& e, base::time_point now) {
-        const auto p = choose_placement(e, now);
-        if (!p) {
+        const auto chosen = choose_placement(e, now);
+        if (!chosen) {
             return false;
         }
+        const auto* p = &chosen->at;
+        if (chosen->reason != leave_reason::none) {
+            zones_->record_start(p->server->info.zone, e.request.traffic_bytes, chosen->reason);
+        }
         e.server = p->server;
         e.prefill_tokens = p->prefill_tokens;
         e.started_at = now;
@@ -444,6 +490,10 @@
             return;
         }
         if (now >= latest_start || now + expected_wait(e.request.priority_rank, now) > latest_start) {
+            e.refused_otherwise = true;
+            if (zones_ && try_start(e, now)) {
+                return;
+            }
             reject(e, result_code::queue_full, now);
             return;
         }
@@ -513,6 +563,7 @@
     prefill_speed_estimator prefill_speed_;
     std::uint32_t local_short_prompt_streams_ = 0;
     double mean_prefill_tokens_ = 0;
+    std::unique_ptr<zone_preference> zones_;  ///< null without a price of the traffic between zones
     std::vector<decision> decisions_;
 };
 
@@ -531,8 +582,9 @@
 }
 
 std::vector<decision> scheduler::set_peer_load(const base::vm_id& peer, const load_report& r,
-                                               base::time_point valid_until, base::time_point now) {
-    impl_->set_peer_load(peer, r, valid_until, now);
+                                               base::time_point valid_until, base::time_point now,
+                                               const base::zone_id& zone) {
+    impl_->set_peer_load(peer, r, valid_until, now, zone);
     return impl_->take_decisions();
 }
 
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -464,5 +465,70 @@
     EXPECT_LE(most, slots);
 }
 
+/// A zone with one server of two slots, next to one with ten free ones, where bytes between zones have a
+/// price.
+struct zone_price_test : scheduler_test {
+    void use_price(double ms_per_mb) {
+        const base::random_function random = [this] { return ++random_state; };
+        priced = std::make_unique<scheduler>(
+            scheduler_options{base::vm_id{"self"}, base::zone_id{"z1"}, nullptr, zone_options{ms_per_mb, {}}},
+            random);
+        priced->set_servers({server("home", 2), server("away", 10, "z2")}, start_time);
+        now = start_time + 1s;
+        apply(priced->set_peer_load(base::vm_id{"zone z2"}, {}, start_time + 10s, now, base::zone_id{"z2"}));
+        for (int i = 0; i < 20; ++i) {  // starts elsewhere accrue with time
+            now += 50ms;
+            EXPECT_TRUE(priced->status(now).zones);
+        }
+    }
+    local_request_id submit_bytes(std::uint64_t bytes) {
+        auto request = make_request(now);
+        request.traffic_bytes = bytes;
+        const auto id = request.id;
+        apply(priced->submit(std::move(request), now));
+        return id;
+    }
+    std::unique_ptr<scheduler> priced;
+    base::time_point now;
+};
+
+// Load: a burst that fills the zone. Guards against a caller that waits although the way costs less.
+TEST_F(zone_price_test, request_that_finds_no_place_leaves_if_the_way_is_cheap) {
+    use_price(0);
+    submit_bytes(1000);
+    submit_bytes(1000);
+    EXPECT_EQ(starts_by_server["home"], 2);
+    const auto third = submit_bytes(1000);
+    for (int i = 0; i < 10 && server_of[third].empty(); ++i) {
+        now += 10ms;
+        apply(priced->tick(now));
+    }
+    EXPECT_EQ(server_of[third], "away");
+    const auto zones = *priced->status(now).zones;
+    EXPECT_EQ(zones.departures.size(), 1U);
+    EXPECT_EQ(zones.departures.begin()->second.bytes, 1000U);
+}
+
+// Load: the same with large requests. Guards against bytes that are sent to another zone for a short wait,
+// and against a caller that waits for longer than its target allows to save them.
+TEST_F(zone_price_test, large_request_waits_for_a_place_of_its_zone_but_not_beyond_its_target) {
+    use_price(1000);
+    const auto first = submit_bytes(1'000'000);
+    submit_bytes(1'000'000);
+    const auto third = submit_bytes(1'000'000);
+    const auto fourth = submit_bytes(1'000'000);
+    EXPECT_EQ(starts_by_server["away"], 0);
+    now += 50ms;
+    apply(priced->attempt_finished(first, outcome::success, now));
+    EXPECT_EQ(server_of[third], "home");
+    now += 100ms;
+    apply(priced->tick(now));
+    EXPECT_TRUE(server_of[fourth].empty());
+    now += 100ms;  // more than half of the target of 400 ms
+    apply(priced->tick(now));
+    EXPECT_EQ(server_of[fourth], "away");
+    EXPECT_TRUE(rejected.empty());
+}
+
 }  // namespace
 }  // namespace chicorygap::scheduling
