Set the price of traffic between zones by [zones] byte_price_ms_per_mb

Cause: the scheduler needs the price of the deployment, and operators need to see what leaves a zone and why.

Change: optional setting, absent from the template. The daemon passes it and the zone of each report to the schedulers; requests carry the bytes of their body and expected answer.

--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -71,7 +71,8 @@
             .zone = s.zone,
             .retries = {.ratio = s.retries.ratio, .extra_retries = 0, .window = s.retries.window},
             .max_open_requests = s.memory_limit_bytes / request_memory_divisor / memory_bytes_per_request,
-            .account = &account};
+            .account = &account,
+            .zone_byte_price_ms_per_mb = s.zone_byte_price_ms_per_mb};
 }
 
 void edge_daemon::request_stop() noexcept {
--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -92,12 +92,12 @@
 void edge_daemon::on_beacon(const sharing::beacon& b) {
     const auto lifetime = sharing::peer_timeout(peer_exchange_.peers().known_count());
     if (!b.services.empty()) {
-        router_.set_peer_load(b.vm, {b.services.begin(), b.services.end()}, lifetime);
+        router_.set_peer_load(b.vm, {b.services.begin(), b.services.end()}, lifetime, b.zone);
     }
     if (!b.zone_services.empty() && b.zone != settings_.zone) {
         // One entry per zone, so that reports of a new zone representative replace those of the previous one.
         router_.set_peer_load(base::vm_id{"zone " + b.zone.str()},
-                              {b.zone_services.begin(), b.zone_services.end()}, lifetime);
+                              {b.zone_services.begin(), b.zone_services.end()}, lifetime, b.zone);
     }
     if (!b.crashes.empty()) {
         router_.prompt_guard().merge(b.crashes, loop_.now());
--- a/apps/daemon/src/edge_daemon_operators.cpp
+++ b/apps/daemon/src/edge_daemon_operators.cpp
@@ -85,6 +85,11 @@
     metrics_->set_gauge("prompt_parts_in_doubt",
                         static_cast<double>(parts.size()) - static_cast<double>(quarantined));
     set_signal_gauges(now);
+    for (const auto& [service, status] : router_.status()) {
+        if (status.zones) {
+            metrics_->set_zone_status(service, *status.zones);
+        }
+    }
     set_memory_gauges();
 }
 
--- a/apps/daemon/src/edge_metrics.cpp
+++ b/apps/daemon/src/edge_metrics.cpp
@@ -38,7 +38,27 @@
       gauges_{prometheus::BuildGauge()
                   .Name("chicorygap_state")
                   .Help("Figures of the daemon's state by name")
-                  .Register(registry_)} {}
+                  .Register(registry_)},
+      zone_state_{prometheus::BuildGauge()
+                      .Name("chicorygap_zone_state")
+                      .Help("0 sufficient, 1 slow, 2 short of places, 3 closed, by service")
+                      .Register(registry_)},
+      zone_share_{prometheus::BuildGauge()
+                      .Name("chicorygap_zone_share")
+                      .Help("Share of the requests that is to leave the zone, by service")
+                      .Register(registry_)},
+      zone_requests_left_{prometheus::BuildGauge()
+                              .Name("chicorygap_zone_requests_left")
+                              .Help("Requests that left the zone since the start, by service and reason")
+                              .Register(registry_)},
+      zone_bytes_left_{prometheus::BuildGauge()
+                           .Name("chicorygap_zone_bytes_left")
+                           .Help("Bytes of these requests and of their expected answers")
+                           .Register(registry_)},
+      zone_price_{prometheus::BuildGauge()
+                      .Name("chicorygap_zone_price_seconds")
+                      .Help("Price of these bytes in seconds of callers' waits")
+                      .Register(registry_)} {}
 
 void edge_metrics::record(const proxy::request_record& r) {
     const auto& service = r.service.str();
@@ -62,6 +82,19 @@
     gauges_.Add({{"name", name}}).Set(value);
 }
 
+void edge_metrics::set_zone_status(const base::service_id& service, const scheduling::zone_status& status) {
+    const prometheus::Labels labels{{"service", service.str()}};
+    zone_state_.Add(labels).Set(static_cast<double>(status.state));
+    zone_share_.Add(labels).Set(status.share());
+    for (const auto& [reason, left] : status.departures) {
+        const prometheus::Labels by_reason{{"service", service.str()},
+                                           {"reason", scheduling::to_string(reason)}};
+        zone_requests_left_.Add(by_reason).Set(static_cast<double>(left.requests));
+        zone_bytes_left_.Add(by_reason).Set(static_cast<double>(left.bytes));
+        zone_price_.Add(by_reason).Set(left.price_ms / 1000);
+    }
+}
+
 std::string edge_metrics::text() const {
     return prometheus::TextSerializer{}.Serialize(registry_.Collect());
 }
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -62,6 +62,8 @@
     /// Counts the buffers of requests and connections to servers, and outlives the router; null counts
     /// nothing and sets no limit.
     memory::account* account = nullptr;
+    /// Milliseconds of a caller's wait that one megabyte between zones is worth; absent for no price.
+    std::optional<double> zone_byte_price_ms_per_mb = std::nullopt;
 };
 
 struct router_hooks {
@@ -106,7 +108,9 @@
     /// @param peer daemon that sent the report.
     /// @param loads its load per service.
     /// @param lifetime time after which the report expires.
-    void set_peer_load(const base::vm_id& peer, const service_loads& loads, base::duration lifetime);
+    /// @param zone zone of the daemon, or the zone that the report sums up; empty if unknown.
+    void set_peer_load(const base::vm_id& peer, const service_loads& loads, base::duration lifetime,
+                       const base::zone_id& zone = {});
 
     /// Changes this daemon's share of the retry budget.
     void set_retry_budget_share(const retry_budget_share& share);
--- a/packages/proxy/src/proxied_request.cpp
+++ b/packages/proxy/src/proxied_request.cpp
@@ -37,6 +37,17 @@
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
+/// Head of a response on the wire, and bytes of a stream for each output token: an event of five tokens with
+/// its framing has about 120 bytes.
+constexpr std::uint64_t response_head_bytes = 300;
+constexpr std::uint64_t stream_bytes_per_token = 24;
+
+/// @return bytes of the answer as far as they are known beforehand; those of a plain service are not.
+std::uint64_t expected_response_bytes(const std::optional<scheduling::generation_requirements>& g) {
+    const auto tokens = g ? std::max<std::int64_t>(g->output_tokens, 0) : 0;
+    return response_head_bytes + stream_bytes_per_token * static_cast<std::uint64_t>(tokens);
+}
+
 }  // namespace
 
 proxied_request::proxied_request(request_router::impl& router, http::server_session& session,
@@ -156,6 +167,7 @@
         record_.prompt_tokens = scheduled.generation->prompt_tokens;
         scheduled.generation->max_token_gap = route_->target_gap;
     }
+    scheduled.traffic_bytes = body_->size() + expected_response_bytes(scheduled.generation);
     when_admitted([this, scheduled = std::move(scheduled)] {
         router_.apply_decisions(service_, scheduler().submit(scheduled, router_.loop.now()));
     });
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -19,8 +19,8 @@
     impl_->set_servers(servers);
 }
 void request_router::set_peer_load(const base::vm_id& peer, const service_loads& loads,
-                                   base::duration lifetime) {
-    impl_->set_peer_load(peer, loads, lifetime);
+                                   base::duration lifetime, const base::zone_id& zone) {
+    impl_->set_peer_load(peer, loads, lifetime, zone);
 }
 void request_router::set_retry_budget_share(const retry_budget_share& s) {
     impl_->set_retry_budget_share(s);
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -6,6 +6,8 @@
 #include "proxied_request.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <variant>
 
 namespace chicorygap::proxy {
@@ -56,11 +58,32 @@
             .window = options.retries.window};
 }
 
+std::optional<scheduling::zone_options> request_router::impl::zone_options(const base::service_id& id) const {
+    if (!options.zone_byte_price_ms_per_mb) {
+        return std::nullopt;
+    }
+    const auto log_change = [id](const scheduling::zone_change& change) {
+        const auto first_event =
+            std::chrono::duration_cast<std::chrono::milliseconds>(change.home.first_event);
+        base::log_line{base::log_level::info, "proxy", "Zone preference changed."}
+            .field("service", id.str())
+            .field("zone", change.home.zone.str())
+            .field("from", scheduling::to_string(change.from))
+            .field("state", scheduling::to_string(change.to))
+            .field("share_percent", std::llround(change.share * 100))
+            .field("demand", std::llround(change.home.demand))
+            .field("places", std::llround(change.home.places))
+            .field("waiting", std::llround(change.home.waiting))
+            .field("first_event_ms", static_cast<long long>(first_event.count()));
+    };
+    return scheduling::zone_options{*options.zone_byte_price_ms_per_mb, log_change};
+}
+
 request_router::impl::service_state& request_router::impl::service(const base::service_id& id) {
     auto& s = services_[id];
     if (!s.scheduler) {
         s.scheduler = std::make_unique<scheduling::scheduler>(
-            scheduling::scheduler_options{options.self, options.zone, &signals}, random);
+            scheduling::scheduler_options{options.self, options.zone, &signals, zone_options(id)}, random);
         s.budget = retry::budget{budget_options()};
         const auto* known = catalog ? catalog->find_service(id) : nullptr;
         s.scheduler->set_engine(known != nullptr ? known->engine : std::nullopt);
@@ -148,13 +171,13 @@
 }
 
 void request_router::impl::set_peer_load(const base::vm_id& peer, const service_loads& loads,
-                                         base::duration lifetime) {
+                                         base::duration lifetime, const base::zone_id& zone) {
     peer_load_received_at = loop.now();
     for (const auto& [id, load] : loads) {
         const auto it = services_.find(id);
         if (it != services_.end()) {
             apply_decisions(
-                id, it->second.scheduler->set_peer_load(peer, load, loop.now() + lifetime, loop.now()));
+                id, it->second.scheduler->set_peer_load(peer, load, loop.now() + lifetime, loop.now(), zone));
         }
     }
 }
--- a/packages/proxy/src/request_router_impl.h
+++ b/packages/proxy/src/request_router_impl.h
@@ -39,7 +39,8 @@
 
     void set_catalog(std::shared_ptr<const catalog::snapshot> s);
     void set_servers(const std::vector<catalog::backend_server>& servers);
-    void set_peer_load(const base::vm_id& peer, const service_loads& loads, base::duration lifetime);
+    void set_peer_load(const base::vm_id& peer, const service_loads& loads, base::duration lifetime,
+                       const base::zone_id& zone);
     void set_retry_budget_share(const retry_budget_share& s);
     void handle(http::server_session& session, http::request&& r);
     void refuse_body(http::server_session& session, const http::request_head& head);
@@ -101,6 +102,10 @@
     void tick(const base::service_id& id);
     void schedule_tick(const base::service_id& id);
     [[nodiscard]] retry::budget_options budget_options() const;
+    /// @return price of the traffic between zones, with a log line on each change of a service's state;
+    /// absent
+    ///         without a price.
+    [[nodiscard]] std::optional<scheduling::zone_options> zone_options(const base::service_id& id) const;
 
     std::unordered_map<base::service_id, service_state> services_;
     /// Servers that have announced in a response that they stop are draining here.
--- a/packages/settings/include/settings/edge_settings.h
+++ b/packages/settings/include/settings/edge_settings.h
@@ -60,6 +60,8 @@
     base::duration configuration_deadline{};
     retry_budget retries;
     duty_settings duties;
+    /// Milliseconds of a caller's wait that one megabyte between zones is worth; absent for no price.
+    std::optional<double> zone_byte_price_ms_per_mb;
     bool requests_capacity = false;  ///< performs autoscaling while it holds the lease of the duties
     bool reports_usage = false;      ///< reports usage while it holds the lease of the duties
 
--- a/packages/settings/src/edge_settings.cpp
+++ b/packages/settings/src/edge_settings.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t bytes_per_mib = std::size_t{1024} * 1024;
 /// Upper limit on every time in a settings file.
 constexpr double max_seconds = 86'400;
+/// Upper limit on the price of the traffic between zones: a request of 1 kB costs 1 s.
+constexpr double max_byte_price_ms_per_mb = 1'000'000;
 constexpr base::duration default_configuration_deadline = std::chrono::seconds{2};
 
 net::address read_address(section_reader& r, const std::string& key) {
@@ -126,18 +128,26 @@
     s.requests_capacity = holds("autoscale");
 }
 
+void read_zones(section_reader& r, edge_settings& s) {
+    const std::string key = "byte_price_ms_per_mb";
+    if (!has_no_value(r, key)) {
+        s.zone_byte_price_ms_per_mb = r.real(key, {0, max_byte_price_ms_per_mb});
+    }
+}
+
 }  // namespace
 
 edge_parse_result parse_edge(const std::string& text, const std::string& file) {
     using reader = std::function<void(section_reader&, edge_settings&)>;
-    const std::array<std::pair<const char*, reader>, 8> sections{{{"daemon", read_daemon},
+    const std::array<std::pair<const char*, reader>, 9> sections{{{"daemon", read_daemon},
                                                                   {"listen", read_listen},
                                                                   {"fleet", read_fleet},
                                                                   {"platform", read_platform},
                                                                   {"limits", read_limits},
                                                                   {"times", read_times},
                                                                   {"retries", read_retries},
-                                                                  {"duties", read_duties}}};
+                                                                  {"duties", read_duties},
+                                                                  {"zones", read_zones}}};
     const auto ini = document::read_ini(text, file);
     auto faults = ini.faults;
     edge_settings s;
--- a/packages/settings/tests/edge_settings_test.cpp
+++ b/packages/settings/tests/edge_settings_test.cpp
@@ -66,6 +66,20 @@
     }
 }
 
+// Guards against deployments that are served differently although they name no price of the bytes.
+TEST(edge_settings, price_of_bytes_between_zones_is_optional) {
+    for (const auto* section : {"", "[zones]\n", "[zones]\nbyte_price_ms_per_mb =\n"}) {
+        const auto r = parse_edge(sample + section, "e.ini");
+        ASSERT_TRUE(r.settings) << document::to_string(r.faults);
+        EXPECT_FALSE(r.settings->zone_byte_price_ms_per_mb);
+    }
+    const auto r = parse_edge(sample + "[zones]\nbyte_price_ms_per_mb = 150\n", "e.ini");
+    ASSERT_TRUE(r.settings) << document::to_string(r.faults);
+    EXPECT_EQ(r.settings->zone_byte_price_ms_per_mb, 150);
+    EXPECT_NE(faults_of(sample + "[zones]\nbyte_price_ms_per_mb = -1\n").find("byte_price"),
+              std::string::npos);
+}
+
 TEST(edge_settings, reads_all_sections) {
     const auto r = parse_edge(sample, "e.ini");
     ASSERT_TRUE(r.settings) << document::to_string(r.faults);
