--- a/apps/tool/src/command_line.cpp
+++ b/apps/tool/src/command_line.cpp
@@ -10,7 +10,17 @@
 
 namespace {
 
-enum option_id : int { platform = 1, daemon, timeout, base_version, json, daemon_settings, help };
+enum option_id : int {
+    platform = 1,
+    daemon,
+    timeout,
+    base_version,
+    json,
+    daemon_settings,
+    against,
+    memory_mib,
+    help
+};
 
 net::address parse_address(const std::string& name, const std::string& text) {
     const auto a = net::parse_address(text);
@@ -28,12 +38,12 @@
     return *d;
 }
 
-std::uint64_t parse_version(const std::string& text) {
+std::uint64_t parse_number(const std::string& name, const std::string& text) {
     std::uint64_t n = 0;
     const auto* const end = text.data() + text.size();
     const auto [parsed_end, ec] = std::from_chars(text.data(), end, n);
     if (ec != std::errc{} || parsed_end != end) {
-        throw usage_error("--base requires a version number");
+        throw usage_error("--" + name + " requires a whole number");
     }
     return n;
 }
@@ -50,7 +60,7 @@
             c.timeout = parse_timeout(optarg);
             break;
         case option_id::base_version:
-            c.base_version = parse_version(optarg);
+            c.base_version = parse_number("base", optarg);
             break;
         case option_id::json:
             c.json = true;
@@ -58,6 +68,12 @@
         case option_id::daemon_settings:
             c.daemon_settings = true;
             break;
+        case option_id::against:
+            c.against = optarg;
+            break;
+        case option_id::memory_mib:
+            c.memory_mib = parse_number("memory", optarg);
+            break;
         case option_id::help:
             c.help = true;
             break;
@@ -76,6 +92,8 @@
         {"base", required_argument, nullptr, option_id::base_version},
         {"json", no_argument, nullptr, option_id::json},
         {"settings", no_argument, nullptr, option_id::daemon_settings},
+        {"against", required_argument, nullptr, option_id::against},
+        {"memory", required_argument, nullptr, option_id::memory_mib},
         {"help", no_argument, nullptr, option_id::help},
         {nullptr, 0, nullptr, 0},
     };
@@ -110,6 +128,8 @@
            "  apply FILE           store FILE unless the stored document changed since its base version\n"
            "  status               show the status of a daemon\n"
            "  burn                 show the burn rates that a daemon reports\n"
+           "  check-configuration FILE\n"
+           "                       check the configuration of the users' platform\n"
            "  hash-key             read an API key from standard input and print its digest\n"
            "Options:\n"
            "  --platform IP:PORT   address of the platform (default 127.0.0.1:9100)\n"
@@ -117,6 +137,8 @@
            "  --timeout DURATION   timeout of each request (default 5s)\n"
            "  --base VERSION       version that FILE is based on, instead of the one in FILE.base\n"
            "  --settings           validate daemon settings instead of service documents\n"
+           "  --against FILE       configuration in force, for check-configuration\n"
+           "  --memory MIB         memory of the smallest VM, for check-configuration (default 110)\n"
            "  --json               print JSON\n"
            "Exit codes: 0 success, 1 invalid, 2 usage, 3 conflict, 4 unavailable, 5 unknown outcome, 6 "
            "different\n";
--- a/apps/tool/src/command_line.h
+++ b/apps/tool/src/command_line.h
@@ -30,6 +30,10 @@
     std::optional<std::uint64_t> base_version;         ///< overrides the version in `FILE.base`.
     bool json = false;                                 ///< print JSON instead of text.
     bool daemon_settings = false;  ///< `validate` reads daemon settings instead of service documents.
+    /// File with the configuration in force, for `check-configuration`.
+    std::optional<std::string> against;
+    /// Memory of the smallest VM, for `check-configuration`.
+    std::optional<std::uint64_t> memory_mib;
     bool help = false;
 };
 
--- a/apps/tool/src/commands.h
+++ b/apps/tool/src/commands.h
@@ -40,6 +40,11 @@
 /// Prints the burn rates that a daemon reports.
 exit_code burn(const command_line& c, const streams& s);
 
+/// Checks the configuration of the users' platform in a file, and prints the findings and, with `--against`,
+/// the differences from the version in force.
+/// @return `success` if there are no errors, otherwise `invalid`.
+exit_code check_configuration(const command_line& c, const streams& s);
+
 /// Reads an API key from the first line of standard input and prints its digest.
 exit_code hash_key(const command_line& c, const streams& s);
 
--- a/apps/tool/src/tool.cpp
+++ b/apps/tool/src/tool.cpp
@@ -18,9 +18,10 @@
 };
 
 constexpr std::array commands{
-    command{"validate", validate}, command{"show", show},     command{"diff", diff},
-    command{"apply", apply},       command{"status", status}, command{"burn", burn},
-    command{"hash-key", hash_key},
+    command{"validate", validate}, command{"show", show},
+    command{"diff", diff},         command{"apply", apply},
+    command{"status", status},     command{"burn", burn},
+    command{"hash-key", hash_key}, command{"check-configuration", check_configuration},
 };
 
 exit_code dispatch(const std::vector<std::string>& arguments, const streams& s) {
--- a/apps/tool/tests/tool_test.cpp
+++ b/apps/tool/tests/tool_test.cpp
@@ -193,5 +193,36 @@
               "w             1  true\n");
 }
 
+TEST_F(tool_test, configuration_is_checked_before_it_takes_effect) {
+    // Guards against a fault that a script does not notice, and against API keys in its output.
+    const std::string sound = R"({"version": 4, "routes": [
+{"host": "a", "path_prefix": "/x/", "kind": "safe", "timeout_ms": 500, "target_latency_ms": 150, "service": "s"}],
+"services": [{"name": "s"}], "tenants": [{"name": "north", "api_keys": ["secret"]}]})";
+    std::ofstream{local_file_} << sound;
+    std::ofstream{concurrent_file_} << sound;
+    EXPECT_EQ(run({"check-configuration", local_file_}), exit_code::success) << out_.str();
+    EXPECT_EQ(out_.str(), "0 errors, 0 warnings\n");
+    replace_in_file(local_file_, "150", "1500");
+    replace_in_file(local_file_, "\"secret\"", "\"secret\", \"secret2\"");
+    EXPECT_EQ(run({"check-configuration", local_file_, "--against", concurrent_file_}), exit_code::invalid);
+    EXPECT_NE(out_.str().find(local_file_ + ":2: error: routes[0]: target latency of 1500 ms is above"),
+              std::string::npos)
+        << out_.str();
+    EXPECT_NE(out_.str().find("warning: version 4 is in force with other content"), std::string::npos);
+    EXPECT_NE(out_.str().find("  route a/x/: target latency: 150 ms -> 1500 ms"), std::string::npos);
+    EXPECT_EQ(out_.str().find("secret"), std::string::npos);
+    EXPECT_EQ(run({"check-configuration", local_file_, "--against", concurrent_file_, "--json"}),
+              exit_code::invalid);
+    Poco::JSON::Parser parser;
+    const auto j = parser.parse(out_.str()).extract<Poco::JSON::Object::Ptr>();
+    EXPECT_FALSE(j->getValue<bool>("valid"));
+    EXPECT_EQ(j->getArray("findings")->size(), 2U);
+    EXPECT_EQ(j->getArray("differences")->size(), 2U);
+    std::ofstream{local_file_} << "[]";
+    EXPECT_EQ(run({"check-configuration", local_file_}), exit_code::invalid);
+    EXPECT_EQ(run({"check-configuration", concurrent_file_, "--against", local_file_}), exit_code::usage);
+    EXPECT_EQ(run({"check-configuration", local_file_ + ".none"}), exit_code::usage);
+}
+
 }  // namespace
 }  // namespace chicorygap::tool
