Send retries to another zone rather than to the server that failed

Cause: with a price of bytes a retry found no untried server in its zone and went to the one that had just failed, since the bound on starts elsewhere held it.

Change: a request whose attempt has failed may go to every zone that is heard (reason "retry"); the retry budget bounds such requests. Metrics name all reasons, also those without requests.

--- a/apps/daemon/src/edge_metrics.cpp
+++ b/apps/daemon/src/edge_metrics.cpp
@@ -86,7 +86,9 @@
     const prometheus::Labels labels{{"service", service.str()}};
     zone_state_.Add(labels).Set(static_cast<double>(status.state));
     zone_share_.Add(labels).Set(status.share());
-    for (const auto& [reason, left] : status.departures) {
+    for (const auto reason : scheduling::all_leave_reasons) {
+        const auto it = status.departures.find(reason);
+        const auto left = it == status.departures.end() ? scheduling::zone_departures{} : it->second;
         const prometheus::Labels by_reason{{"service", service.str()},
                                            {"reason", scheduling::to_string(reason)}};
         zone_requests_left_.Add(by_reason).Set(static_cast<double>(left.requests));
--- a/packages/scheduling/include/scheduling/zone_preference.h
+++ b/packages/scheduling/include/scheduling/zone_preference.h
@@ -106,6 +106,12 @@
     [[nodiscard]] leave_reason may_overflow(const base::zone_id& zone, std::uint64_t bytes,
                                             base::duration waited, base::duration longest_wait) const;
 
+    /// Decides about a request whose attempt at a server of this zone has failed. The retry budget bounds
+    /// such requests, so that the starts allowed elsewhere do not: a server that has failed would be the
+    /// alternative.
+    /// @return false if the zone is cut off or has no server that takes requests.
+    [[nodiscard]] bool may_retry(const base::zone_id& zone) const;
+
     /// @return cost in milliseconds of sending a request to another zone: the round trip and the price of the
     ///         bytes.
     [[nodiscard]] double cost_ms(std::uint64_t bytes) const;
--- a/packages/scheduling/include/scheduling/zone_status.h
+++ b/packages/scheduling/include/scheduling/zone_status.h
@@ -26,13 +26,14 @@
     none,    ///< the request stays in its zone
     slow,    ///< part of the share that leaves because the zone is slow
     share,   ///< part of the share that leaves because the zone is short of places
+    retry,   ///< an attempt failed, and no other server of the zone had a place
     full,    ///< no server of the zone had a place for the request, and waiting would have cost more
     closed,  ///< no server of the zone takes requests
 };
 
 /// All reasons for which a request can leave.
-inline constexpr std::array<leave_reason, 4> all_leave_reasons{leave_reason::slow, leave_reason::share,
-                                                               leave_reason::full, leave_reason::closed};
+inline constexpr std::array<leave_reason, 5> all_leave_reasons{
+    leave_reason::slow, leave_reason::share, leave_reason::retry, leave_reason::full, leave_reason::closed};
 
 /// @return name of the reason for logs and metrics.
 const char* to_string(leave_reason r);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -382,7 +382,8 @@
             const auto longest_wait = e.refused_otherwise ? base::duration{}
                                                           : scaled(e.request.target_at - e.request.arrived,
                                                                    max_price_wait_target_fraction);
-            return choose_in_zones(e.request, candidates, c, *zones_, longest_wait, now);
+            return choose_in_zones(e.request, candidates, c, *zones_,
+                                   {.longest_wait = longest_wait, .retry = !e.tried_servers.empty()}, now);
         }
         const auto p = choose_server(e.request, candidates, c, now);
         return p ? std::optional{zone_placement{*p, leave_reason::none}} : std::nullopt;
--- a/packages/scheduling/src/zone_placement.cpp
+++ b/packages/scheduling/src/zone_placement.cpp
@@ -9,7 +9,7 @@
 std::optional<zone_placement> choose_in_zones(const scheduled_request& request,
                                               const std::vector<server_state*>& candidates,
                                               const placement_context& c, const zone_preference& preference,
-                                              base::duration longest_wait, base::time_point now) {
+                                              const zone_patience& patience, base::time_point now) {
     std::map<base::zone_id, std::vector<server_state*>> by_zone;
     for (auto* s : candidates) {
         by_zone[s->info.zone].push_back(s);
@@ -36,9 +36,13 @@
         return best;
     }
     for (const auto& [zone, servers] : by_zone) {
-        const auto reason = zone == c.zone ? leave_reason::none
-                                           : preference.may_overflow(zone, request.traffic_bytes,
-                                                                     now - request.arrived, longest_wait);
+        if (zone == c.zone) {
+            continue;
+        }
+        const auto reason = patience.retry
+                                ? (preference.may_retry(zone) ? leave_reason::retry : leave_reason::none)
+                                : preference.may_overflow(zone, request.traffic_bytes, now - request.arrived,
+                                                          patience.longest_wait);
         if (reason != leave_reason::none) {
             consider(zone, way_ms, reason);
         }
--- a/packages/scheduling/src/zone_placement.h
+++ b/packages/scheduling/src/zone_placement.h
@@ -15,6 +15,14 @@
 
 class zone_preference;
 
+/// How long a request keeps to its zone.
+struct zone_patience {
+    /// Time for which it may wait in its zone to save the way.
+    base::duration longest_wait{};
+    /// An attempt has failed.
+    bool retry = false;
+};
+
 /// A server and why its zone was chosen.
 struct zone_placement {
     placement at;
@@ -26,11 +34,10 @@
 ///
 /// The servers of different zones are ranked separately, so that each zone has affinity servers of its own
 /// for a shared prompt part and KV transfers stay within a zone: they are much larger than the requests.
-/// @param longest_wait time for which the request may wait in its zone to save the way.
 /// @return nothing if the request has to wait in its zone.
 std::optional<zone_placement> choose_in_zones(const scheduled_request& request,
                                               const std::vector<server_state*>& candidates,
                                               const placement_context& c, const zone_preference& preference,
-                                              base::duration longest_wait, base::time_point now);
+                                              const zone_patience& patience, base::time_point now);
 
 }  // namespace chicorygap::scheduling
--- a/packages/scheduling/src/zone_preference.cpp
+++ b/packages/scheduling/src/zone_preference.cpp
@@ -127,6 +127,8 @@
                                                                        : leave_reason::none;
     }
 
+    [[nodiscard]] bool may_retry(const base::zone_id& zone) const { return plan_.count(zone) > 0; }
+
     [[nodiscard]] double cost_ms(std::uint64_t bytes) const {
         return round_trip_ms + price_ms(static_cast<double>(bytes));
     }
@@ -137,7 +139,7 @@
 
     void record_start(const base::zone_id& zone, std::uint64_t bytes, leave_reason reason) {
         auto& a = allowance(zone);
-        a.starts -= 1;
+        a.starts = std::max(a.starts - 1, 0.0);
         // Requests that found no place count in the share too; the bound keeps a burst from suppressing it.
         a.credit = std::max(a.credit - 1, -max_credit);
         auto& d = status_.departures[reason];
@@ -307,6 +309,10 @@
     return impl_->may_overflow(zone, bytes, waited, longest_wait);
 }
 
+bool zone_preference::may_retry(const base::zone_id& zone) const {
+    return impl_->may_retry(zone);
+}
+
 double zone_preference::cost_ms(std::uint64_t bytes) const {
     return impl_->cost_ms(bytes);
 }
@@ -345,6 +351,8 @@
             return "slow";
         case leave_reason::share:
             return "share";
+        case leave_reason::retry:
+            return "retry";
         case leave_reason::full:
             return "full";
         case leave_reason::closed:
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -509,6 +509,18 @@
     EXPECT_EQ(zones.departures.begin()->second.bytes, 1000U);
 }
 
+// Failure: the only server of a zone with a free place breaks a request off. Guards against retries at the
+// server that has just failed while other zones have servers, whatever their way costs.
+TEST_F(zone_price_test, retry_goes_to_another_zone_rather_than_to_the_same_server) {
+    use_price(1'000'000);
+    const auto id = submit_bytes(1'000'000);
+    ASSERT_EQ(server_of[id], "home");
+    apply(priced->attempt_finished(id, outcome::failed, now));
+    apply(priced->resubmit(id, now));
+    EXPECT_EQ(server_of[id], "away");
+    EXPECT_EQ(priced->status(now).zones->departures.count(leave_reason::retry), 1U);
+}
+
 // Load: the same with large requests. Guards against bytes that are sent to another zone for a short wait,
 // and against a caller that waits for longer than its target allows to save them.
 TEST_F(zone_price_test, large_request_waits_for_a_place_of_its_zone_but_not_beyond_its_target) {
