--- a/packages/scheduling/src/zone_preference.cpp
+++ b/packages/scheduling/src/zone_preference.cpp
@@ -35,8 +35,9 @@
 constexpr base::duration max_report_delay = 1500ms;
 /// Most requests that may leave in a row because earlier ones of the share stayed.
 constexpr double max_credit = 2;
-/// Part of the starts of one report delay that may be saved for a burst.
-constexpr double saved_part = 0.5;
+/// Part of the starts of one report delay that may be saved for a burst. What all daemons have saved comes on
+/// top of the places that a zone can spare; with a quarter of them it stays within the zone's reserve.
+constexpr double saved_part = 0.25;
 /// Time between two plans for which starts accrue in any case: a daemon has four requests per second, and
 /// makes a plan only when it has one.
 constexpr base::duration max_plan_gap = 300ms;
