Count no places for requests that queue at a server

Cause: the places of a zone were the running requests and the free slots. Where daemons had used the same free slots, more requests than slots ran on a server and counted as places, so that zones that were all short looked spacious.

Change: a server has at most as many places as slots.

Result: scheduling tests pass (51); the new check in zone_loads_test fails without the change.

--- a/packages/scheduling/src/zone_loads.cpp
+++ b/packages/scheduling/src/zone_loads.cpp
@@ -22,20 +22,22 @@
     return !s.info.draining && !s.health.ejected(now);
 }
 
-/// @return requests that the server can start now. Requests of average size are assumed for its KV cache.
-double free_places(const server_state& s, const zone_load_inputs& in, base::time_point now) {
-    if (s.has_queue(now)) {
-        return 0;
-    }
+/// @return requests that the server can hold. More than its slots may run there, when several daemons used
+/// the same free slot; these queue at the server and make no place.
+double places(const server_state& s, const zone_load_inputs& in, base::time_point now) {
     const double running = s.running();
-    double places = (in.engine ? std::min(in.engine->slots, s.info.slots) : s.info.slots) - running;
+    const double slots = in.engine ? std::min(in.engine->slots, s.info.slots) : s.info.slots;
+    if (s.has_queue(now) || running >= slots) {
+        return std::min(running, slots);
+    }
+    double free = slots - running;
     if (in.engine && running > 0 && s.kv_cache_tokens() > 0) {
+        // Requests of average size are assumed.
         const auto used = static_cast<double>(s.kv_cache_tokens());
-        const double usable =
-            usable_kv_cache_fraction * static_cast<double>(in.engine->kv_capacity_tokens) - used;
-        places = std::min(places, usable / (used / running));
+        const double usable = usable_kv_cache_fraction * static_cast<double>(in.engine->kv_capacity_tokens);
+        free = std::min(free, (usable - used) / (used / running));
     }
-    return std::max(places, 0.0);
+    return running + std::max(free, 0.0);
 }
 
 double first_event_ms(const server_state& s, const zone_load_inputs& in) {
@@ -98,7 +100,7 @@
     void add_server(const server_state& s, const zone_load_inputs& in, base::time_point now) {
         auto& z = of(s.info.zone);
         z.running += s.running();
-        z.places += s.running() + free_places(s, in, now);
+        z.places += places(s, in, now);
         z.first_event += std::chrono::duration_cast<base::duration>(
             std::chrono::duration<double, std::milli>{first_event_ms(s, in)});
         ++server_counts_[s.info.zone];
--- a/packages/scheduling/tests/zone_loads_test.cpp
+++ b/packages/scheduling/tests/zone_loads_test.cpp
@@ -81,6 +81,9 @@
     EXPECT_EQ(sum()["z1"].places, 0);
     EXPECT_EQ(sum()["z1"].demand, 10) << "requests on a draining server end without needing a place";
     EXPECT_EQ(sum()["z2"].places, 10);
+    add_server("d", "z4", 3);
+    add_report("other", "z1", {{load("d", 5)}});
+    EXPECT_EQ(sum()["z4"].places, 3) << "two of the requests queue at the server";
     EXPECT_EQ(sum()["z3"].places, 6) << "a server with a queue takes no further requests for now";
     engine = catalog::engine_parameters{.slots = 32, .kv_capacity_tokens = 60'000};
     EXPECT_NEAR(sum()["z2"].places, 5.52, 0.01) << "55,200 usable tokens at 10,000 a request";
