Let short requests use all places that a zone can spare

Cause: each plan allowed a daemon one start in another zone; with requests of 30 ms the places are free again before the next plan.

Change: a plan allows up to this daemon's places.

--- a/packages/scheduling/src/zone_preference.cpp
+++ b/packages/scheduling/src/zone_preference.cpp
@@ -256,7 +256,9 @@
             a.accrued += (part.used / run_ms + part.unused / delay_ms) * elapsed_ms / daemons;
             if (const double whole = std::floor(a.accrued); whole >= 1) {
                 a.accrued -= whole;
-                a.starts = std::min(a.starts + whole, std::max(kept, 1.0));
+                // Where requests are short, a plan may allow several starts until the next one.
+                const double most = std::max({kept, std::min(whole, part.places / daemons), 1.0});
+                a.starts = std::min(a.starts + whole, most);
                 a.granted_at = now;
             }
             // Nothing is left over from the time in which the zone had spare places.
--- a/packages/scheduling/tests/zone_preference_test.cpp
+++ b/packages/scheduling/tests/zone_preference_test.cpp
@@ -316,6 +316,24 @@
     }
 }
 
+// Load: a burst of plain requests of 30 ms. Guards against a bound that allows one start for each plan,
+// however soon the places are free again.
+TEST(zone_preference, short_requests_use_all_places_that_are_spared) {
+    zone_preference p{name(0), {100, {}}, [] { return 1U; }};
+    p.record_run_time(30ms);
+    int starts = 0;
+    for (auto at = 0ms; at < 1s; at += 50ms) {
+        p.update({{.zone = name(0), .places = 30, .running = 30, .demand = 50, .reports = 2},
+                  {.zone = name(1), .places = 30, .running = 12, .demand = 12, .reports = 1}},
+                 start_time + at);
+        for (; p.may_overflow(name(1), 1000, 1s, 1s) != leave_reason::none; ++starts) {
+            p.record_start(name(1), 1000, leave_reason::full);
+        }
+    }
+    EXPECT_GE(starts, 100) << "half of 12 places, 20 times a second";
+    EXPECT_LE(starts, 130);
+}
+
 // Guards against daemons of one zone that follow different plans from the same reports.
 TEST(zone_preference, daemons_reach_the_same_share_from_the_same_reports) {
     const std::vector<zone_load> loads{
