--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -22,8 +22,8 @@
     impl_->set_evacuations(std::move(state));
 }
 void request_router::set_peer_load(const base::vm_id& peer, const service_loads& loads,
-                                   base::duration lifetime) {
-    impl_->set_peer_load(peer, loads, lifetime);
+                                   base::duration lifetime, const base::zone_id& zone) {
+    impl_->set_peer_load(peer, loads, lifetime, zone);
 }
 void request_router::set_retry_budget_share(const retry_budget_share& s) {
     impl_->set_retry_budget_share(s);
--- a/packages/settings/include/settings/edge_settings.h
+++ b/packages/settings/include/settings/edge_settings.h
@@ -72,6 +72,8 @@
     /// Bound of the requests to a cold server; absent if there is none.
     std::optional<cold_server_bounds> cold_servers;
     duty_settings duties;
+    /// Milliseconds of a caller's wait that one megabyte between zones is worth; absent for no price.
+    std::optional<double> zone_byte_price_ms_per_mb;
     bool requests_capacity = false;  ///< performs autoscaling while it holds the lease of the duties
     bool reports_usage = false;      ///< reports usage while it holds the lease of the duties
 
