Decode the load and pace that servers on shared machines report

Cause: servers now send four figures in X-Server-Load. The header counted as invalid, so that its queue length was lost with it, and the rule for three figures, which leaves a server out for 300 ms, lowers the share served.

Change: platform_header_codec decodes three or four figures into scheduling::server_report; implausible figures are dropped, counted (server_reports_invalid) and logged once in ten seconds. The setting [platform] contracts, of which platform/ translates 'pressure' into scheduler_options::shared_machines, gates every use. Without it nothing changes: four figures still give no queue length.

--- a/apps/daemon/src/decision_log.cpp
+++ b/apps/daemon/src/decision_log.cpp
@@ -52,9 +52,15 @@
     if (r.framing != http::body_framing::none) {
         line.field("framing", http::to_string(r.framing));
     }
-    if (r.server_queue_length) {
+    if (r.server_queue_length && !r.server_load) {
         line.field("server_waiting", *r.server_queue_length);
     }
+    if (r.server_load) {
+        line.field("server_running", r.server_load->running).field("server_waiting", r.server_load->waiting);
+    }
+    if (r.server_load && r.server_load->pace) {
+        line.field("server_pace", std::to_string(*r.server_load->pace));
+    }
     if (r.server_signals.rate_limit) {
         line.field("server_limit", std::to_string(*r.server_signals.rate_limit));
     }
--- a/apps/daemon/src/edge_daemon.cpp
+++ b/apps/daemon/src/edge_daemon.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "decision_log.h"
 #include "edge_metrics.h"
+#include "platform/contracts.h"
 #include "platform/event_format.h"
 #include "platform/object_codec.h"
 #include "settings/edge_settings.h"
@@ -71,7 +72,8 @@
             .zone = s.zone,
             .retries = {.ratio = s.retries.ratio, .extra_retries = 0, .window = s.retries.window},
             .max_open_requests = s.memory_limit_bytes / request_memory_divisor / memory_bytes_per_request,
-            .account = &account};
+            .account = &account,
+            .shared_machines = platform::machines_are_shared(s.contracts)};
 }
 
 void edge_daemon::request_stop() noexcept {
--- a/apps/daemon/src/edge_daemon_operators.cpp
+++ b/apps/daemon/src/edge_daemon_operators.cpp
@@ -140,6 +140,7 @@
     metrics_->set_gauge("server_limits_per_second", limits);
     metrics_->set_gauge("server_limit_share_per_second", share);
     metrics_->set_gauge("servers_paused", static_cast<double>(paused));
+    metrics_->set_gauge("server_reports_invalid", static_cast<double>(router_.invalid_server_reports()));
     metrics_->set_gauge("servers_leaving", static_cast<double>(leaving));
     metrics_->set_gauge("starts_deferred_by_signals", static_cast<double>(signals.deferred_starts()));
 }
--- a/packages/proxy/include/proxy/header_codec.h
+++ b/packages/proxy/include/proxy/header_codec.h
@@ -9,6 +9,7 @@
 #include "http/message.h"
 #include "net/address.h"
 #include "scheduling/scheduled_request.h"
+#include "scheduling/server_report.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -60,6 +61,10 @@
     bool wrong_server = false;
     /// Requests queued at the server when it sent the response, if it reports them.
     std::optional<std::uint32_t> queue_length;
+    /// What the server reports of its load, if it does so with plausible figures.
+    std::optional<scheduling::server_report> load;
+    /// The response has a report of the load that cannot be used.
+    bool invalid_load = false;
     /// What the server says of itself. Without the status 421 it concerns the server that was addressed.
     backpressure::server_signals signals;
 };
--- a/packages/proxy/include/proxy/request_record.h
+++ b/packages/proxy/include/proxy/request_record.h
@@ -9,6 +9,7 @@
 #include "base/tier.h"
 #include "base/time.h"
 #include "http/message.h"
+#include "scheduling/server_report.h"
 
 #include <cstdint>
 #include <optional>
@@ -52,6 +53,8 @@
     std::int64_t prefill_tokens = 0;
     /// Requests queued at the server according to its last response.
     std::optional<std::uint32_t> server_queue_length;
+    /// Load that the server of the last response reported; set only with shared machines.
+    std::optional<scheduling::server_report> server_load;
     /// What the server of the last response said of itself.
     backpressure::server_signals server_signals;
     /// Rank of the server among the affinity servers of the shared prompt prefix; absent if the server is not
--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -16,6 +16,7 @@
 #include "scheduling/scheduler.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -62,6 +63,8 @@
     /// Counts the buffers of requests and connections to servers, and outlives the router; null counts
     /// nothing and sets no limit.
     memory::account* account = nullptr;
+    /// `scheduling::scheduler_options::shared_machines` of all services.
+    bool shared_machines = false;
 };
 
 struct router_hooks {
@@ -145,6 +148,9 @@
     [[nodiscard]] service_loads local_loads() const;
     /// @return status of each service's scheduler.
     [[nodiscard]] std::unordered_map<base::service_id, scheduling::scheduler_status> status() const;
+    /// @return responses with a report of the server's load that was not usable; counted only with shared
+    /// machines.
+    [[nodiscard]] std::uint64_t invalid_server_reports() const;
     /// @return requests that have not ended.
     [[nodiscard]] std::size_t open_requests() const;
     /// @return total number of connections that were opened to servers.
--- a/packages/proxy/src/proxied_request_attempt.cpp
+++ b/packages/proxy/src/proxied_request_attempt.cpp
@@ -200,6 +200,10 @@
         record_.server_queue_length = response_metadata_.queue_length;
         scheduler().set_server_queue_length(id_, *response_metadata_.queue_length, router_.loop.now());
     }
+    if (router_.usable_report(server_, response_metadata_)) {
+        record_.server_load = response_metadata_.load;
+        scheduler().set_server_report(id_, *response_metadata_.load, router_.loop.now());
+    }
     if (!response_started_) {
         response_head_ = std::move(head);  // the head sent to the caller is that of the first server
     }
--- a/packages/proxy/src/request_router.cpp
+++ b/packages/proxy/src/request_router.cpp
@@ -62,6 +62,9 @@
 std::unordered_map<base::service_id, scheduling::scheduler_status> request_router::status() const {
     return impl_->status();
 }
+std::uint64_t request_router::invalid_server_reports() const {
+    return impl_->reports.count();
+}
 std::size_t request_router::open_requests() const {
     return impl_->active_requests.size();
 }
--- a/packages/proxy/src/request_router_impl.cpp
+++ b/packages/proxy/src/request_router_impl.cpp
@@ -60,7 +60,8 @@
     auto& s = services_[id];
     if (!s.scheduler) {
         s.scheduler = std::make_unique<scheduling::scheduler>(
-            scheduling::scheduler_options{options.self, options.zone, &signals}, random);
+            scheduling::scheduler_options{options.self, options.zone, &signals, options.shared_machines},
+            random);
         s.budget = retry::budget{budget_options()};
         const auto* known = catalog ? catalog->find_service(id) : nullptr;
         s.scheduler->set_engine(known != nullptr ? known->engine : std::nullopt);
@@ -139,6 +140,16 @@
     }
 }
 
+bool request_router::impl::usable_report(const catalog::backend_server& server, const response_metadata& m) {
+    if (!options.shared_machines || m.wrong_server) {
+        return false;
+    }
+    if (m.invalid_load) {
+        reports.invalid(server.id, loop.now());
+    }
+    return m.load.has_value();
+}
+
 std::vector<catalog::backend_server> request_router::impl::servers() const {
     std::vector<catalog::backend_server> out;
     for (const auto& [id, list] : servers_by_service_) {
--- a/packages/proxy/src/request_router_impl.h
+++ b/packages/proxy/src/request_router_impl.h
@@ -5,6 +5,7 @@
 #include "backpressure/signal_table.h"
 #include "end_watch.h"
 #include "http/connection_pool.h"
+#include "invalid_report_log.h"
 #include "memory/pressure.h"
 #include "proxy/header_codec.h"
 #include "proxy/request_router.h"
@@ -52,6 +53,10 @@
     /// @param sent_at time at which the request was sent.
     void observe_signals(const catalog::backend_server& server, bool wrong_server,
                          const backpressure::server_signals& s, base::time_point sent_at);
+    /// @param server server that the request was sent to.
+    /// @return true if the response has a report of that server's load which the scheduler may use. Counts
+    /// reports that are not usable.
+    bool usable_report(const catalog::backend_server& server, const response_metadata& m);
     [[nodiscard]] std::vector<catalog::backend_server> servers() const;
     [[nodiscard]] service_loads local_loads() const;
     [[nodiscard]] std::unordered_map<base::service_id, scheduling::scheduler_status> status() const;
@@ -85,6 +90,7 @@
     crash_guard::prompt_guard guard;
     backpressure::signal_table signals;
     end_watch ends;
+    invalid_report_log reports;
     std::shared_ptr<const catalog::snapshot> catalog;
     std::optional<base::time_point> server_list_updated_at;
     std::optional<base::time_point> peer_load_received_at;
--- a/packages/scheduling/include/scheduling/scheduler.h
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -9,6 +9,7 @@
 #include "scheduling/decision.h"
 #include "scheduling/load.h"
 #include "scheduling/scheduled_request.h"
+#include "scheduling/server_report.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,6 +41,10 @@
     /// What the servers say of themselves, which bounds the starts on each of them; null for no bounds. Must
     /// outlive the scheduler.
     backpressure::signal_table* signals = nullptr;
+    /// The machines of the servers are shared with the work of others, and servers report their load and
+    /// pace. The scheduler then uses these reports, and starts a request only where it can still be served in
+    /// time.
+    bool shared_machines = false;
 };
 
 /// State of the scheduler for logs, metrics and autoscaling.
@@ -110,6 +115,10 @@
     /// Stores the number of waiting requests that the server of the current attempt reported.
     void set_server_queue_length(local_request_id id, std::uint32_t waiting, base::time_point now);
 
+    /// Stores the load that the server of the current attempt reported. Has no effect without
+    /// `scheduler_options::shared_machines`.
+    void set_server_report(local_request_id id, const server_report& r, base::time_point now);
+
     /// Reports that the stream exceeded its maximum token gap.
     void token_gap_exceeded(local_request_id id, base::time_point now);
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -212,6 +212,15 @@
         s.queue_reported_until = waiting > max_queue ? now + server_queue_report_lifetime : now;
     }
 
+    void set_server_report(local_request_id id, const server_report& r, base::time_point now) {
+        const auto it = entries_.find(id);
+        if (!options_.shared_machines || it == entries_.end() || it->second.server == nullptr ||
+            !is_plausible(r)) {
+            return;
+        }
+        it->second.server->report = timed_server_report{r, now};
+    }
+
     void token_gap_exceeded(local_request_id id, base::time_point now) {
         const auto it = entries_.find(id);
         if (it == entries_.end() || std::exchange(it->second.token_gap_exceeded, true)) {
@@ -558,6 +567,10 @@
     impl_->set_server_queue_length(id, waiting, now);
 }
 
+void scheduler::set_server_report(local_request_id id, const server_report& r, base::time_point now) {
+    impl_->set_server_report(id, r, now);
+}
+
 void scheduler::token_gap_exceeded(local_request_id id, base::time_point now) {
     impl_->token_gap_exceeded(id, now);
 }
--- a/packages/scheduling/src/server_state.h
+++ b/packages/scheduling/src/server_state.h
@@ -8,10 +8,12 @@
 #include "catalog/backend_server.h"
 #include "prefix_cache.h"
 #include "scheduling/load.h"
+#include "scheduling/server_report.h"
 #include "server_health.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace chicorygap::scheduling {
 
@@ -20,6 +22,12 @@
 /// was filled is still valid.
 inline constexpr base::duration prefill_rate_time = std::chrono::seconds{1};
 
+/// Report of a server with the time of its receipt.
+struct timed_server_report {
+    server_report figures;
+    base::time_point received_at;
+};
+
 /// One server with its load from this daemon and its peers.
 struct server_state {
     catalog::backend_server info;
@@ -28,6 +36,8 @@
     server_load peer_load;
     /// The server reported a queue; it gets no further requests until this time.
     base::time_point queue_reported_until;
+    /// Last report of the server to this daemon; used only with `scheduler_options::shared_machines`.
+    std::optional<timed_server_report> report;
     /// Prompt tokens per second that peers send, weighted by the part that their aged reports of pending
     /// prefill tokens no longer cover.
     double unreported_prefill_tokens_per_s = 0;
--- a/packages/settings/include/settings/edge_settings.h
+++ b/packages/settings/include/settings/edge_settings.h
@@ -49,6 +49,9 @@
     net::address store;               ///< object store of the platform
     /// Interface for usage reports and capacity requests; absent if the deployment has no duties.
     std::optional<net::address> cloud_api;
+    /// Names of the optional behaviours of the platform that hold in this deployment; unknown ones are
+    /// ignored.
+    std::vector<std::string> contracts;
     double processor_share = 1;  ///< CPU cores available to this VM; may be a fraction
     double link_mbits = 0;       ///< speed of this VM's network link in Mbit/s; 0 if unknown
     std::size_t memory_limit_bytes = 0;
--- a/packages/settings/src/edge_settings.cpp
+++ b/packages/settings/src/edge_settings.cpp
@@ -88,6 +88,7 @@
     if (r.has("orders")) {
         s.cloud_api = read_address(r, "orders");
     }
+    s.contracts = read_list(r, "contracts");
     r.lines("orders");  // marks the key as known even if it is absent
 }
 
--- a/packages/settings/tests/edge_settings_test.cpp
+++ b/packages/settings/tests/edge_settings_test.cpp
@@ -66,6 +66,18 @@
     }
 }
 
+// A template leaves the key empty where the deployment has no contracts; older templates lack it.
+TEST(edge_settings, contracts_are_optional) {
+    EXPECT_TRUE(parse_edge(sample, "e.ini").settings->contracts.empty());
+    const auto with = [](const std::string& value) {
+        return parse_edge(replace_in_sample("[limits]", "contracts = " + value + "\n[limits]"), "e.ini");
+    };
+    ASSERT_TRUE(with("").settings);
+    EXPECT_TRUE(with("").settings->contracts.empty());
+    ASSERT_TRUE(with("pressure,later").settings);
+    EXPECT_EQ(with("pressure,later").settings->contracts, (std::vector<std::string>{"pressure", "later"}));
+}
+
 TEST(edge_settings, reads_all_sections) {
     const auto r = parse_edge(sample, "e.ini");
     ASSERT_TRUE(r.settings) << document::to_string(r.faults);
