Place requests by the pace of servers on shared machines

Cause: servers differ in speed (0.55 to 1.2) and are slowed down for some hundred milliseconds by other work. The speed was measured for prefill only, and only upward; plain servers had none and cost 4 ms a used slot.

Change: server_pace holds the long-run speed of a server, measured in both directions with a confidence, and the slowdown that it reports, which fades within some hundred milliseconds. service_times holds the averages of the service, service_estimate the expected times of a request on a server. Placement uses them with scheduler_options::shared_machines; without it costs are computed as before.

--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -234,11 +234,40 @@
     return p;
 }
 
+/// @return prompt tokens per millisecond of the server.
+double prefill_speed(const server_state& s, const placement_context& c, base::time_point now) {
+    if (c.times != nullptr) {
+        return present_prefill_speed(s, c, now);
+    }
+    return s.prefill_tokens_per_ms.samples() >= min_speed_samples ? s.prefill_tokens_per_ms.value()
+                                                                  : c.prefill_tokens_per_ms;
+}
+
+double prefill_utilisation(const server_state& s, double speed, base::time_point now) {
+    return std::min(s.prefill_tokens_per_s(now) / (speed * 1000), max_utilisation);
+}
+
+/// @return expected times on the server, with shared machines.
+service_estimate estimate_service(const server_state& s, const scheduled_request& request,
+                                  const prefill_plan& p, const placement_context& c, base::time_point now) {
+    if (!request.generation) {
+        return estimate_plain_request(s, c, now);
+    }
+    const double speed = prefill_speed(s, c, now);
+    const double utilisation = prefill_utilisation(s, speed, now);
+    prefill_work work{.wait_ms = expected_wait_ms(s, utilisation, speed, c),
+                      .prefill_tokens = p.prefill_tokens};
+    if (p.transferred_tokens > 0) {
+        work.kv_transfer_ms = kv_transfer_time_ms(s, *p.kv_transfer_source, p.transferred_tokens, c);
+    }
+    return estimate_generation(s, request, work, c, now);
+}
+
 double placement_cost_ms(const server_state& s, const scheduled_request& request, const prefill_plan& p,
                          const placement_context& c, base::time_point now) {
     double ms = (s.info.zone == c.zone ? 0 : cross_zone_cost_ms) + cost_jitter_ms(request, c);
     if (!request.generation) {
-        return ms + used_slot_cost_ms * s.running();
+        return ms + (c.times != nullptr ? plain_server_cost_ms(s, c, now) : used_slot_cost_ms * s.running());
     }
     if (c.long_prompt_server_fraction > 0 && is_long_prompt(request, c) != in_long_prompt_group(s, c)) {
         ms += wrong_group_cost_ms;
@@ -246,10 +275,8 @@
     ms += c.long_prompt_server_fraction > 0 && !is_long_prompt(request, c)
               ? group_boundary_cost_ms * (1 - s.zone_position)
               : 0;
-    const double speed = s.prefill_tokens_per_ms.samples() >= min_speed_samples
-                             ? s.prefill_tokens_per_ms.value()
-                             : c.prefill_tokens_per_ms;
-    const double utilisation = std::min(s.prefill_tokens_per_s(now) / (speed * 1000), max_utilisation);
+    const double speed = prefill_speed(s, c, now);
+    const double utilisation = prefill_utilisation(s, speed, now);
     ms += expected_wait_ms(s, utilisation, speed, c);
     ms += (static_cast<double>(p.prefill_tokens) +
            duplicate_prefill_weight * static_cast<double>(p.duplicate_tokens)) /
@@ -260,7 +287,7 @@
     ms += request.generation->max_token_gap && !is_long_prompt(request, c)
               ? interruption_cost_ms * utilisation * utilisation
               : 0;
-    ms += running_request_cost_ms * s.running();
+    ms += running_request_cost_ms * s.running() * (c.times != nullptr ? s.shared.pace.time_factor(now) : 1);
     ms += s.info.reclaimable && !request.idempotent ? reclaimable_cost_ms : 0;
     return ms;
 }
@@ -306,8 +333,15 @@
         const double ms = placement_cost_ms(*s, request, p, c, now);
         if (ms < best_ms) {
             best_ms = ms;
-            best = placement{s, p.prefill_tokens, p.kv_transfer_source, affinity.rank(*s),
-                             is_long_prompt(request, c)};
+            best = placement{s,
+                             p.prefill_tokens,
+                             p.kv_transfer_source,
+                             affinity.rank(*s),
+                             is_long_prompt(request, c),
+                             p.transferred_tokens > 0};
+            if (c.times != nullptr) {
+                best->estimate = estimate_service(*s, request, p, c, now);
+            }
         }
     }
     return best;
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -7,6 +7,7 @@
 #include "catalog/service.h"
 #include "scheduling/scheduled_request.h"
 #include "server_state.h"
+#include "service_estimate.h"
 
 #include <cstddef>
 #include <optional>
@@ -19,6 +20,8 @@
 
 namespace chicorygap::scheduling {
 
+class service_times;
+
 /// Inputs of the placement besides the servers.
 struct placement_context {
     base::zone_id zone;
@@ -40,6 +43,10 @@
     /// What the servers say of themselves; may be null.
     const backpressure::signal_table* signals = nullptr;
     base::random_function random;
+    /// Measured times of the service; null without `scheduler_options::shared_machines`.
+    const service_times* times = nullptr;
+    /// Time to first token without the prefill; 0 if not measured.
+    double base_latency_ms = 0;
 };
 
 /// @return true if the prefill of the prompt makes streams on the same server exceed their token gap limit.
@@ -61,6 +68,10 @@
     std::optional<std::size_t> affinity_rank;
     /// The prefill of the prompt makes streams on the same server exceed their token gap limit.
     bool long_prompt = false;
+    /// Parts of the prompt are expected to come from another server.
+    bool kv_transfer = false;
+    /// Expected times; set only with `scheduler_options::shared_machines`.
+    service_estimate estimate;
 };
 
 /// Selects the server with the lowest cost among those with free capacity. The cost is the expected time to
--- a/packages/scheduling/src/prefill_speed_estimator.h
+++ b/packages/scheduling/src/prefill_speed_estimator.h
@@ -25,6 +25,9 @@
     /// @return tokens per millisecond, averaged over all servers; 0 until a long prompt was measured.
     [[nodiscard]] double prefill_tokens_per_ms() const noexcept { return prefill_tokens_per_ms_.value(); }
 
+    /// @return time to first token without the prefill, in milliseconds; 0 until measured.
+    [[nodiscard]] double base_latency_ms() const noexcept { return base_latency_ms_.value(); }
+
 private:
     asymmetric_average prefill_tokens_per_ms_{asymmetric_average::bias::high};
     /// Time to first token without the prefill, in milliseconds.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -5,6 +5,7 @@
 #include "placement.h"
 #include "prefill_speed_estimator.h"
 #include "server_state.h"
+#include "shared_machines.h"
 #include "signal_wait.h"
 #include "token_gap_monitor.h"
 #include "wait_queue.h"
@@ -95,6 +96,7 @@
         bool output_started = false;       ///< first output of the attempt has arrived
         bool short_prompt_stream = false;  ///< counted in `local_short_prompt_streams_`
         bool token_gap_exceeded = false;   ///< already recorded in the token gap monitor
+        attempt_times times;               ///< only with shared machines
     };
 
     std::vector<decision> take_decisions() { return std::exchange(decisions_, {}); }
@@ -198,6 +200,9 @@
             token_gap_monitor_.record_stream_start(now);
         }
         record_prefill_speed(e, now);
+        if (options_.shared_machines) {
+            shared_machines_.first_event(*e.server, e.times, now);
+        }
         e.server->local_load.pending_prefill_tokens -= std::exchange(e.prefill_tokens, 0);
     }
 
@@ -218,7 +223,8 @@
             !is_plausible(r)) {
             return;
         }
-        it->second.server->report = timed_server_report{r, now};
+        const auto& e = it->second;
+        shared_machines_.reported(*e.server, r, e.request.generation.has_value(), now);
     }
 
     void token_gap_exceeded(local_request_id id, base::time_point now) {
@@ -239,6 +245,9 @@
             e.tried_servers.push_back(e.server->info.id);
         }
         e.server->health.record(o, service_failure_ratio(), now);
+        if (options_.shared_machines) {
+            shared_machines_.ended(*e.server, e.request, e.times, o, now);
+        }
         release_server(e);
         start_waiting_requests(now);
     }
@@ -327,7 +336,9 @@
                             .peer_count = peer_loads_.count(),
                             .stale_load_spread_ms = stale_load_spread_ms(now),
                             .signals = options_.signals,
-                            .random = random_};
+                            .random = random_,
+                            .times = options_.shared_machines ? &shared_machines_.times() : nullptr,
+                            .base_latency_ms = prefill_speed_.base_latency_ms()};
         if (const auto gap_limit =
                 token_gap_monitor_.enforced_gap_limit(peer_loads_.token_gaps_exceeded(), now)) {
             c.min_long_prompt_tokens = static_cast<std::int64_t>(c.prefill_tokens_per_ms * to_ms(*gap_limit) *
@@ -384,6 +395,9 @@
         e.prefill_tokens = p->prefill_tokens;
         e.started_at = now;
         e.output_started = false;
+        if (options_.shared_machines) {
+            e.times = shared_machines_.started(*p, now);
+        }
         e.short_prompt_stream = e.request.generation && !p->long_prompt;
         local_short_prompt_streams_ += e.short_prompt_stream ? 1 : 0;
         if (options_.signals != nullptr) {
@@ -520,6 +534,7 @@
     std::deque<base::time_point> recent_starts_;
     token_gap_monitor token_gap_monitor_;
     prefill_speed_estimator prefill_speed_;
+    shared_machines shared_machines_;
     std::uint32_t local_short_prompt_streams_ = 0;
     double mean_prefill_tokens_ = 0;
     std::vector<decision> decisions_;
--- a/packages/scheduling/src/server_state.h
+++ b/packages/scheduling/src/server_state.h
@@ -8,12 +8,11 @@
 #include "catalog/backend_server.h"
 #include "prefix_cache.h"
 #include "scheduling/load.h"
-#include "scheduling/server_report.h"
 #include "server_health.h"
+#include "shared_load.h"
 
 #include <chrono>
 #include <cstdint>
-#include <optional>
 
 namespace chicorygap::scheduling {
 
@@ -22,12 +21,6 @@
 /// was filled is still valid.
 inline constexpr base::duration prefill_rate_time = std::chrono::seconds{1};
 
-/// Report of a server with the time of its receipt.
-struct timed_server_report {
-    server_report figures;
-    base::time_point received_at;
-};
-
 /// One server with its load from this daemon and its peers.
 struct server_state {
     catalog::backend_server info;
@@ -36,8 +29,8 @@
     server_load peer_load;
     /// The server reported a queue; it gets no further requests until this time.
     base::time_point queue_reported_until;
-    /// Last report of the server to this daemon; used only with `scheduler_options::shared_machines`.
-    std::optional<timed_server_report> report;
+    /// Pace and reported load; changed and used only with `scheduler_options::shared_machines`.
+    shared_load shared;
     /// Prompt tokens per second that peers send, weighted by the part that their aged reports of pending
     /// prefill tokens no longer cover.
     double unreported_prefill_tokens_per_s = 0;
--- /dev/null
+++ b/packages/scheduling/src/service_estimate.cpp
@@ -0,0 +1,63 @@
+#include "service_estimate.h"
+
+#include "placement.h"
+#include "service_times.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace chicorygap::scheduling {
+
+namespace {
+
+/// Time of a request to a plain service that is assumed until it is measured.
+constexpr double default_request_ms = 20;
+
+base::duration from_ms(double ms) {
+    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>{ms});
+}
+
+/// @return time of one request on the server at its present pace, without waiting.
+double request_ms(const server_state& s, const placement_context& c, base::time_point now) {
+    const auto measured = c.times->request_time();
+    const double mean = measured > base::duration{}
+                            ? std::chrono::duration<double, std::milli>{measured}.count()
+                            : default_request_ms;
+    return mean * s.shared.pace.time_factor(now);
+}
+
+}  // namespace
+
+double present_prefill_speed(const server_state& s, const placement_context& c, base::time_point now) {
+    return c.prefill_tokens_per_ms / s.shared.pace.time_factor(now);
+}
+
+service_estimate estimate_generation(const server_state& s, const scheduled_request& request,
+                                     const prefill_work& work, const placement_context& c,
+                                     base::time_point now) {
+    const double factor = s.shared.pace.time_factor(now);
+    const double work_ms =
+        work.wait_ms + static_cast<double>(work.prefill_tokens) / present_prefill_speed(s, c, now);
+    const double average_ms = c.base_latency_ms + work_ms / factor;
+    const double first_ms =
+        (c.base_latency_ms + work_ms) * c.times->first_event_ratio() + work.kv_transfer_ms;
+    const auto stream = c.times->stream_time(request.generation->output_tokens);
+    return {.average_first_event = from_ms(average_ms),
+            .first_event = from_ms(first_ms),
+            .total = from_ms(first_ms) + std::chrono::duration_cast<base::duration>(stream * factor)};
+}
+
+service_estimate estimate_plain_request(const server_state& s, const placement_context& c,
+                                        base::time_point now) {
+    const double slots = std::max<std::uint32_t>(1, s.info.slots);
+    const double ahead = std::max(0.0, s.running() + 1 - slots);
+    const auto total = from_ms(request_ms(s, c, now) * (1 + ahead / slots));
+    return {.first_event = total, .total = total};
+}
+
+double plain_server_cost_ms(const server_state& s, const placement_context& c, base::time_point now) {
+    const double slots = std::max<std::uint32_t>(1, s.info.slots);
+    return request_ms(s, c, now) * (s.running() + 1) / slots;
+}
+
+}  // namespace chicorygap::scheduling
