Count reported requests and refusals in the load of a server

Cause: the sum of the starts that daemons tell is too low on servers that others have just filled, and nothing was learned from a refusal by a server with all slots full.

Change: shared_load corrects the number of requests on a server by its own reports, which fade within 300 ms or within three times the time of a plain request; requests that no daemon tells of count in the KV cache. A refusal as not run marks the server as full until about one of its requests has ended; peers are told with the flag of the load report, which then counts for 100 ms instead of 400 ms. Only with scheduler_options::shared_machines.

--- a/packages/scheduling/src/peer_loads.cpp
+++ b/packages/scheduling/src/peer_loads.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Time for which a peer's report of a queue at a server counts, from its receipt by this daemon.
-constexpr base::duration peer_queue_report_lifetime = std::chrono::milliseconds{400};
-
 /// @param remaining fraction of the reported prefill queue that still exists.
 void add_peer_load(server_state& s, const server_load& l, double remaining) {
     s.peer_load.running += l.running;
@@ -48,7 +45,7 @@
             add_peer_load(*it->second, l, remaining);
             it->second->peer_load.queue_reported =
                 it->second->peer_load.queue_reported ||
-                (l.queue_reported && now - r.received_at <= peer_queue_report_lifetime);
+                (l.queue_reported && now - r.received_at <= queue_report_lifetime_);
         }
     }
 }
--- a/packages/scheduling/src/peer_loads.h
+++ b/packages/scheduling/src/peer_loads.h
@@ -22,6 +22,11 @@
 /// filled counts instead.
 class peer_loads {
 public:
+    /// @param queue_report_lifetime time for which a peer's report of a queue at a server counts, from its
+    /// receipt by this daemon.
+    explicit peer_loads(base::duration queue_report_lifetime)
+        : queue_report_lifetime_{queue_report_lifetime} {}
+
     /// Stores a report, which replaces the previous one of the peer.
     /// @param valid_until time after which the report is removed.
     void set(const base::vm_id& peer, const load_report& r, base::time_point valid_until,
@@ -53,6 +58,7 @@
         base::time_point valid_until;
     };
 
+    base::duration queue_report_lifetime_;
     std::unordered_map<base::vm_id, report> reports_;
 };
 
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -191,17 +191,21 @@
     return std::min(cached, request.generation->prompt_tokens);
 }
 
-bool has_capacity(const server_state& s, const scheduled_request& request, const placement_context& c) {
+bool has_capacity(const server_state& s, const scheduled_request& request, const placement_context& c,
+                  base::time_point now) {
     const auto slots = c.engine ? std::min(c.engine->slots, s.info.slots) : s.info.slots;
-    if (s.running() + reserved_slots(slots, c.peer_count) >= slots) {
+    const auto running = present_requests(s, c, now);
+    if (running + reserved_slots(slots, c.peer_count) >= slots ||
+        (c.times != nullptr && s.shared.full(now))) {
         return false;
     }
-    if (!request.generation || !c.engine || s.running() == 0) {
+    if (!request.generation || !c.engine || running == 0) {
         return true;
     }
     const auto usable_tokens = static_cast<std::int64_t>(usable_kv_cache_fraction *
                                                          static_cast<double>(c.engine->kv_capacity_tokens));
-    return s.kv_cache_tokens() + request.generation->kv_cache_tokens() <= usable_tokens;
+    const auto own_tokens = request.generation->kv_cache_tokens();
+    return present_kv_cache_tokens(s, own_tokens, c, now) + own_tokens <= usable_tokens;
 }
 
 /// @return time until the server starts the prefill of a new prompt.
@@ -287,7 +291,8 @@
     ms += request.generation->max_token_gap && !is_long_prompt(request, c)
               ? interruption_cost_ms * utilisation * utilisation
               : 0;
-    ms += running_request_cost_ms * s.running() * (c.times != nullptr ? s.shared.pace.time_factor(now) : 1);
+    ms += running_request_cost_ms * present_requests(s, c, now) *
+          (c.times != nullptr ? s.shared.pace.time_factor(now) : 1);
     ms += s.info.reclaimable && !request.idempotent ? reclaimable_cost_ms : 0;
     return ms;
 }
@@ -325,7 +330,7 @@
     double best_ms = std::numeric_limits<double>::infinity();
     for (auto* s : candidates) {
         if (s->info.draining || s->health.ejected(now) || s->has_queue(now) ||
-            !has_capacity(*s, request, c) ||
+            !has_capacity(*s, request, c, now) ||
             (c.signals != nullptr && !c.signals->may_start(s->signal_key, now))) {
             continue;
         }
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -67,6 +67,10 @@
 constexpr std::uint32_t queue_slots_divisor = 4;
 /// Time for which a server's own report of its queue to this daemon counts.
 constexpr base::duration server_queue_report_lifetime = 300ms;
+/// Time for which a peer's report of a queue at a server counts, from its receipt by this daemon. With shared
+/// machines it says that the server is full, which lasts about as long as one of its requests.
+constexpr base::duration peer_queue_report_lifetime = 400ms;
+constexpr base::duration peer_full_report_lifetime = 100ms;
 /// Age of peer loads up to which they count as recent.
 constexpr base::duration recent_load_age = 250ms;
 /// Random cost of a server per second by which peer loads are older, and its upper bound. The requests that
@@ -85,7 +89,9 @@
 class scheduler::impl {
 public:
     impl(scheduler_options o, base::random_function random)
-        : options_{std::move(o)}, random_{std::move(random)} {}
+        : options_{std::move(o)},
+          random_{std::move(random)},
+          peer_loads_{options_.shared_machines ? peer_full_report_lifetime : peer_queue_report_lifetime} {}
 
     struct entry {
         scheduled_request request;
@@ -264,7 +270,7 @@
         load_report r;
         for (const auto* s : sorted_servers_) {
             const double rate = s->prefill_rate.per_second(now);
-            const bool queue_reported = now < s->queue_reported_until;
+            const bool queue_reported = now < s->queue_reported_until || s->shared.told_full(now);
             if (s->local_load.running > 0 || rate >= min_reported_prefill_tokens_per_s || queue_reported) {
                 r.servers.push_back(s->local_load);
                 r.servers.back().server = s->info.id;
--- a/packages/scheduling/src/service_estimate.cpp
+++ b/packages/scheduling/src/service_estimate.cpp
@@ -28,6 +28,21 @@
 
 }  // namespace
 
+std::uint32_t present_requests(const server_state& s, const placement_context& c, base::time_point now) {
+    return c.times == nullptr ? s.running() : s.shared.requests(s.running(), s.local_load.running, now);
+}
+
+std::int64_t present_kv_cache_tokens(const server_state& s, std::int64_t unknown_request_tokens,
+                                     const placement_context& c, base::time_point now) {
+    const auto known = s.running();
+    const auto present = present_requests(s, c, now);
+    if (present <= known) {
+        return s.kv_cache_tokens();  // those of a request that has just ended may still be held
+    }
+    const auto each = known > 0 ? s.kv_cache_tokens() / known : unknown_request_tokens;
+    return s.kv_cache_tokens() + each * (present - known);
+}
+
 double present_prefill_speed(const server_state& s, const placement_context& c, base::time_point now) {
     return c.prefill_tokens_per_ms / s.shared.pace.time_factor(now);
 }
@@ -50,14 +65,14 @@
 service_estimate estimate_plain_request(const server_state& s, const placement_context& c,
                                         base::time_point now) {
     const double slots = std::max<std::uint32_t>(1, s.info.slots);
-    const double ahead = std::max(0.0, s.running() + 1 - slots);
+    const double ahead = std::max(0.0, present_requests(s, c, now) + 1 - slots);
     const auto total = from_ms(request_ms(s, c, now) * (1 + ahead / slots));
     return {.first_event = total, .total = total};
 }
 
 double plain_server_cost_ms(const server_state& s, const placement_context& c, base::time_point now) {
     const double slots = std::max<std::uint32_t>(1, s.info.slots);
-    return request_ms(s, c, now) * (s.running() + 1) / slots;
+    return request_ms(s, c, now) * (present_requests(s, c, now) + 1) / slots;
 }
 
 }  // namespace chicorygap::scheduling
--- a/packages/scheduling/src/service_estimate.h
+++ b/packages/scheduling/src/service_estimate.h
@@ -29,6 +29,15 @@
     double kv_transfer_ms = 0;
 };
 
+/// @return requests that are expected to run or wait on the server; with shared machines its own reports
+/// count as well.
+std::uint32_t present_requests(const server_state& s, const placement_context& c, base::time_point now);
+
+/// @return KV cache tokens of these requests; those that no daemon tells are as large as the others.
+/// @param unknown_request_tokens size of a request of which nothing is known.
+std::int64_t present_kv_cache_tokens(const server_state& s, std::int64_t unknown_request_tokens,
+                                     const placement_context& c, base::time_point now);
+
 /// @return prompt tokens per millisecond that the server processes at this moment.
 double present_prefill_speed(const server_state& s, const placement_context& c, base::time_point now);
 
--- a/packages/scheduling/src/shared_load.cpp
+++ b/packages/scheduling/src/shared_load.cpp
@@ -12,6 +12,9 @@
 constexpr double decrease_weight = 0.5;
 /// Time within which a report belongs to the response that carried it.
 constexpr base::duration same_response = std::chrono::milliseconds{20};
+/// Time for which peers are told of a full server beyond the time for which it counts as full here; beacons
+/// are 150 to 350 ms apart.
+constexpr base::duration extra_told_time = std::chrono::milliseconds{100};
 
 }  // namespace
 
@@ -26,6 +29,10 @@
     }
 }
 
+bool shared_load::told_full(base::time_point now) const {
+    return full_until_ != base::time_point{} && now < full_until_ + extra_told_time;
+}
+
 bool shared_load::reported_room(base::time_point now) const {
     return lifetime_ > base::duration{} && now - reported_at_ <= same_response &&
            report_.running + report_.waiting < report_.slots;
--- a/packages/scheduling/src/shared_load.h
+++ b/packages/scheduling/src/shared_load.h
@@ -31,6 +31,10 @@
     /// @return true if the server has refused a request and no place is expected to be free yet.
     [[nodiscard]] bool full(base::time_point now) const { return now < full_until_; }
 
+    /// @return true while peers should be told that the server is full: somewhat longer, so that a beacon of
+    /// this daemon is due meanwhile.
+    [[nodiscard]] bool told_full(base::time_point now) const;
+
     /// @return true if the server has just reported room for a request.
     [[nodiscard]] bool reported_room(base::time_point now) const;
 
--- a/packages/scheduling/src/shared_machines.cpp
+++ b/packages/scheduling/src/shared_machines.cpp
@@ -19,6 +19,11 @@
 /// Prompt tokens from which on the time to the first event depends on the speed of the server more than on
 /// the network.
 constexpr std::int64_t min_comparable_tokens = 400;
+/// Bounds of the time for which a server that refused a request counts as full.
+constexpr base::duration min_full_time = 20ms;
+constexpr base::duration max_full_time = 300ms;
+/// Time of a request that is assumed for a full server until it is measured.
+constexpr base::duration min_request_time = 30ms;
 /// Multiple of the expected time from which on a missing first event shows that the server is slow.
 constexpr int overdue_factor = 2;
 
@@ -48,9 +53,20 @@
     }
 }
 
+base::duration shared_machines::time_until_place(const server_state& s, base::time_point now) const {
+    const auto request_time = std::max(times_.request_time(), base::duration{min_request_time});
+    const double slots = std::max<std::uint32_t>(1, s.info.slots);
+    const auto one_end =
+        std::chrono::duration_cast<base::duration>(request_time * (s.shared.pace.time_factor(now) / slots));
+    return std::clamp(one_end, base::duration{min_full_time}, base::duration{max_full_time});
+}
+
 void shared_machines::ended(server_state& s, const scheduled_request& request, const attempt_times& t,
                             outcome o, base::time_point now) {
     const auto elapsed = now - t.started_at;
+    if (o == outcome::rejected && !s.shared.reported_room(now)) {
+        s.shared.refused(time_until_place(s, now), now);
+    }
     if (o != outcome::success) {
         // The first event would have taken at least this long; without these the slowest servers are measured
         // by their fast responses only.
--- a/packages/scheduling/src/shared_machines.h
+++ b/packages/scheduling/src/shared_machines.h
@@ -47,6 +47,9 @@
     [[nodiscard]] const service_times& times() const noexcept { return times_; }
 
 private:
+    /// @return time until one of the requests on a full server ends.
+    [[nodiscard]] base::duration time_until_place(const server_state& s, base::time_point now) const;
+
     service_times times_;
 };
 
