Start requests only where they can be served in time, refuse them early elsewhere

Cause: has_capacity looks for a slot and memory only, so that a long prompt goes to a server whose prefill queue lasts longer than its caller waits; the wait in the daemon's queue is estimated from eight starts in two seconds, which a daemon with four or five starts per second hardly has.

Change (only with scheduler_options::shared_machines): a server on which the expected end of the response is after the deadline is no candidate. The wait on a server is the largest of the known prompts, prefill_backlog (rates that exceed the speed of the server) and overdue first events. queue_forecast expects the wait in the daemon's queue from the requests that run and wait in the whole fleet and the mean time of one. A request that no server can serve in time is refused at once as not run; return_schedule spreads the returns of refused callers in their order.

--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -208,6 +208,12 @@
     return present_kv_cache_tokens(s, own_tokens, c, now) + own_tokens <= usable_tokens;
 }
 
+/// @return part of the time for which a first event is overdue that is expected to pass again for a new
+/// prompt, which is processed after the overdue one.
+base::duration scaled_overdue(base::duration overdue) {
+    return overdue / 2;
+}
+
 /// @return time until the server starts the prefill of a new prompt.
 double expected_wait_ms(const server_state& s, double utilisation, double speed, const placement_context& c) {
     const double reported = static_cast<double>(s.pending_prefill_tokens()) / speed;
@@ -251,15 +257,22 @@
     return std::min(s.prefill_tokens_per_s(now) / (speed * 1000), max_utilisation);
 }
 
+/// @return time until the server starts the prefill of a new prompt, with shared machines.
+double present_wait_ms(const server_state& s, double utilisation, double speed, const placement_context& c) {
+    const std::chrono::duration<double, std::milli> known =
+        std::max(s.backlog.wait(), scaled_overdue(s.overdue));
+    return std::max(expected_wait_ms(s, utilisation, speed, c), known.count());
+}
+
 /// @return expected times on the server, with shared machines.
 service_estimate estimate_service(const server_state& s, const scheduled_request& request,
                                   const prefill_plan& p, const placement_context& c, base::time_point now) {
     if (!request.generation) {
         return estimate_plain_request(s, c, now);
     }
-    const double speed = prefill_speed(s, c, now);
+    const double speed = usual_prefill_speed(s, c);
     const double utilisation = prefill_utilisation(s, speed, now);
-    prefill_work work{.wait_ms = expected_wait_ms(s, utilisation, speed, c),
+    prefill_work work{.wait_ms = present_wait_ms(s, utilisation, speed, c),
                       .prefill_tokens = p.prefill_tokens};
     if (p.transferred_tokens > 0) {
         work.kv_transfer_ms = kv_transfer_time_ms(s, *p.kv_transfer_source, p.transferred_tokens, c);
@@ -281,7 +294,8 @@
               : 0;
     const double speed = prefill_speed(s, c, now);
     const double utilisation = prefill_utilisation(s, speed, now);
-    ms += expected_wait_ms(s, utilisation, speed, c);
+    ms += c.times != nullptr ? present_wait_ms(s, utilisation, speed, c)
+                             : expected_wait_ms(s, utilisation, speed, c);
     ms += (static_cast<double>(p.prefill_tokens) +
            duplicate_prefill_weight * static_cast<double>(p.duplicate_tokens)) /
           speed;
@@ -321,6 +335,25 @@
     }
 }
 
+std::optional<shortest_times> find_shortest_times(const scheduled_request& request,
+                                                  const std::vector<server_state*>& servers,
+                                                  const placement_context& c, base::time_point now) {
+    const auto affinity =
+        request.generation ? find_affinity_servers(request, servers, c, now) : affinity_servers{};
+    std::optional<shortest_times> out;
+    for (const auto* s : servers) {
+        if (s->info.draining || s->health.ejected(now)) {
+            continue;
+        }
+        const auto p = request.generation ? plan_prefill(*s, request, affinity, c) : prefill_plan{};
+        const auto e = estimate_service(*s, request, p, c, now);
+        const shortest_times t{e.total, e.total - e.wait};
+        out = out ? shortest_times{std::min(out->present, t.present), std::min(out->when_idle, t.when_idle)}
+                  : t;
+    }
+    return out;
+}
+
 std::optional<placement> choose_server(const scheduled_request& request,
                                        const std::vector<server_state*>& candidates,
                                        const placement_context& c, base::time_point now) {
@@ -335,6 +368,11 @@
             continue;
         }
         const auto p = request.generation ? plan_prefill(*s, request, affinity, c) : prefill_plan{};
+        const auto estimate =
+            c.times != nullptr ? estimate_service(*s, request, p, c, now) : service_estimate{};
+        if (c.times != nullptr && !can_serve_in_time(*s, request, estimate, c, now)) {
+            continue;
+        }
         const double ms = placement_cost_ms(*s, request, p, c, now);
         if (ms < best_ms) {
             best_ms = ms;
@@ -343,10 +381,8 @@
                              p.kv_transfer_source,
                              affinity.rank(*s),
                              is_long_prompt(request, c),
-                             p.transferred_tokens > 0};
-            if (c.times != nullptr) {
-                best->estimate = estimate_service(*s, request, p, c, now);
-            }
+                             p.transferred_tokens > 0,
+                             estimate};
         }
     }
     return best;
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -74,6 +74,18 @@
     service_estimate estimate;
 };
 
+/// Shortest expected times of a request on any server that is in use, whether or not it has a free place.
+struct shortest_times {
+    base::duration present{};    ///< with the prompts that wait on the server now
+    base::duration when_idle{};  ///< if nothing waited there
+};
+
+/// @param c context with measured times.
+/// @return nothing if no server is in use.
+std::optional<shortest_times> find_shortest_times(const scheduled_request& request,
+                                                  const std::vector<server_state*>& servers,
+                                                  const placement_context& c, base::time_point now);
+
 /// Selects the server with the lowest cost among those with free capacity. The cost is the expected time to
 /// first token plus penalties, in milliseconds.
 ///
@@ -92,6 +104,9 @@
 /// - daemons that select the same server at the same time;
 /// - servers that name a rate limit or a time without requests: they look free and get no more than that;
 /// - servers that appear to be free in old reports, long after other daemons have filled them;
+/// - with shared machines, servers with a free slot whose prefill queue lasts longer than the caller waits:
+/// they
+///   are no candidates;
 /// - streams with token gap limits that the prefill of long prompts interrupts: long prompts are restricted
 ///   to a group of the servers.
 /// @param request request to place.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -4,6 +4,7 @@
 #include "peer_loads.h"
 #include "placement.h"
 #include "prefill_speed_estimator.h"
+#include "queue_forecast.h"
 #include "server_state.h"
 #include "shared_machines.h"
 #include "signal_wait.h"
@@ -34,6 +35,9 @@
 /// Maximum waiting time as a fraction of the time to the deadline, if this is longer: a late response is
 /// better than none.
 constexpr double max_wait_deadline_fraction = 0.2;
+/// The same with shared machines, where requests that can only be late start after the others and are refused
+/// early if none of the servers can serve them in time.
+constexpr double max_forecast_wait_fraction = 0.4;
 /// Window over which the rate of request starts is measured.
 constexpr base::duration start_rate_window = 2s;
 /// Minimum number of starts in the window for an estimate of the rate.
@@ -143,7 +147,7 @@
         std::sort(sorted_servers_.begin(), sorted_servers_.end(),
                   [](auto* a, auto* b) { return a->info.id < b->info.id; });
         assign_zone_positions(sorted_servers_);
-        peer_loads_.update_servers(sorted_servers_, now);
+        update_loads(now);
         start_waiting_requests(now);
     }
 
@@ -152,7 +156,7 @@
         peer_loads_.set(peer, r, valid_until, now);
         // The loads are summed when they are used: in a large fleet reports are more frequent than requests.
         if (!queue_.empty()) {
-            peer_loads_.update_servers(sorted_servers_, now);
+            update_loads(now);
             start_waiting_requests(now);
         }
     }
@@ -165,7 +169,7 @@
             token_gap_monitor_.add_gap_limit(*e.request.generation->max_token_gap);
         }
         if (queue_.empty() || queue_.count_ahead(e.request.priority_rank) == 0) {
-            peer_loads_.update_servers(sorted_servers_, now);
+            update_loads(now);
             if (try_start(e, now)) {
                 return;
             }
@@ -178,7 +182,7 @@
         if (it == entries_.end()) {
             return;
         }
-        peer_loads_.update_servers(sorted_servers_, now);
+        update_loads(now);
         // The request has already waited, so that it does not wait behind others again.
         if (!try_start(it->second, now)) {
             enqueue_or_reject(it->second, now);
@@ -259,7 +263,7 @@
     }
 
     void tick(base::time_point now) {
-        peer_loads_.update_servers(sorted_servers_, now);
+        update_loads(now);
         start_waiting_requests(now);
         for (const auto id : queue_.expired(now)) {
             reject(entries_.at(id), result_code::deadline_unreachable, now);
@@ -286,7 +290,7 @@
     }
 
     [[nodiscard]] scheduler_status status(base::time_point now) {
-        peer_loads_.update_servers(sorted_servers_, now);
+        update_loads(now);
         scheduler_status st;
         st.prefill_tokens_per_ms = fleet_prefill_tokens_per_ms();
         st.prefill_tokens_per_s = fleet_prefill_tokens_per_s(now);
@@ -304,6 +308,20 @@
     [[nodiscard]] bool has_waiting() const { return !queue_.empty(); }
 
 private:
+    void update_loads(base::time_point now) {
+        peer_loads_.update_servers(sorted_servers_, now);
+        if (!options_.shared_machines || !engine_) {
+            return;
+        }
+        const double speed = fleet_prefill_tokens_per_ms();
+        shared_machines::advance(sorted_servers_, speed > 0 ? speed : default_prefill_tokens_per_ms, now);
+        for (const auto& [id, e] : entries_) {
+            if (e.server != nullptr && e.request.generation) {
+                shared_machines::missing_first_event(*e.server, e.times, now);
+            }
+        }
+    }
+
     /// Detaches running attempts from a removed server, so that they do not access its state when they end.
     void detach_requests(std::unique_ptr<server_state>& s) {
         if (!s) {
@@ -462,7 +480,38 @@
         }
     }
 
+    /// Load: more requests than all servers can serve in time. Refuses those that cannot meet their deadline
+    /// on any server while their callers still have time to try again, rather than at the deadline.
+    void enqueue_or_reject_by_forecast(entry& e, base::time_point now) {
+        const auto c = make_placement_context(now);
+        const auto shortest = find_shortest_times(e.request, sorted_servers_, c, now);
+        const auto time_limit = e.request.deadline - e.request.arrived;
+        const auto longest_wait =
+            std::max(scaled(e.request.target_at - e.request.arrived, max_wait_target_fraction),
+                     scaled(time_limit, max_forecast_wait_fraction));
+        const auto latest_start =
+            std::min(e.request.arrived + longest_wait,
+                     e.request.deadline - (shortest ? shortest->when_idle : base::duration{}));
+        const bool too_late =
+            now >= latest_start || (shortest && now + shortest->present > e.request.deadline);
+        const bool no_room = now + expected_wait(e.request.priority_rank, now) > latest_start;
+        if (!too_late && !no_room) {
+            queue_.push(e.request.id, e.request, latest_start);
+            return;
+        }
+        // Requests ahead may need more than the free places offer.
+        if (!try_start(e, now)) {
+            const auto server_wait = shortest ? shortest->present - shortest->when_idle : base::duration{};
+            reject(e, too_late ? result_code::deadline_unreachable : result_code::queue_full, now,
+                   server_wait);
+        }
+    }
+
     void enqueue_or_reject(entry& e, base::time_point now) {
+        if (options_.shared_machines && !sorted_servers_.empty()) {
+            enqueue_or_reject_by_forecast(e, now);
+            return;
+        }
         const auto target = e.request.target_at - e.request.arrived;
         const auto time_limit = e.request.deadline - e.request.arrived;
         const auto latest_start =
@@ -494,6 +543,9 @@
         if (const auto wait = wait_for_signals(queue_.count_ahead(priority_rank), now)) {
             return *wait;
         }
+        if (options_.shared_machines) {
+            return forecast().wait(queue_.count_ahead(priority_rank));
+        }
         drop_old_starts(now);
         if (recent_starts_.size() < min_starts_for_rate) {
             return {};
@@ -502,24 +554,43 @@
         return scaled(start_rate_window, ahead / static_cast<double>(recent_starts_.size()));
     }
 
+    [[nodiscard]] queue_forecast forecast() const {
+        fleet_load f{.waiting = queue_.size(),
+                     .peer_waiting = peer_loads_.waiting(),
+                     .request_time = shared_machines_.times().request_time()};
+        for (const auto* s : sorted_servers_) {
+            f.running += s->running();
+        }
+        return queue_forecast{f};
+    }
+
     void drop_old_starts(base::time_point now) {
         while (!recent_starts_.empty() && now - recent_starts_.front() > start_rate_window) {
             recent_starts_.pop_front();
         }
     }
 
-    void reject(entry& e, result_code code, base::time_point now) {
-        const auto wait = expected_wait(e.request.priority_rank, now);
-        const double jitter =
-            retry_jitter_fraction * static_cast<double>(random_() % 1024) / 1024.0;  // in 1024 steps
-        const auto longest = wait_for_signals(0, now) ? longest_signal_wait : max_retry_after;
-        const auto retry = scaled(std::clamp(wait, min_retry_after, longest), 1 + jitter);
+    /// @param server_wait shortest expected wait on a server.
+    void reject(entry& e, result_code code, base::time_point now, base::duration server_wait = {}) {
         const auto id = e.request.id;
+        const auto retry = retry_after(e, server_wait, now);
         decisions_.emplace_back(reject_decision{id, code, retry});
         queue_.erase(id);
         entries_.erase(id);
     }
 
+    base::duration retry_after(const entry& e, base::duration server_wait, base::time_point now) {
+        const auto wait = expected_wait(e.request.priority_rank, now);
+        if (options_.shared_machines && !wait_for_signals(0, now)) {
+            return return_schedule_.next(std::max(wait, server_wait), forecast().start_interval(), random_,
+                                         now);
+        }
+        const double jitter =
+            retry_jitter_fraction * static_cast<double>(random_() % 1024) / 1024.0;  // in 1024 steps
+        const auto longest = wait_for_signals(0, now) ? longest_signal_wait : max_retry_after;
+        return scaled(std::clamp(wait, min_retry_after, longest), 1 + jitter);
+    }
+
     void record_prefill_speed(const entry& e, base::time_point now) {
         if (e.server->local_load.pending_prefill_tokens > e.prefill_tokens) {
             return;  // the server processed other prompts at the same time
@@ -541,6 +612,7 @@
     token_gap_monitor token_gap_monitor_;
     prefill_speed_estimator prefill_speed_;
     shared_machines shared_machines_;
+    return_schedule return_schedule_;
     std::uint32_t local_short_prompt_streams_ = 0;
     double mean_prefill_tokens_ = 0;
     std::vector<decision> decisions_;
--- a/packages/scheduling/src/server_pace.cpp
+++ b/packages/scheduling/src/server_pace.cpp
@@ -51,6 +51,12 @@
     return std::clamp(std::exp(weight * (log_reported_ - log_usually_reported_)), min_slowdown, max_slowdown);
 }
 
+double server_pace::duration_ms(double usual_ms, base::time_point now) const {
+    const double factor = slowdown(now);
+    const double remaining_ms = report_time_constant.count();
+    return usual_ms * factor <= remaining_ms ? usual_ms * factor : usual_ms + remaining_ms * (1 - 1 / factor);
+}
+
 double server_pace::speed() const {
     return std::clamp(std::exp(-log_ratio_ * confidence()), min_speed, max_speed);
 }
--- a/packages/scheduling/src/server_pace.h
+++ b/packages/scheduling/src/server_pace.h
@@ -26,6 +26,9 @@
 
     /// @return time that work takes at this moment, relative to the usual time on this server.
     [[nodiscard]] double slowdown(base::time_point now) const;
+    /// @param usual_ms time of some work on this server at its usual pace, in milliseconds.
+    /// @return time if the work starts now: the present slowdown does not last for long work.
+    [[nodiscard]] double duration_ms(double usual_ms, base::time_point now) const;
     /// @return long-run speed relative to the average server of the service.
     [[nodiscard]] double speed() const;
     /// @return weight of the measurements in `speed`, from 0 (none) to 1.
--- a/packages/scheduling/src/server_state.h
+++ b/packages/scheduling/src/server_state.h
@@ -6,6 +6,7 @@
 #include "backpressure/signal_report.h"
 #include "base/decaying_rate.h"
 #include "catalog/backend_server.h"
+#include "prefill_backlog.h"
 #include "prefix_cache.h"
 #include "scheduling/load.h"
 #include "server_health.h"
@@ -31,6 +32,9 @@
     base::time_point queue_reported_until;
     /// Pace and reported load; changed and used only with `scheduler_options::shared_machines`.
     shared_load shared;
+    prefill_backlog backlog;
+    /// Time for which the first event of a stream of this daemon on the server is overdue; the longest one.
+    base::duration overdue{};
     /// Prompt tokens per second that peers send, weighted by the part that their aged reports of pending
     /// prefill tokens no longer cover.
     double unreported_prefill_tokens_per_s = 0;
--- a/packages/scheduling/src/service_estimate.cpp
+++ b/packages/scheduling/src/service_estimate.cpp
@@ -17,13 +17,13 @@
     return std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>{ms});
 }
 
-/// @return time of one request on the server at its present pace, without waiting.
-double request_ms(const server_state& s, const placement_context& c, base::time_point now) {
+/// @return time of one request on the server at its usual pace, without waiting.
+double usual_request_ms(const server_state& s, const placement_context& c) {
     const auto measured = c.times->request_time();
     const double mean = measured > base::duration{}
                             ? std::chrono::duration<double, std::milli>{measured}.count()
                             : default_request_ms;
-    return mean * s.shared.pace.time_factor(now);
+    return mean / s.shared.pace.speed();
 }
 
 }  // namespace
@@ -47,32 +47,46 @@
     return c.prefill_tokens_per_ms / s.shared.pace.time_factor(now);
 }
 
+double usual_prefill_speed(const server_state& s, const placement_context& c) {
+    return c.prefill_tokens_per_ms * s.shared.pace.speed();
+}
+
 service_estimate estimate_generation(const server_state& s, const scheduled_request& request,
                                      const prefill_work& work, const placement_context& c,
                                      base::time_point now) {
-    const double factor = s.shared.pace.time_factor(now);
+    const auto& pace = s.shared.pace;
     const double work_ms =
-        work.wait_ms + static_cast<double>(work.prefill_tokens) / present_prefill_speed(s, c, now);
-    const double average_ms = c.base_latency_ms + work_ms / factor;
+        work.wait_ms + static_cast<double>(work.prefill_tokens) / usual_prefill_speed(s, c);
+    const double ratio = c.times->first_event_ratio();
     const double first_ms =
-        (c.base_latency_ms + work_ms) * c.times->first_event_ratio() + work.kv_transfer_ms;
-    const auto stream = c.times->stream_time(request.generation->output_tokens);
-    return {.average_first_event = from_ms(average_ms),
+        (c.base_latency_ms + pace.duration_ms(work_ms, now)) * ratio + work.kv_transfer_ms;
+    const std::chrono::duration<double, std::milli> stream{
+        c.times->stream_time(request.generation->output_tokens)};
+    // The stream is longer than the present slowdown lasts.
+    return {.average_first_event = from_ms(c.base_latency_ms + work_ms * pace.speed()),
             .first_event = from_ms(first_ms),
-            .total = from_ms(first_ms) + std::chrono::duration_cast<base::duration>(stream * factor)};
+            .wait = from_ms(pace.duration_ms(work.wait_ms, now) * ratio),
+            .total = from_ms(first_ms + stream.count() / pace.speed())};
 }
 
 service_estimate estimate_plain_request(const server_state& s, const placement_context& c,
                                         base::time_point now) {
     const double slots = std::max<std::uint32_t>(1, s.info.slots);
     const double ahead = std::max(0.0, present_requests(s, c, now) + 1 - slots);
-    const auto total = from_ms(request_ms(s, c, now) * (1 + ahead / slots));
-    return {.first_event = total, .total = total};
+    const double own_ms = usual_request_ms(s, c);
+    const double wait_ms = own_ms * ahead / slots;
+    const auto total = from_ms(s.shared.pace.duration_ms(own_ms + wait_ms, now));
+    return {.first_event = total, .wait = from_ms(wait_ms), .total = total};
+}
+
+bool can_serve_in_time(const server_state& s, const scheduled_request& request, const service_estimate& e,
+                       const placement_context& c, base::time_point now) {
+    return now + e.total <= request.deadline || present_requests(s, c, now) == 0;
 }
 
 double plain_server_cost_ms(const server_state& s, const placement_context& c, base::time_point now) {
     const double slots = std::max<std::uint32_t>(1, s.info.slots);
-    return request_ms(s, c, now) * (present_requests(s, c, now) + 1) / slots;
+    return usual_request_ms(s, c) * s.shared.pace.slowdown(now) * (present_requests(s, c, now) + 1) / slots;
 }
 
 }  // namespace chicorygap::scheduling
--- a/packages/scheduling/src/shared_machines.cpp
+++ b/packages/scheduling/src/shared_machines.cpp
@@ -30,7 +30,7 @@
 }  // namespace
 
 attempt_times shared_machines::started(const placement& p, base::time_point now) const {
-    attempt_times t{.started_at = now};
+    attempt_times t{.started_at = now, .first_event = p.estimate.first_event, .wait = p.estimate.wait};
     t.comparable = p.server->running() < p.server->info.slots;
     if (p.prefill_tokens >= min_comparable_tokens && !p.kv_transfer) {
         t.average_first_event = p.estimate.average_first_event;
@@ -38,6 +38,21 @@
     return t;
 }
 
+void shared_machines::advance(const std::vector<server_state*>& servers, double prefill_tokens_per_ms,
+                              base::time_point now) {
+    for (auto* s : servers) {
+        const double tokens_per_s = prefill_tokens_per_ms * 1000 / s->shared.pace.time_factor(now);
+        s->backlog.advance(s->prefill_tokens_per_s(now) / tokens_per_s, now);
+        s->overdue = {};
+    }
+}
+
+void shared_machines::missing_first_event(server_state& s, const attempt_times& t, base::time_point now) {
+    if (!t.first_event_at) {
+        s.overdue = std::max(s.overdue, now - t.started_at - t.first_event);
+    }
+}
+
 void shared_machines::reported(server_state& s, const server_report& r, bool generation,
                                base::time_point now) const {
     const auto lifetime = generation ? report_lifetime
@@ -48,6 +63,8 @@
 
 void shared_machines::first_event(server_state& s, attempt_times& t, base::time_point now) {
     t.first_event_at = now;
+    const auto measured_wait = t.wait + (now - t.started_at - t.first_event);
+    s.backlog.observe(std::max(base::duration{}, measured_wait), t.wait);
     if (t.average_first_event > base::duration{}) {
         times_.record_first_event(s.shared.pace, t.average_first_event, now - t.started_at, now);
     }
--- a/packages/scheduling/src/shared_machines.h
+++ b/packages/scheduling/src/shared_machines.h
@@ -7,6 +7,7 @@
 #include "service_times.h"
 
 #include <optional>
+#include <vector>
 
 namespace chicorygap::scheduling {
 
@@ -19,6 +20,9 @@
     std::optional<base::time_point> first_event_at;
     /// Expected time to the first event on an average server; zero if it shows nothing of the server's speed.
     base::duration average_first_event{};
+    /// Expected time to the first event on the server, and part of it in which the request waits there.
+    base::duration first_event{};
+    base::duration wait{};
     /// The time of the whole request shows the server's speed: no other request waited there.
     bool comparable = false;
 };
@@ -34,6 +38,14 @@
     /// @return times to compare with the measured ones.
     [[nodiscard]] attempt_times started(const placement& p, base::time_point now) const;
 
+    /// Moves the prefill queues of the servers on to the present time.
+    /// @param prefill_tokens_per_ms speed of an average server.
+    static void advance(const std::vector<server_state*>& servers, double prefill_tokens_per_ms,
+                        base::time_point now);
+
+    /// Records that a running attempt has no first event yet; nothing happens if it has.
+    static void missing_first_event(server_state& s, const attempt_times& t, base::time_point now);
+
     /// Records a report of a server.
     void reported(server_state& s, const server_report& r, bool generation, base::time_point now) const;
 
