Start requests that can meet their target before late ones

Cause: within a rank the queue is ordered by turns of workspaces and arrival. In a burst that is longer than the targets, the requests at the front can only be late, and make those behind them late as well.

--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -347,9 +347,12 @@
         }
         const auto p = request.generation ? plan_prefill(*s, request, affinity, c) : prefill_plan{};
         const auto e = estimate_service(*s, request, p, c, now);
-        const shortest_times t{e.total, e.total - e.wait};
-        out = out ? shortest_times{std::min(out->present, t.present), std::min(out->when_idle, t.when_idle)}
-                  : t;
+        if (!out) {
+            out = shortest_times{e.total, e.total - e.wait, e.first_event - e.wait};
+        }
+        out->present = std::min(out->present, e.total);
+        out->when_idle = std::min(out->when_idle, e.total - e.wait);
+        out->first_event_when_idle = std::min(out->first_event_when_idle, e.first_event - e.wait);
     }
     return out;
 }
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -78,6 +78,7 @@
 struct shortest_times {
     base::duration present{};    ///< with the prompts that wait on the server now
     base::duration when_idle{};  ///< if nothing waited there
+    base::duration first_event_when_idle{};
 };
 
 /// @param c context with measured times.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -463,6 +463,7 @@
     }
 
     void start_waiting_requests(base::time_point now) {
+        queue_.update_late(now);
         while (!queue_.empty()) {
             local_request_id started = local_request_id::none;
             int scanned = 0;
@@ -476,7 +477,7 @@
             if (started == local_request_id::none) {
                 return;
             }
-            queue_.erase(started);
+            queue_.start(started);
         }
     }
 
@@ -496,7 +497,8 @@
             now >= latest_start || (shortest && now + shortest->present > e.request.deadline);
         const bool no_room = now + expected_wait(e.request.priority_rank, now) > latest_start;
         if (!too_late && !no_room) {
-            queue_.push(e.request.id, e.request, latest_start);
+            const auto before_target = shortest ? shortest->first_event_when_idle : base::duration{};
+            queue_.push(e.request.id, e.request, {latest_start, e.request.target_at - before_target});
             return;
         }
         // Requests ahead may need more than the free places offer.
@@ -525,7 +527,7 @@
             reject(e, result_code::queue_full, now);
             return;
         }
-        queue_.push(e.request.id, e.request, latest_start);
+        queue_.push(e.request.id, e.request, {.latest = latest_start});
     }
 
     static base::duration scaled(base::duration d, double factor) {
