--- a/packages/proxy/include/proxy/request_router.h
+++ b/packages/proxy/include/proxy/request_router.h
@@ -17,6 +17,7 @@
 #include "scheduling/scheduler.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -67,6 +68,8 @@
     memory::account* account = nullptr;
     /// Milliseconds of a caller's wait that one megabyte between zones is worth; absent for no price.
     std::optional<double> zone_byte_price_ms_per_mb = std::nullopt;
+    /// `scheduling::scheduler_options::shared_machines` of all services.
+    bool shared_machines = false;
 };
 
 struct router_hooks {
@@ -167,6 +170,9 @@
     [[nodiscard]] service_loads local_loads() const;
     /// @return status of each service's scheduler.
     [[nodiscard]] std::unordered_map<base::service_id, scheduling::scheduler_status> status() const;
+    /// @return responses with a report of the server's load that was not usable; counted only with shared
+    /// machines.
+    [[nodiscard]] std::uint64_t invalid_server_reports() const;
     /// @return requests that have not ended.
     [[nodiscard]] std::size_t open_requests() const;
     /// @return total number of connections that were opened to servers.
--- a/packages/scheduling/include/scheduling/scheduler.h
+++ b/packages/scheduling/include/scheduling/scheduler.h
@@ -9,6 +9,7 @@
 #include "scheduling/decision.h"
 #include "scheduling/load.h"
 #include "scheduling/scheduled_request.h"
+#include "scheduling/server_report.h"
 #include "scheduling/zone_preference.h"
 #include "scheduling/zone_status.h"
 
@@ -44,6 +45,10 @@
     backpressure::signal_table* signals = nullptr;
     /// Price of the traffic between zones; without it a server of another zone has a fixed cost.
     std::optional<zone_options> zones = std::nullopt;
+    /// The machines of the servers are shared with the work of others, and servers report their load and
+    /// pace. The scheduler then uses these reports, and starts a request only where it can still be served in
+    /// time.
+    bool shared_machines = false;
 };
 
 /// State of the scheduler for logs, metrics and autoscaling.
@@ -118,6 +123,10 @@
     /// Stores the number of waiting requests that the server of the current attempt reported.
     void set_server_queue_length(local_request_id id, std::uint32_t waiting, base::time_point now);
 
+    /// Stores the load that the server of the current attempt reported. Has no effect without
+    /// `scheduler_options::shared_machines`.
+    void set_server_report(local_request_id id, const server_report& r, base::time_point now);
+
     /// Reports that the stream exceeded its maximum token gap.
     void token_gap_exceeded(local_request_id id, base::time_point now);
 
--- a/packages/scheduling/src/peer_loads.h
+++ b/packages/scheduling/src/peer_loads.h
@@ -23,6 +23,11 @@
 /// filled counts instead.
 class peer_loads {
 public:
+    /// @param queue_report_lifetime time for which a peer's report of a queue at a server counts, from its
+    /// receipt by this daemon.
+    explicit peer_loads(base::duration queue_report_lifetime)
+        : queue_report_lifetime_{queue_report_lifetime} {}
+
     /// Stores a report, which replaces the previous one of the peer.
     /// @param valid_until time after which the report is removed.
     /// @param zone zone of the peer, or the zone that a digest sums up; empty if unknown.
@@ -59,6 +64,7 @@
         base::zone_id zone;
     };
 
+    base::duration queue_report_lifetime_;
     std::unordered_map<base::vm_id, report> reports_;
 };
 
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -202,15 +202,24 @@
     const auto all_slots = c.engine ? std::min(c.engine->slots, s.info.slots) : s.info.slots;
     const auto slots =
         s.info.returned_at ? zone_return{s.info.returned_at}.usable_slots(all_slots, now) : all_slots;
-    if (s.running() + reserved_slots(slots, c.peer_count) >= slots) {
+    const auto running = present_requests(s, c, now);
+    if (running + reserved_slots(slots, c.peer_count) >= slots ||
+        (c.times != nullptr && s.shared.full(now))) {
         return false;
     }
-    if (!request.generation || !c.engine || s.running() == 0) {
+    if (!request.generation || !c.engine || running == 0) {
         return true;
     }
     const auto usable_tokens = static_cast<std::int64_t>(usable_kv_cache_fraction *
                                                          static_cast<double>(c.engine->kv_capacity_tokens));
-    return s.kv_cache_tokens() + request.generation->kv_cache_tokens() <= usable_tokens;
+    const auto own_tokens = request.generation->kv_cache_tokens();
+    return present_kv_cache_tokens(s, own_tokens, c, now) + own_tokens <= usable_tokens;
+}
+
+/// @return part of the time for which a first event is overdue that is expected to pass again for a new
+/// prompt, which is processed after the overdue one.
+base::duration scaled_overdue(base::duration overdue) {
+    return overdue / 2;
 }
 
 /// @return time until the server starts the prefill of a new prompt.
@@ -243,12 +252,48 @@
     return p;
 }
 
+/// @return prompt tokens per millisecond of the server.
+double prefill_speed(const server_state& s, const placement_context& c, base::time_point now) {
+    if (c.times != nullptr) {
+        return present_prefill_speed(s, c, now);
+    }
+    return s.prefill_tokens_per_ms.samples() >= min_speed_samples ? s.prefill_tokens_per_ms.value()
+                                                                  : c.prefill_tokens_per_ms;
+}
+
+double prefill_utilisation(const server_state& s, double speed, base::time_point now) {
+    return std::min(s.prefill_tokens_per_s(now) / (speed * 1000), max_utilisation);
+}
+
+/// @return time until the server starts the prefill of a new prompt, with shared machines.
+double present_wait_ms(const server_state& s, double utilisation, double speed, const placement_context& c) {
+    const std::chrono::duration<double, std::milli> known =
+        std::max(s.backlog.wait(), scaled_overdue(s.overdue));
+    return std::max(expected_wait_ms(s, utilisation, speed, c), known.count());
+}
+
+/// @return expected times on the server, with shared machines.
+service_estimate estimate_service(const server_state& s, const scheduled_request& request,
+                                  const prefill_plan& p, const placement_context& c, base::time_point now) {
+    if (!request.generation) {
+        return estimate_plain_request(s, c, now);
+    }
+    const double speed = usual_prefill_speed(s, c);
+    const double utilisation = prefill_utilisation(s, speed, now);
+    prefill_work work{.wait_ms = present_wait_ms(s, utilisation, speed, c),
+                      .prefill_tokens = p.prefill_tokens};
+    if (p.transferred_tokens > 0) {
+        work.kv_transfer_ms = kv_transfer_time_ms(s, *p.kv_transfer_source, p.transferred_tokens, c);
+    }
+    return estimate_generation(s, request, work, c, now);
+}
+
 double placement_cost_ms(const server_state& s, const scheduled_request& request, const prefill_plan& p,
                          const placement_context& c, base::time_point now) {
     double ms = (s.info.zone == c.zone ? 0 : cross_zone_cost_ms) + cost_jitter_ms(request, c);
     ms += c.signals != nullptr && c.signals->cold(s.signal_key, now) ? cold_server_cost_ms : 0;
     if (!request.generation) {
-        return ms + used_slot_cost_ms * s.running();
+        return ms + (c.times != nullptr ? plain_server_cost_ms(s, c, now) : used_slot_cost_ms * s.running());
     }
     if (c.long_prompt_server_fraction > 0 && is_long_prompt(request, c) != in_long_prompt_group(s, c)) {
         ms += wrong_group_cost_ms;
@@ -256,11 +301,10 @@
     ms += c.long_prompt_server_fraction > 0 && !is_long_prompt(request, c)
               ? group_boundary_cost_ms * (1 - s.zone_position)
               : 0;
-    const double speed = s.prefill_tokens_per_ms.samples() >= min_speed_samples
-                             ? s.prefill_tokens_per_ms.value()
-                             : c.prefill_tokens_per_ms;
-    const double utilisation = std::min(s.prefill_tokens_per_s(now) / (speed * 1000), max_utilisation);
-    ms += expected_wait_ms(s, utilisation, speed, c);
+    const double speed = prefill_speed(s, c, now);
+    const double utilisation = prefill_utilisation(s, speed, now);
+    ms += c.times != nullptr ? present_wait_ms(s, utilisation, speed, c)
+                             : expected_wait_ms(s, utilisation, speed, c);
     ms += (static_cast<double>(p.prefill_tokens) +
            duplicate_prefill_weight * static_cast<double>(p.duplicate_tokens)) /
           speed;
@@ -270,7 +314,8 @@
     ms += request.generation->max_token_gap && !is_long_prompt(request, c)
               ? interruption_cost_ms * utilisation * utilisation
               : 0;
-    ms += running_request_cost_ms * s.running();
+    ms += running_request_cost_ms * present_requests(s, c, now) *
+          (c.times != nullptr ? s.shared.pace.time_factor(now) : 1);
     ms += s.info.reclaimable && !request.idempotent ? reclaimable_cost_ms : 0;
     return ms;
 }
@@ -299,6 +344,28 @@
     }
 }
 
+std::optional<shortest_times> find_shortest_times(const scheduled_request& request,
+                                                  const std::vector<server_state*>& servers,
+                                                  const placement_context& c, base::time_point now) {
+    const auto affinity =
+        request.generation ? find_affinity_servers(request, servers, c, now) : affinity_servers{};
+    std::optional<shortest_times> out;
+    for (const auto* s : servers) {
+        if (!s->takes_requests() || s->health.ejected(now)) {
+            continue;
+        }
+        const auto p = request.generation ? plan_prefill(*s, request, affinity, c) : prefill_plan{};
+        const auto e = estimate_service(*s, request, p, c, now);
+        if (!out) {
+            out = shortest_times{e.total, e.total - e.wait, e.first_event - e.wait};
+        }
+        out->present = std::min(out->present, e.total);
+        out->when_idle = std::min(out->when_idle, e.total - e.wait);
+        out->first_event_when_idle = std::min(out->first_event_when_idle, e.first_event - e.wait);
+    }
+    return out;
+}
+
 std::optional<placement> choose_server(const scheduled_request& request,
                                        const std::vector<server_state*>& candidates,
                                        const placement_context& c, base::time_point now) {
@@ -317,12 +384,23 @@
             continue;
         }
         const auto p = request.generation ? plan_prefill(*s, request, affinity, c) : prefill_plan{};
+        const auto estimate =
+            c.times != nullptr ? estimate_service(*s, request, p, c, now) : service_estimate{};
+        if (c.times != nullptr && !can_serve_in_time(*s, request, estimate, c, now)) {
+            continue;
+        }
         const double ms = placement_cost_ms(*s, request, p, c, now);
         auto& best = c.signals != nullptr && c.signals->crowded(s->signal_key, now) ? crowded : usual;
         if (ms < best.ms) {
             best.ms = ms;
-            best.server = placement{
-                s, p.prefill_tokens, p.kv_transfer_source, affinity.rank(*s), is_long_prompt(request, c), ms};
+            best.server = placement{s,
+                                    p.prefill_tokens,
+                                    p.kv_transfer_source,
+                                    affinity.rank(*s),
+                                    is_long_prompt(request, c),
+                                    ms,
+                                    p.transferred_tokens > 0,
+                                    estimate};
         }
     }
     return usual.server ? usual.server : crowded.server;
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -7,6 +7,7 @@
 #include "catalog/service.h"
 #include "scheduling/scheduled_request.h"
 #include "server_state.h"
+#include "service_estimate.h"
 
 #include <cstddef>
 #include <optional>
@@ -19,6 +20,8 @@
 
 namespace chicorygap::scheduling {
 
+class service_times;
+
 /// Inputs of the placement besides the servers.
 struct placement_context {
     base::zone_id zone;
@@ -40,6 +43,10 @@
     /// What the servers say of themselves; may be null.
     const backpressure::signal_table* signals = nullptr;
     base::random_function random;
+    /// Measured times of the service; null without `scheduler_options::shared_machines`.
+    const service_times* times = nullptr;
+    /// Time to first token without the prefill; 0 if not measured.
+    double base_latency_ms = 0;
 };
 
 /// @return true if the prefill of the prompt makes streams on the same server exceed their token gap limit.
@@ -63,8 +70,25 @@
     bool long_prompt = false;
     /// Expected time to the first event plus penalties, by which servers are compared.
     double cost_ms = 0;
+    /// Parts of the prompt are expected to come from another server.
+    bool kv_transfer = false;
+    /// Expected times; set only with `scheduler_options::shared_machines`.
+    service_estimate estimate;
+};
+
+/// Shortest expected times of a request on any server that is in use, whether or not it has a free place.
+struct shortest_times {
+    base::duration present{};    ///< with the prompts that wait on the server now
+    base::duration when_idle{};  ///< if nothing waited there
+    base::duration first_event_when_idle{};
 };
 
+/// @param c context with measured times.
+/// @return nothing if no server is in use.
+std::optional<shortest_times> find_shortest_times(const scheduled_request& request,
+                                                  const std::vector<server_state*>& servers,
+                                                  const placement_context& c, base::time_point now);
+
 /// Selects the server with the lowest cost among those with free capacity. The cost is the expected time to
 /// first token plus penalties, in milliseconds.
 ///
@@ -83,6 +107,9 @@
 /// - daemons that select the same server at the same time;
 /// - servers that name a rate limit or a time without requests: they look free and get no more than that;
 /// - servers that appear to be free in old reports, long after other daemons have filled them;
+/// - with shared machines, servers with a free slot whose prefill queue lasts longer than the caller waits:
+/// they
+///   are no candidates;
 /// - streams with token gap limits that the prefill of long prompts interrupts: long prompts are restricted
 ///   to a group of the servers.
 /// @param request request to place.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -4,7 +4,9 @@
 #include "peer_loads.h"
 #include "placement.h"
 #include "prefill_speed_estimator.h"
+#include "queue_forecast.h"
 #include "server_state.h"
+#include "shared_machines.h"
 #include "signal_wait.h"
 #include "token_gap_monitor.h"
 #include "wait_queue.h"
@@ -38,6 +40,9 @@
 constexpr double max_wait_deadline_fraction = 0.2;
 /// Time for which a request waits to save the way to another zone, as a fraction of the target latency.
 constexpr double max_price_wait_target_fraction = 0.5;
+/// The same with shared machines, where requests that can only be late start after the others and are refused
+/// early if none of the servers can serve them in time.
+constexpr double max_forecast_wait_fraction = 0.4;
 /// Window over which the rate of request starts is measured.
 constexpr base::duration start_rate_window = 2s;
 /// Minimum number of starts in the window for an estimate of the rate.
@@ -71,6 +76,10 @@
 constexpr std::uint32_t queue_slots_divisor = 4;
 /// Time for which a server's own report of its queue to this daemon counts.
 constexpr base::duration server_queue_report_lifetime = 300ms;
+/// Time for which a peer's report of a queue at a server counts, from its receipt by this daemon. With shared
+/// machines it says that the server is full, which lasts about as long as one of its requests.
+constexpr base::duration peer_queue_report_lifetime = 400ms;
+constexpr base::duration peer_full_report_lifetime = 100ms;
 /// Age of peer loads up to which they count as recent.
 constexpr base::duration recent_load_age = 250ms;
 /// Random cost of a server per second by which peer loads are older, and its upper bound. The requests that
@@ -89,7 +98,9 @@
 class scheduler::impl {
 public:
     impl(scheduler_options o, base::random_function random)
-        : options_{std::move(o)}, random_{std::move(random)} {
+        : options_{std::move(o)},
+          random_{std::move(random)},
+          peer_loads_{options_.shared_machines ? peer_full_report_lifetime : peer_queue_report_lifetime} {
         if (options_.zones) {
             zones_ = std::make_unique<zone_preference>(options_.zone, *options_.zones, random_);
         }
@@ -105,6 +116,7 @@
         bool short_prompt_stream = false;  ///< counted in `local_short_prompt_streams_`
         bool token_gap_exceeded = false;   ///< already recorded in the token gap monitor
         bool refused_otherwise = false;    ///< does not wait to save the way to another zone
+        attempt_times times;               ///< only with shared machines
     };
 
     std::vector<decision> take_decisions() { return std::exchange(decisions_, {}); }
@@ -145,7 +157,7 @@
         std::sort(sorted_servers_.begin(), sorted_servers_.end(),
                   [](auto* a, auto* b) { return a->info.id < b->info.id; });
         assign_zone_positions(sorted_servers_);
-        peer_loads_.update_servers(sorted_servers_, now);
+        update_loads(now);
         start_waiting_requests(now);
         if (all_evacuated()) {
             reject_waiting_requests(now);
@@ -157,7 +169,7 @@
         peer_loads_.set(peer, r, valid_until, now, zone);
         // The loads are summed when they are used: in a large fleet reports are more frequent than requests.
         if (!queue_.empty()) {
-            peer_loads_.update_servers(sorted_servers_, now);
+            update_loads(now);
             start_waiting_requests(now);
         }
     }
@@ -173,7 +185,7 @@
             token_gap_monitor_.add_gap_limit(*e.request.generation->max_token_gap);
         }
         if (queue_.empty() || queue_.count_ahead(e.request.priority_rank) == 0) {
-            peer_loads_.update_servers(sorted_servers_, now);
+            update_loads(now);
             if (try_start(e, now)) {
                 return;
             }
@@ -186,7 +198,7 @@
         if (it == entries_.end()) {
             return;
         }
-        peer_loads_.update_servers(sorted_servers_, now);
+        update_loads(now);
         // The request has already waited, so that it does not wait behind others again.
         if (!try_start(it->second, now)) {
             enqueue_or_reject(it->second, now);
@@ -214,6 +226,9 @@
             token_gap_monitor_.record_stream_start(now);
         }
         record_prefill_speed(e, now);
+        if (options_.shared_machines) {
+            shared_machines_.first_event(*e.server, e.times, now);
+        }
         e.server->local_load.pending_prefill_tokens -= std::exchange(e.prefill_tokens, 0);
     }
 
@@ -228,6 +243,16 @@
         s.queue_reported_until = waiting > max_queue ? now + server_queue_report_lifetime : now;
     }
 
+    void set_server_report(local_request_id id, const server_report& r, base::time_point now) {
+        const auto it = entries_.find(id);
+        if (!options_.shared_machines || it == entries_.end() || it->second.server == nullptr ||
+            !is_plausible(r)) {
+            return;
+        }
+        const auto& e = it->second;
+        shared_machines_.reported(*e.server, r, e.request.generation.has_value(), now);
+    }
+
     void token_gap_exceeded(local_request_id id, base::time_point now) {
         const auto it = entries_.find(id);
         if (it == entries_.end() || std::exchange(it->second.token_gap_exceeded, true)) {
@@ -249,12 +274,15 @@
             e.tried_servers.push_back(e.server->info.id);
         }
         e.server->health.record(o, service_failure_ratio(), now);
+        if (options_.shared_machines) {
+            shared_machines_.ended(*e.server, e.request, e.times, o, now);
+        }
         release_server(e);
         start_waiting_requests(now);
     }
 
     void tick(base::time_point now) {
-        peer_loads_.update_servers(sorted_servers_, now);
+        update_loads(now);
         start_waiting_requests(now);
         for (const auto id : queue_.expired(now)) {
             reject(entries_.at(id), result_code::deadline_unreachable, now);
@@ -265,7 +293,7 @@
         load_report r;
         for (const auto* s : sorted_servers_) {
             const double rate = s->prefill_rate.per_second(now);
-            const bool queue_reported = now < s->queue_reported_until;
+            const bool queue_reported = now < s->queue_reported_until || s->shared.told_full(now);
             if (s->local_load.running > 0 || rate >= min_reported_prefill_tokens_per_s || queue_reported) {
                 r.servers.push_back(s->local_load);
                 r.servers.back().server = s->info.id;
@@ -281,7 +309,7 @@
     }
 
     [[nodiscard]] scheduler_status status(base::time_point now) {
-        peer_loads_.update_servers(sorted_servers_, now);
+        update_loads(now);
         scheduler_status st;
         st.prefill_tokens_per_ms = fleet_prefill_tokens_per_ms();
         st.prefill_tokens_per_s = fleet_prefill_tokens_per_s(now);
@@ -303,6 +331,20 @@
     [[nodiscard]] bool has_waiting() const { return !queue_.empty(); }
 
 private:
+    void update_loads(base::time_point now) {
+        peer_loads_.update_servers(sorted_servers_, now);
+        if (!options_.shared_machines || !engine_) {
+            return;
+        }
+        const double speed = fleet_prefill_tokens_per_ms();
+        shared_machines::advance(sorted_servers_, speed > 0 ? speed : default_prefill_tokens_per_ms, now);
+        for (const auto& [id, e] : entries_) {
+            if (e.server != nullptr && e.request.generation) {
+                shared_machines::missing_first_event(*e.server, e.times, now);
+            }
+        }
+    }
+
     /// Detaches running attempts from a removed server, so that they do not access its state when they end.
     void detach_requests(std::unique_ptr<server_state>& s) {
         if (!s) {
@@ -341,7 +383,9 @@
                             .peer_count = peer_loads_.count(),
                             .stale_load_spread_ms = stale_load_spread_ms(now),
                             .signals = options_.signals,
-                            .random = random_};
+                            .random = random_,
+                            .times = options_.shared_machines ? &shared_machines_.times() : nullptr,
+                            .base_latency_ms = prefill_speed_.base_latency_ms()};
         if (const auto gap_limit =
                 token_gap_monitor_.enforced_gap_limit(peer_loads_.token_gaps_exceeded(), now)) {
             c.min_long_prompt_tokens = static_cast<std::int64_t>(c.prefill_tokens_per_ms * to_ms(*gap_limit) *
@@ -471,6 +515,9 @@
         e.prefill_tokens = p->prefill_tokens;
         e.started_at = now;
         e.output_started = false;
+        if (options_.shared_machines) {
+            e.times = shared_machines_.started(*p, now);
+        }
         e.short_prompt_stream = e.request.generation && !p->long_prompt;
         local_short_prompt_streams_ += e.short_prompt_stream ? 1 : 0;
         if (options_.signals != nullptr) {
@@ -512,6 +559,7 @@
     }
 
     void start_waiting_requests(base::time_point now) {
+        queue_.update_late(now);
         while (!queue_.empty()) {
             local_request_id started = local_request_id::none;
             int scanned = 0;
@@ -525,11 +573,43 @@
             if (started == local_request_id::none) {
                 return;
             }
-            queue_.erase(started);
+            queue_.start(started);
+        }
+    }
+
+    /// Load: more requests than all servers can serve in time. Refuses those that cannot meet their deadline
+    /// on any server while their callers still have time to try again, rather than at the deadline.
+    void enqueue_or_reject_by_forecast(entry& e, base::time_point now) {
+        const auto c = make_placement_context(now);
+        const auto shortest = find_shortest_times(e.request, sorted_servers_, c, now);
+        const auto time_limit = e.request.deadline - e.request.arrived;
+        const auto longest_wait =
+            std::max(scaled(e.request.target_at - e.request.arrived, max_wait_target_fraction),
+                     scaled(time_limit, max_forecast_wait_fraction));
+        const auto latest_start =
+            std::min(e.request.arrived + longest_wait,
+                     e.request.deadline - (shortest ? shortest->when_idle : base::duration{}));
+        const bool too_late =
+            now >= latest_start || (shortest && now + shortest->present > e.request.deadline);
+        const bool no_room = now + expected_wait(e.request.priority_rank, now) > latest_start;
+        if (!too_late && !no_room) {
+            const auto before_target = shortest ? shortest->first_event_when_idle : base::duration{};
+            queue_.push(e.request.id, e.request, {latest_start, e.request.target_at - before_target});
+            return;
+        }
+        // Requests ahead may need more than the free places offer.
+        if (!try_start(e, now)) {
+            const auto server_wait = shortest ? shortest->present - shortest->when_idle : base::duration{};
+            reject(e, too_late ? result_code::deadline_unreachable : result_code::queue_full, now,
+                   server_wait);
         }
     }
 
     void enqueue_or_reject(entry& e, base::time_point now) {
+        if (options_.shared_machines && !sorted_servers_.empty()) {
+            enqueue_or_reject_by_forecast(e, now);
+            return;
+        }
         const auto target = e.request.target_at - e.request.arrived;
         const auto time_limit = e.request.deadline - e.request.arrived;
         const auto latest_start =
@@ -547,7 +627,7 @@
             reject(e, result_code::queue_full, now);
             return;
         }
-        queue_.push(e.request.id, e.request, latest_start);
+        queue_.push(e.request.id, e.request, {.latest = latest_start});
     }
 
     static base::duration scaled(base::duration d, double factor) {
@@ -565,6 +645,9 @@
         if (const auto wait = wait_for_signals(queue_.count_ahead(priority_rank), now)) {
             return *wait;
         }
+        if (options_.shared_machines) {
+            return forecast().wait(queue_.count_ahead(priority_rank));
+        }
         drop_old_starts(now);
         if (recent_starts_.size() < min_starts_for_rate) {
             return {};
@@ -573,23 +656,42 @@
         return scaled(start_rate_window, ahead / static_cast<double>(recent_starts_.size()));
     }
 
+    [[nodiscard]] queue_forecast forecast() const {
+        fleet_load f{.waiting = queue_.size(),
+                     .peer_waiting = peer_loads_.waiting(),
+                     .request_time = shared_machines_.times().request_time()};
+        for (const auto* s : sorted_servers_) {
+            f.running += s->running();
+        }
+        return queue_forecast{f};
+    }
+
     void drop_old_starts(base::time_point now) {
         while (!recent_starts_.empty() && now - recent_starts_.front() > start_rate_window) {
             recent_starts_.pop_front();
         }
     }
 
-    void reject(entry& e, result_code code, base::time_point now) {
+    /// @param server_wait shortest expected wait on a server.
+    void reject(entry& e, result_code code, base::time_point now, base::duration server_wait = {}) {
+        const auto id = e.request.id;
+        const auto retry = retry_after(e, server_wait, now);
+        decisions_.emplace_back(reject_decision{id, code, retry});
+        queue_.erase(id);
+        entries_.erase(id);
+    }
+
+    base::duration retry_after(const entry& e, base::duration server_wait, base::time_point now) {
         // An evacuation lasts until the operator withdraws it.
         const auto wait = all_evacuated() ? max_retry_after : expected_wait(e.request.priority_rank, now);
+        if (options_.shared_machines && !wait_for_signals(0, now)) {
+            return return_schedule_.next(std::max(wait, server_wait), forecast().start_interval(), random_,
+                                         now);
+        }
         const double jitter =
             retry_jitter_fraction * static_cast<double>(random_() % 1024) / 1024.0;  // in 1024 steps
         const auto longest = wait_for_signals(0, now) ? longest_signal_wait : max_retry_after;
-        const auto retry = scaled(std::clamp(wait, min_retry_after, longest), 1 + jitter);
-        const auto id = e.request.id;
-        decisions_.emplace_back(reject_decision{id, code, retry});
-        queue_.erase(id);
-        entries_.erase(id);
+        return scaled(std::clamp(wait, min_retry_after, longest), 1 + jitter);
     }
 
     void record_prefill_speed(const entry& e, base::time_point now) {
@@ -612,6 +714,8 @@
     std::deque<base::time_point> recent_starts_;
     token_gap_monitor token_gap_monitor_;
     prefill_speed_estimator prefill_speed_;
+    shared_machines shared_machines_;
+    return_schedule return_schedule_;
     std::uint32_t local_short_prompt_streams_ = 0;
     double mean_prefill_tokens_ = 0;
     std::unique_ptr<zone_preference> zones_;  ///< null without a price of the traffic between zones
@@ -661,6 +765,10 @@
     impl_->set_server_queue_length(id, waiting, now);
 }
 
+void scheduler::set_server_report(local_request_id id, const server_report& r, base::time_point now) {
+    impl_->set_server_report(id, r, now);
+}
+
 void scheduler::token_gap_exceeded(local_request_id id, base::time_point now) {
     impl_->token_gap_exceeded(id, now);
 }
--- a/packages/scheduling/src/zone_loads.cpp
+++ b/packages/scheduling/src/zone_loads.cpp
@@ -19,7 +19,7 @@
 constexpr int min_speed_samples = 4;
 
 bool takes_requests(const server_state& s, base::time_point now) {
-    return !s.info.draining && !s.health.ejected(now);
+    return s.takes_requests() && !s.health.ejected(now);
 }
 
 /// @return requests that the server can hold. More than its slots may run there, when several daemons used
--- a/packages/scheduling/tests/zone_loads_test.cpp
+++ b/packages/scheduling/tests/zone_loads_test.cpp
@@ -43,7 +43,7 @@
     }
 
     base::zone_id home{"z1"};
-    peer_loads peers;
+    peer_loads peers{std::chrono::milliseconds{400}};
     std::optional<catalog::engine_parameters> engine;
     std::vector<std::unique_ptr<server_state>> owned;
     std::vector<server_state*> servers;
