Look up cold servers by hash

Each placement asks for each server of the service whether it is cold and how many requests were started there. VMs have 0.09 to 0.5 of a core.

backpressure_test: 118 passed.

--- a/packages/backpressure/include/backpressure/warmup_table.h
+++ b/packages/backpressure/include/backpressure/warmup_table.h
@@ -15,7 +15,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -149,7 +148,8 @@
     std::optional<warmup_bounds> bounds_;
     service_warmups services_;
     bool list_read_ = false;
-    std::map<server_key, server_state> servers_;
+    /// Looked up for each server in each placement.
+    std::unordered_map<server_key, server_state> servers_;
 };
 
 }  // namespace chicorygap::backpressure
