Count registered daemons, not addresses, before a new one sends

In its first minute a daemon counts those that it has not heard of as coming before it. In fleets of up to 12 daemons these included the seeds of the settings, which may be stale: with five of them, no daemon of a fleet that has just started would have sent to cold servers for a minute. Where the store's list of daemons was read, its number counts now.

backpressure_test: 118 passed. chicorygapd builds; apps/daemon has no test of this.

--- a/apps/daemon/src/edge_daemon_fleet.cpp
+++ b/apps/daemon/src/edge_daemon_fleet.cpp
@@ -238,10 +238,14 @@
     const bool within_zones = sharing::uses_zone_digests(peers.fleet_size(settings_.zone, now));
     const auto others = within_zones ? peers.addresses_in_zone(settings_.zone) : peers.addresses();
     const auto known = within_zones ? others.size() + 1 : peers.known_count();
-    router_.server_signals().set_fleet({.within_zones = within_zones,
-                                        .settle_time = sharing::news_delay(applied_fleet_size_),
-                                        .silence_time = sharing::peer_timeout(known),
-                                        .known_daemons = others.size() + 1});
+    // In a large fleet the known addresses are those that are registered in this zone.
+    const auto registered = within_zones ? others.size() + 1 : peers.fleet_size(settings_.zone, now);
+    router_.server_signals().set_fleet(
+        {.within_zones = within_zones,
+         .settle_time = sharing::news_delay(applied_fleet_size_),
+         .silence_time = sharing::peer_timeout(known),
+         .known_daemons = others.size() + 1,
+         .registered_daemons = peers.registered_count() > 0 ? std::optional{registered} : std::nullopt});
 }
 
 }  // namespace chicorygap::daemon_app
--- a/packages/backpressure/include/backpressure/demand_table.h
+++ b/packages/backpressure/include/backpressure/demand_table.h
@@ -27,6 +27,9 @@
     base::duration silence_time = std::chrono::milliseconds{1200};
     /// Daemons that share the limits, including this one and those that were not heard of.
     std::size_t known_daemons = 1;
+    /// Those of them that are registered; absent if that is not known. The others may be addresses of daemons
+    /// that ended long ago.
+    std::optional<std::size_t> registered_daemons;
 
     bool operator==(const fleet_parameters&) const = default;
 };
--- a/packages/backpressure/src/demand_table.cpp
+++ b/packages/backpressure/src/demand_table.cpp
@@ -205,7 +205,7 @@
             before += rendezvous_weight(server, m.vm_hash) > own ? 1 : 0;
         }
     }
-    const auto expected = young ? parameters_.known_daemons : 0;
+    const auto expected = young ? parameters_.registered_daemons.value_or(parameters_.known_daemons) : 0;
     const auto unheard = expected > daemons ? expected - daemons : 0;
     return {.rank = before + unheard, .daemons = daemons + unheard};
 }
--- a/packages/backpressure/tests/demand_table_test.cpp
+++ b/packages/backpressure/tests/demand_table_test.cpp
@@ -190,6 +190,10 @@
     t.set_parameters({.within_zones = true, .known_daemons = 21});
     EXPECT_EQ(t.place(7, base::zone_id{"z"}, now + 30s).rank, 20U);
     EXPECT_FALSE(t.place(7, base::zone_id{"other"}, now + 30s).rank);
+    // Failure: the settings name daemons that ended long ago. Guards against cold servers that nobody uses.
+    t.set_parameters({.known_daemons = 21, .registered_daemons = 1});
+    EXPECT_EQ(t.place(7, base::zone_id{"z"}, now + 30s).rank, 0U);
+    t.set_parameters({.within_zones = true, .known_daemons = 21});
     EXPECT_EQ(t.place(7, base::zone_id{"other"}, now + 61s).rank, 0U) << "the only zone that has daemons";
     t.observe_peer(base::vm_id{"o"}, base::zone_id{"other"}, {}, false, now + 61s);
     EXPECT_FALSE(t.place(7, base::zone_id{"other"}, now + 8min).rank);
--- a/packages/sharing/include/sharing/peer_table.h
+++ b/packages/sharing/include/sharing/peer_table.h
@@ -89,6 +89,9 @@
     /// @param own_zone zone of this daemon.
     void add_registered(const std::vector<registered_daemon>& daemons, const base::zone_id& own_zone);
 
+    /// @return the number of registered daemons; 0 if the list was not read.
+    [[nodiscard]] std::size_t registered_count() const noexcept { return registered_count_; }
+
     /// @return the number of daemons in the fleet, from registrations, peers and zone digests.
     [[nodiscard]] std::size_t fleet_size(const base::zone_id& own_zone, base::time_point now) const;
 
