Play answers whose connection is reset within the upload

Cause: reports from other systems name two answers that only look complete: part of a 200 without a length whose connection is reset while the upload is still being written, and an answer with status 000.

Two tests of net::stream show the cause of the failures.

--- a/packages/net/tests/stream_test.cpp
+++ b/packages/net/tests/stream_test.cpp
@@ -141,5 +141,43 @@
     EXPECT_EQ(account.held(), 0U);
 }
 
+// Failure: the other side resets the connection while output is waiting. The failed write takes the error of
+// the socket, so that the next read saw an orderly end: an answer without a length looked complete.
+TEST_F(stream_test, reset_that_a_write_finds_first_is_no_orderly_end) {
+    std::optional<stream_end> end;
+    std::string answer;
+    const auto sender = stream::connect(l, in.local(), 1s,
+                                        {.connected = nullptr,
+                                         .received = [&](std::string_view b) { answer.append(b); },
+                                         .drained = nullptr,
+                                         .ended = [&](stream_end how) { end = how; }});
+    ASSERT_TRUE(run_until([&] { return accepted && sender->is_connected(); }));
+    accepted->pause_reading(true);
+    sender->write(std::string(std::size_t{32} * 1024 * 1024, 'x'));
+    ASSERT_TRUE(run_until([&] { return sender->buffered() > 0; }));
+    accepted->write("part");
+    ASSERT_TRUE(run_until([&] { return answer == "part"; }));
+    accepted->reset();
+    ASSERT_TRUE(run_until([&] { return end.has_value(); }));
+    EXPECT_EQ(end, stream_end::reset);
+}
+
+// Failure: the same, where a look at the connection takes the error of the socket.
+TEST_F(stream_test, reset_that_a_look_finds_first_is_no_orderly_end) {
+    std::optional<stream_end> end;
+    const auto other = stream::connect(
+        l, in.local(), 1s,
+        {.connected = nullptr, .received = nullptr, .drained = nullptr, .ended = [&](stream_end how) {
+             end = how;
+         }});
+    ASSERT_TRUE(run_until([&] { return accepted && other->is_connected(); }));
+    accepted->reset();
+    const auto give_up = base::boot_clock::now() + 5s;
+    while (!other->peer_has_ended() && base::boot_clock::now() < give_up) {
+    }
+    ASSERT_TRUE(run_until([&] { return end.has_value(); }));
+    EXPECT_EQ(end, stream_end::reset);
+}
+
 }  // namespace
 }  // namespace chicorygap::net
--- a/packages/proxy/tests/scripted_server.h
+++ b/packages/proxy/tests/scripted_server.h
@@ -38,6 +38,9 @@
         }
     }
 
+    /// Passes each request when its first bytes arrive, which is before the rest of a long upload.
+    void answer_at_first_bytes() { early_ = true; }
+
     [[nodiscard]] net::address address() const { return address_; }
     [[nodiscard]] int request_count() const { return request_count_; }
     [[nodiscard]] int closed_connection_count() const { return closed_connection_count_; }
@@ -62,6 +65,13 @@
 
     void received(accepted_connection& from, std::string_view bytes) {
         from.input.append(bytes);
+        if (early_) {
+            if (from.input.size() == bytes.size()) {
+                ++request_count_;
+                script_(from.stream, from.input);
+            }
+            return;
+        }
         const auto head_end = from.input.find("\r\n\r\n");
         if (head_end == std::string::npos) {
             return;
@@ -82,6 +92,7 @@
     net::loop& loop_;
     script script_;
     std::vector<std::shared_ptr<accepted_connection>> connections_;
+    bool early_ = false;
     int request_count_ = 0;
     int closed_connection_count_ = 0;
     std::unique_ptr<net::listener> listener_;
