Take a reset for a reset after the socket's error was read

Cause: the kernel gives the error of a socket out once. Where a write, or the look of `peer_has_ended`, took the error of a reset connection, the read in the same round of the loop saw the end of the input, which was reported as an orderly one. An answer without a length then counted as complete: callers got the part that a server sent before it reset the connection within a long upload as a whole 200, on plain and on streamed routes.

Change: the stream remembers that it has failed, and reports the end of the input behind that as a reset. If a server closes in an orderly way and the reset for the unread upload is found in the same round, that counts as a reset too; the request is then repeated, or ends as not known to have run, which is true.

--- a/packages/net/include/net/stream.h
+++ b/packages/net/include/net/stream.h
@@ -149,6 +149,8 @@
     bool closed_ = false;
     bool closing_ = false;
     bool read_paused_ = false;
+    /// A call has taken the error of the socket. The next read would see an orderly end.
+    mutable bool failed_ = false;
     bool unwatched_ = false;  ///< failed while reading was paused
     bool wants_write_ = false;
 };
--- a/packages/net/src/stream.cpp
+++ b/packages/net/src/stream.cpp
@@ -187,7 +187,8 @@
         auto socket = socket_;  // reading is no constant operation of Poco's sockets
         return socket.receiveBytes(&next, 1, MSG_PEEK) == 0;
     } catch (const Poco::Exception& e) {
-        return !would_block(e);
+        failed_ = failed_ || !would_block(e);
+        return failed_;
     }
 }
 
@@ -270,6 +271,7 @@
 
 // A hook that is called inside `write` would change its caller's state under it.
 void stream::end_later(stream_end how) {
+    failed_ = true;
     discard_output();
     loop_.after({}, [weak = weak_from_this(), how] {
         if (const auto self = weak.lock()) {
@@ -334,7 +336,7 @@
             return;
         }
         if (n == 0) {
-            end(stream_end::orderly);
+            end(failed_ ? stream_end::reset : stream_end::orderly);
             return;
         }
         if (n < 0) {
