Bound the wait of streams by the time after which callers leave

Cause: callers of a stream leave after two seconds, four times the target or eight times the maximum token gap without an event; requests waited in the queue and on servers far longer. Change: scheduled_request::first_event_deadline bounds the wait and the choice of a server on shared machines.

--- a/packages/scheduling/include/scheduling/scheduled_request.h
+++ b/packages/scheduling/include/scheduling/scheduled_request.h
@@ -53,6 +53,11 @@
     base::time_point deadline;
     /// Bytes of the request and of its expected answer, which a server in another zone receives and sends.
     std::uint64_t traffic_bytes = 0;
+
+    /// @return time after which the caller of a stream without an event no longer waits for it; the deadline
+    /// of other requests. Callers give a stream up after two seconds, four times its target latency or eight
+    /// times its maximum token gap without an event, whichever is longest.
+    [[nodiscard]] base::time_point first_event_deadline() const;
 };
 
 }  // namespace chicorygap::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -586,22 +586,24 @@
         const auto longest_wait =
             std::max(scaled(e.request.target_at - e.request.arrived, max_wait_target_fraction),
                      scaled(time_limit, max_forecast_wait_fraction));
+        const auto fastest = shortest.value_or(shortest_times{});
+        const auto first_event_deadline = e.request.first_event_deadline();
         const auto latest_start =
-            std::min(e.request.arrived + longest_wait,
-                     e.request.deadline - (shortest ? shortest->when_idle : base::duration{}));
-        const bool too_late =
-            now >= latest_start || (shortest && now + shortest->present > e.request.deadline);
+            std::min({e.request.arrived + longest_wait, e.request.deadline - fastest.when_idle,
+                      first_event_deadline - fastest.first_event_when_idle});
+        const auto first_event = now + fastest.present - fastest.when_idle + fastest.first_event_when_idle;
+        const bool too_late = now >= latest_start || now + fastest.present > e.request.deadline ||
+                              first_event > first_event_deadline;
         const bool no_room = now + expected_wait(e.request.priority_rank, now) > latest_start;
         if (!too_late && !no_room) {
-            const auto before_target = shortest ? shortest->first_event_when_idle : base::duration{};
-            queue_.push(e.request.id, e.request, {latest_start, e.request.target_at - before_target});
+            queue_.push(e.request.id, e.request,
+                        {latest_start, e.request.target_at - fastest.first_event_when_idle});
             return;
         }
         // Requests ahead may need more than the free places offer.
         if (!try_start(e, now)) {
-            const auto server_wait = shortest ? shortest->present - shortest->when_idle : base::duration{};
             reject(e, too_late ? result_code::deadline_unreachable : result_code::queue_full, now,
-                   server_wait);
+                   fastest.present - fastest.when_idle);
         }
     }
 
--- a/packages/scheduling/src/service_estimate.cpp
+++ b/packages/scheduling/src/service_estimate.cpp
@@ -12,10 +12,6 @@
 
 /// Time of a request to a plain service that is assumed until it is measured.
 constexpr double default_request_ms = 20;
-/// A generation that can only be late waits on a server for at most its target divided by this number. In a
-/// simulation of 88 daemons and 60 servers with a burst of 410 long prompts per second, 0.60 of the prompts
-/// met their target with 4, 0.52 with 1, and 0.41 without the bound.
-constexpr int late_wait_target_divisor = 4;
 
 base::duration from_ms(double ms) {
     return std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>{ms});
@@ -88,9 +84,7 @@
     if (present_requests(s, c, now) == 0) {
         return true;
     }
-    const bool late = request.generation && now + e.first_event > request.target_at;
-    const auto longest_wait = (request.target_at - request.arrived) / late_wait_target_divisor;
-    return now + e.total <= request.deadline && (!late || e.wait <= longest_wait);
+    return now + e.total <= request.deadline && now + e.first_event <= request.first_event_deadline();
 }
 
 double plain_server_cost_ms(const server_state& s, const placement_context& c, base::time_point now) {
