Send usage counts with every second regular beacon

Cause: the parity of one sequence number decided which beacons carry usage counts, and news and digests advance it too. Change: regular beacons are counted by themselves.

--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// Every n-th beacon carries usage counts. A daemon that is killed loses the requests that it has counted
-/// since.
+/// Every n-th regular beacon carries usage counts; news between them do not count. A daemon that is killed
+/// loses the requests that it has counted since.
 constexpr std::uint64_t beacons_per_usage_counts = 2;
 /// Interval of the requests for the list of registered daemons. A new daemon sends beacons to all listed ones
 /// itself, so the list is needed only if these beacons were lost.
@@ -99,7 +99,7 @@
     }
     const bool digests = sharing::uses_zone_digests(fleet_size);
     const bool mesh_beacon_due = fleet_beacon_due && !digests;
-    auto b = make_beacon(mesh_beacon_due || sequence_ % beacons_per_usage_counts == 0);
+    auto b = make_beacon(mesh_beacon_due || ++regular_beacons_ % beacons_per_usage_counts == 0);
     b.signals = hooks_.signals(backpressure::audience::peers);
     send(b, peers_.addresses_in_zone(settings_.zone), peer_message::loads);
     if (mesh_beacon_due) {
