--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -32,8 +32,8 @@
 /// Maximum cost for a stream of a server near the long prompt group, which such servers join first when the
 /// group grows.
 constexpr double group_boundary_cost_ms = 4;
-/// Requests for each slot of a plain server on a shared machine, running and waiting. In a simulation of 88
-/// daemons and 4 servers of 6 slots in a burst, 0.88 of the requests met their target with 3 and 0.69 with 1.
+/// Requests for each slot of a plain server on a shared machine, running and waiting. With only one, a slot
+/// that becomes free stays idle until the next beacon tells of it, longer than a request takes.
 constexpr std::uint32_t plain_requests_per_slot = 3;
 /// Random cost per other daemon, about the prefill time that one daemon adds between two reports, and its
 /// upper bound, about the cost of a fully used server.
