Log how many daemons counted a usage window

Cause: a window that was off could not be traced to the daemons whose counts were missing. Change: line Usage window counted, with requests, daemons and live_daemons.

--- a/apps/daemon/src/duty_agent.cpp
+++ b/apps/daemon/src/duty_agent.cpp
@@ -4,6 +4,7 @@
 #include "platform/object_codec.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 #include <variant>
 
@@ -205,6 +206,13 @@
 }
 
 void duty_agent::store_window(const duties::store_window& action) {
+    const auto requests = std::accumulate(action.counts.begin(), action.counts.end(), std::uint64_t{0},
+                                          [](std::uint64_t sum, const auto& c) { return sum + c.second; });
+    base::log_line{base::log_level::info, "duties", "Usage window counted."}
+        .field("window", static_cast<long long>(action.window))
+        .field("requests", static_cast<long long>(requests))
+        .field("daemons", static_cast<long long>(meter_.counting_daemons(action.window)))
+        .field("live_daemons", static_cast<long long>(peers_.live_count(loop_.now())));
     store_.create(platform::usage_kind, window_name(action.window), platform::encode_counts(action.counts),
                   [this, w = action.window](const platform::store_result<platform::stored_item>& r) {
                       const bool stored = r.value && (r.status == platform::store_status::ok ||
--- a/packages/metering/include/metering/meter.h
+++ b/packages/metering/include/metering/meter.h
@@ -6,6 +6,7 @@
 #include "base/time.h"
 #include "metering/window_counts.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -41,6 +42,9 @@
     /// @return the counts of a window, summed over all known daemon instances.
     [[nodiscard]] workspace_counts fleet_counts(window_number w) const;
 
+    /// @return number of daemon instances whose counts of the window are known.
+    [[nodiscard]] std::size_t counting_daemons(window_number w) const;
+
     /// Discards the counts of all windows before `w`.
     void discard_before(window_number w);
 
--- a/packages/metering/src/meter.cpp
+++ b/packages/metering/src/meter.cpp
@@ -44,6 +44,11 @@
     return out;
 }
 
+std::size_t meter::counting_daemons(window_number w) const {
+    const auto it = windows_.find(w);
+    return it == windows_.end() ? 0 : it->second.size();
+}
+
 void meter::discard_before(window_number w) {
     windows_.erase(windows_.begin(), windows_.lower_bound(w));
 }
--- a/packages/scheduling/src/server_pace.cpp
+++ b/packages/scheduling/src/server_pace.cpp
@@ -20,8 +20,8 @@
 /// Bound of the factor by which a single measurement may differ. Queues that are not known make single
 /// measurements several times too long.
 constexpr double max_ratio = 6;
-/// Number of measurements that the assumption of an average speed weighs. In a large fleet a daemon measures a
-/// server only every few seconds, so that a slow one must show after a single measurement.
+/// Number of measurements that the assumption of an average speed weighs. In a large fleet a daemon measures
+/// a server only every few seconds, so that a slow one must show after a single measurement.
 constexpr double prior_measurements = 1;
 /// Number of reports that the assumption of a usual pace weighs.
 constexpr double prior_reports = 4;
