Spread beacons over their interval and send usage counts before loads

Cause: daemons that started together sent all beacons in the same millisecond, and each sent its usage counts for another zone right behind some hundred kilobytes of loads, which fill the queue of a thin link. With many servers the counts of a third of the daemons never arrived. Change: the first beacon is delayed by a random part of the interval, later ones by a tenth either way; counts are sent first.

--- a/apps/daemon/src/peer_exchange.cpp
+++ b/apps/daemon/src/peer_exchange.cpp
@@ -16,6 +16,11 @@
 /// Every n-th regular beacon carries usage counts; news between them do not count. A daemon that is killed
 /// loses the requests that it has counted since.
 constexpr std::uint64_t beacons_per_usage_counts = 2;
+/// Daemons that start together would send all their beacons in the same millisecond, more than the receive
+/// buffer of a peer holds. An interval therefore varies by up to the interval divided by this number either
+/// way.
+constexpr int beacon_jitter_divisor = 10;
+constexpr int beacon_jitter_steps = 1024;
 /// Interval of the requests for the list of registered daemons. A new daemon sends beacons to all listed ones
 /// itself, so the list is needed only if these beacons were lost.
 constexpr base::duration daemon_list_interval = 20s;
@@ -82,7 +87,13 @@
 // zone.
 void peer_exchange::schedule_beacon() {
     const auto in_zone = peers_.addresses_in_zone(settings_.zone);
-    beacon_timer_ = loop_.after(sharing::beacon_interval(in_zone.size() + 1), [this] {
+    const auto interval = sharing::beacon_interval(in_zone.size() + 1);
+    const auto jitter = interval * static_cast<int>(random_() % beacon_jitter_steps) / beacon_jitter_steps;
+    // The first delay spreads over a whole interval.
+    const auto delay = std::exchange(first_beacon_scheduled_, true)
+                           ? interval - interval / beacon_jitter_divisor + 2 * jitter / beacon_jitter_divisor
+                           : jitter;
+    beacon_timer_ = loop_.after(delay, [this] {
         send_due_beacons();
         schedule_beacon();
     });
@@ -99,6 +110,10 @@
     }
     const bool digests = sharing::uses_zone_digests(fleet_size);
     const bool mesh_beacon_due = fleet_beacon_due && !digests;
+    if (fleet_beacon_due && digests) {
+        // Before the loads: with many servers these fill the queue of a thin link, which drops what follows.
+        send_counts_to_lease_holder();
+    }
     auto b = make_beacon(mesh_beacon_due || ++regular_beacons_ % beacons_per_usage_counts == 0);
     b.signals = hooks_.signals(backpressure::audience::peers);
     send(b, peers_.addresses_in_zone(settings_.zone), peer_message::loads);
@@ -110,7 +125,6 @@
     }
     if (fleet_beacon_due) {
         send(make_beacon_without_loads(), peers_.unlocated_addresses(), peer_message::other);
-        send_counts_to_lease_holder();
     }
     if (now >= next_digest_ && is_representative()) {
         const auto zone_size = peers_.addresses_in_zone(settings_.zone).size() + 1;
--- a/apps/daemon/src/peer_exchange.h
+++ b/apps/daemon/src/peer_exchange.h
@@ -133,7 +133,8 @@
     base::random_function random_;
     peer_exchange_hooks hooks_;
     std::uint64_t incarnation_;
-    std::uint64_t sequence_ = 0;         ///< of all beacons, news and digests among them
+    std::uint64_t sequence_ = 0;  ///< of all beacons, news and digests among them
+    bool first_beacon_scheduled_ = false;
     std::uint64_t regular_beacons_ = 0;  ///< sent to the zone at the regular interval
     sharing::peer_table peers_;
     net::datagram_socket socket_;
