--- a/packages/catalog/src/configuration_difference.cpp
+++ b/packages/catalog/src/configuration_difference.cpp
@@ -58,6 +58,9 @@
 
 fields fields_of(const service& s) {
     fields out{{"health path", s.health_path}, {"connections", std::to_string(s.max_connections)}};
+    if (s.warmup) {
+        out["warm-up"] = text(s.warmup->duration) + " at " + text(s.warmup->requests_per_s) + " requests/s";
+    }
     if (s.engine) {
         out["engine slots"] = std::to_string(s.engine->slots);
         out["engine KV cache"] = std::to_string(s.engine->kv_capacity_tokens) + " tokens";
--- a/packages/catalog/tests/configuration_check_test.cpp
+++ b/packages/catalog/tests/configuration_check_test.cpp
@@ -131,6 +131,7 @@
     next.routes.front().entry.timeout = 10s;
     next.workspaces.front().entry.api_keys = {"secret-2", "secret-3"};
     next.services.push_back({service{.id = base::service_id{"new"}}, {}});
+    next.services.front().entry.warmup = warmup{3s, 10};
     std::string text;
     const auto differences = compare(c, next);
     for (const auto& d : differences) {
@@ -138,6 +139,7 @@
     }
     EXPECT_EQ(text,
               "route a.example/chat/|timeout|15000 ms|10000 ms\n"
+              "service llm|warm-up||3000 ms at 10 requests/s\n"
               "service new|||present\n"
               "workspace north|API keys|1 removed|2 added\n");
     EXPECT_TRUE(check_version_order(c, next, true).empty());
