--- a/packages/catalog/tests/configuration_check_test.cpp
+++ b/packages/catalog/tests/configuration_check_test.cpp
@@ -139,7 +139,7 @@
     }
     EXPECT_EQ(text,
               "route a.example/chat/|timeout|15000 ms|10000 ms\n"
-              "service llm|warm-up||3000 ms at 10 requests/s\n"
+              "service llm|warm-up|none|3000 ms at 10 requests/s\n"
               "service new|||present\n"
               "workspace north|API keys|1 removed|2 added\n");
     EXPECT_TRUE(check_version_order(c, next, true).empty());
